--- /dev/null
+++ b/Source/Agree/fleet_follower.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Base/clock.h"
+#include "Record/fleet_state.h"
+#include "Wire/messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sagesaddle {
+
+/// \brief How sure a process is that it holds every accepted record.
+struct freshness {
+    /// Whether the state may be acted upon.
+    bool fresh { false };
+    /// Age of the evidence.
+    milliseconds age { 0 };
+    /// Whether the log is away as seen from here.
+    bool logAway { true };
+
+    auto operator<=>(const freshness&) const = default;
+};
+
+/// \brief Keeps a process's copy of the fleet's state up to date, from the log or from peers.
+///
+/// Reads the `config` stream on a thread of its own and folds it. While the log is away it asks the
+/// other entries for the tail; \see docs/design/freshness.md for when the state may be acted upon.
+class fleet_follower {
+public:
+    struct options {
+        address log;
+        std::string stream { "config" };
+        /// Name of this entry in the records.
+        std::string self;
+        /// How old the evidence may be.
+        milliseconds freshFor { 2000 };
+    };
+
+    /// Sends a message to another entry; false where it could not be sent.
+    using send_to_peer = std::function<bool(const std::string& entry, const message& value)>;
+
+    /// \param onChange called on the follower's thread with each newer state
+    fleet_follower(options settings, send_to_peer send, std::function<void(fleet_state_ptr)> onChange);
+    ~fleet_follower();
+
+    fleet_follower(const fleet_follower&) = delete;
+    fleet_follower& operator=(const fleet_follower&) = delete;
+
+    /// \return the newest state, or null before there is one that can be trusted.
+    fleet_state_ptr state() const;
+
+    freshness freshnessAt(monotonic_time now) const;
+
+    /// \return what a peer that asks for the tail is told.
+    tail_answer answerTail(const tail_ask& ask) const;
+
+    /// Takes in a peer's answer.
+    void onTail(const std::string& entry, const tail_answer& answer);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Base/clock.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+
+namespace sagesaddle {
+
+/// A point on this process's monotonic clock; decision code receives it, never reads it.
+using monotonic_time = std::chrono::steady_clock::time_point;
+
+/// A length of monotonic time.
+using monotonic_span = std::chrono::steady_clock::duration;
+
+/// A point on the wall clock; used only for what leaves the process (logs, traces, claims).
+using wall_time = std::chrono::system_clock::time_point;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Limit/rate_gate.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Record/fleet_state.h"
+#include "Wire/messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sagesaddle {
+
+/// \brief Whether a request fits its team's rate, and if not, why and when to come back.
+struct rate_decision {
+    bool admitted { false };
+    /// Empty where admitted; else `team_rate`, `request_over_burst` or `rate_holder_away`.
+    std::string reason;
+    std::uint32_t retryAfterMs { 0 };
+
+    auto operator<=>(const rate_decision&) const = default;
+};
+
+/// \brief Holds every team to its rate and burst over all entries together; safe from any thread.
+///
+/// The entries of the membership epoch each hold a part of a team's rate; a request is admitted on
+/// credit that was debited at a holder first. \see docs/design/team-rates.md
+class rate_gate {
+public:
+    /// Sends a message to another entry; false where it could not be sent.
+    using send_to_peer = std::function<bool(const std::string& entry, const message& value)>;
+
+    /// \param self name of this entry in the records
+    rate_gate(std::string self, send_to_peer send);
+    ~rate_gate();
+
+    rate_gate(const rate_gate&) = delete;
+    rate_gate& operator=(const rate_gate&) = delete;
+
+    /// Takes in a newer state: teams, rates and the membership epoch.
+    void update(fleet_state_ptr state, monotonic_time now);
+
+    /// Charges a request, waiting for credit from other entries where that may help.
+    /// \param tokens all that the request may use: prompt and longest answer
+    /// \param deadline when to give up waiting
+    rate_decision admit(const std::string& team, double tokens, monotonic_time deadline);
+
+    /// Answers another entry's ask.
+    credit_grant answer(const credit_ask& ask, monotonic_time now);
+
+    /// Takes in another entry's grant.
+    void onGrant(const credit_grant& grant, monotonic_time now);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Once/claim_gate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Base/clock.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace sagesaddle {
+
+class log_client;
+
+/// \brief Whether a call that may run once may run now.
+enum class claim_outcome {
+    /// This process owns the claim and has not run it: run it now.
+    Granted,
+    /// An earlier claim for the key exists: the call may have run.
+    Taken,
+    /// The key is older than what is remembered: the call may have run.
+    TooOld,
+    /// The claim could not be settled and no run of this call can follow from it.
+    Unavailable,
+};
+
+/// \brief Claims calls that may run at most once in the log, in groups; safe from any thread.
+///
+/// The first claim of a key in offset order wins, whichever process appended it.
+class claim_gate {
+public:
+    /// \param log the platform's log; must outlive the gate
+    /// \param service the plain service whose calls are claimed
+    /// \param self unique name of this process's run
+    claim_gate(log_client& log, const std::string& service, std::string self);
+    ~claim_gate();
+
+    claim_gate(const claim_gate&) = delete;
+    claim_gate& operator=(const claim_gate&) = delete;
+
+    /// Claims a call and waits for the log's word.
+    /// \param team whose key space it is
+    /// \param key the caller's idempotency key
+    /// \param deadline when to give up; the claim is then void
+    claim_outcome claim(const std::string& team, const std::string& key, monotonic_time deadline);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Record/fleet_state.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Record/objects.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \brief The entries that share the teams' rates, fixed by a record in the log.
+struct membership_epoch {
+    /// Offset of the record; 0 before there is one.
+    std::uint64_t number { 0 };
+    /// Names of the member entries, sorted.
+    std::vector<std::string> members;
+
+    auto operator<=>(const membership_epoch&) const = default;
+};
+
+/// \brief A lease on a fleet-wide duty, granted by a record in the log.
+struct lease_grant {
+    std::string holder;
+    /// Offset of the record that granted it: the fencing number of its holder.
+    std::uint64_t fence { 0 };
+
+    auto operator<=>(const lease_grant&) const = default;
+};
+
+/// \brief What a prefix of the configuration log amounts to; equal prefixes give equal states.
+struct fleet_state {
+    /// Offset of the next record to fold: every record below it is in.
+    std::uint64_t nextOffset { 0 };
+    /// Offset of the last accepted operator change plus one; 0 before the first. A change names the
+    /// revision it was made against.
+    std::uint64_t revision { 0 };
+
+    std::map<std::string, team> teams;
+    /// By the hash of the secret.
+    std::map<std::string, api_key> keys;
+    std::map<std::string, model> models;
+    std::map<std::string, upstream> upstreams;
+    /// By path prefix.
+    std::map<std::string, route> routes;
+    /// By model, then upstream.
+    std::map<std::pair<std::string, std::string>, placement> placements;
+    std::map<std::string, entry_host> entries;
+
+    membership_epoch epoch;
+    /// By duty.
+    std::map<std::string, lease_grant> leases;
+    /// Ids of folded records that may still be appended again, with their offsets.
+    std::map<std::string, std::uint64_t> recentIds;
+
+    bool operator==(const fleet_state&) const = default;
+};
+
+/// A state as readers hold it: never changed after it was published.
+using fleet_state_ptr = std::shared_ptr<const fleet_state>;
+
+/// \return the route with the longest prefix of the path, or nothing where none fits.
+const route* findRoute(const fleet_state& state, const std::string& path);
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Wire/frame_link.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Wire/messages.h"
+
+#include <functional>
+#include <memory>
+
+namespace sagesaddle {
+
+class wire_pool;
+
+/// \brief A client's lasting connection to another process, connected again whenever it breaks.
+///
+/// Callbacks run on the pool's threads, one at a time for a link. They must not block.
+class frame_link {
+public:
+    struct handlers {
+        std::function<void(message)> onMessage;
+        /// The connection stands; messages may be sent.
+        std::function<void()> onUp;
+        /// The connection broke: answers still outstanding will not come.
+        std::function<void()> onDown;
+    };
+
+    /// \param pool the threads that serve the link; must outlive it
+    /// \param peer where the other process listens
+    frame_link(wire_pool& pool, address peer, handlers callbacks);
+    ~frame_link();
+
+    frame_link(const frame_link&) = delete;
+    frame_link& operator=(const frame_link&) = delete;
+
+    /// Queues a message for sending; safe from any thread.
+    /// \return false where the link is down or its send queue is full: then nothing was sent
+    bool send(const message& value);
+
+    bool isUp() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Wire/frame_server.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Wire/messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace sagesaddle {
+
+class wire_pool;
+
+/// Names a connection accepted by a frame_server; never used twice by a process.
+using connection_id = std::uint64_t;
+
+/// \brief Accepts connections of other processes and exchanges frames with them.
+///
+/// Callbacks run on the pool's threads, one at a time for a connection. They must not block.
+class frame_server {
+public:
+    struct handlers {
+        std::function<void(connection_id, message)> onMessage;
+        std::function<void(connection_id)> onClosed;
+    };
+
+    /// \param pool the threads that serve the connections; must outlive the server
+    /// \param listen where to listen; port 0 takes a free one
+    /// \throws std::system_error where it cannot listen there
+    frame_server(wire_pool& pool, const address& listen, handlers callbacks);
+    ~frame_server();
+
+    frame_server(const frame_server&) = delete;
+    frame_server& operator=(const frame_server&) = delete;
+
+    /// \return the address in use, with the port that was taken.
+    address listening() const;
+
+    /// Queues a message for sending; safe from any thread.
+    /// \return false where the connection is gone or its send queue is full: then nothing was sent
+    bool send(connection_id connection, const message& value);
+
+    /// Accepts no further connection; those that stand go on.
+    void stopAccepting();
+
+private:
+    struct impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Tests/Support/doctest_main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/Utilities/cmake/SagesaddleTargets.cmake
@@ -0,0 +1,44 @@
+include_guard()
+
+# Compile options that every target of the project shares.
+add_library(sagesaddle_options INTERFACE)
+target_compile_options(sagesaddle_options INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor)
+if(SAGESADDLE_WERROR)
+    target_compile_options(sagesaddle_options INTERFACE -Werror)
+endif()
+if(SAGESADDLE_SANITIZE STREQUAL "address")
+    target_compile_options(sagesaddle_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
+    target_link_options(sagesaddle_options INTERFACE -fsanitize=address,undefined)
+elseif(SAGESADDLE_SANITIZE STREQUAL "thread")
+    target_compile_options(sagesaddle_options INTERFACE -fsanitize=thread)
+    target_link_options(sagesaddle_options INTERFACE -fsanitize=thread)
+endif()
+target_include_directories(sagesaddle_options INTERFACE "${CMAKE_SOURCE_DIR}/Source" "${CMAKE_SOURCE_DIR}/Tests")
+
+# sagesaddle_library(Name SOURCES ... LINK ...): one library of the workspace, as the target sagesaddle::Name.
+function(sagesaddle_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+    add_library(sagesaddle_${name} STATIC ${ARG_SOURCES})
+    add_library(sagesaddle::${name} ALIAS sagesaddle_${name})
+    target_link_libraries(sagesaddle_${name} PUBLIC sagesaddle_options ${ARG_LINK})
+endfunction()
+
+# sagesaddle_program(name SOURCES ... LINK ...): an executable in the build's bin folder.
+function(sagesaddle_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE sagesaddle_options ${ARG_LINK})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+endfunction()
+
+# sagesaddle_test(Name SOURCES ... LINK ... LABELS ... TIMEOUT s): a doctest program whose
+# test cases are registered in CTest one by one, each under its own name.
+function(sagesaddle_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINK;LABELS" ${ARGN})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 120)
+    endif()
+    add_executable(${name} ${ARG_SOURCES} "${CMAKE_SOURCE_DIR}/Tests/Support/doctest_main.cpp")
+    target_link_libraries(${name} PRIVATE sagesaddle_options ${ARG_LINK} doctest::doctest)
+    doctest_discover_tests(${name} PROPERTIES LABELS "${ARG_LABELS}" TIMEOUT ${ARG_TIMEOUT})
+endfunction()
