--- a/Tests/Settings/settings_reader_tests.cpp
+++ b/Tests/Settings/settings_reader_tests.cpp
@@ -70,7 +70,7 @@
 TEST_CASE("settings: a text that is no TOML names its line")
 {
     try {
-        settings_reader("a.toml", "[callers]\nworkers = = 3\n");
+        const settings_reader reader("a.toml", "[callers]\nworkers = = 3\n");
         FAIL("read what is no TOML");
     } catch (const settings_error& error) {
         CHECK(contains(error.what(), "a.toml: line 2: is no TOML"));
