--- a/Source/Record/fleet_state.h
+++ b/Source/Record/fleet_state.h
@@ -54,6 +54,8 @@
     std::map<std::string, lease_grant> leases;
     /// Ids of folded records that may still be appended again, with their offsets.
     std::map<std::string, std::uint64_t> recentIds;
+    /// Fields that newer programs wrote and this one does not know, as JSON text by the object's reference.
+    std::map<std::string, std::string> unknownFields;
 
     bool operator==(const fleet_state&) const = default;
 };
--- /dev/null
+++ b/Source/Record/log_record.cpp
@@ -0,0 +1,178 @@
+#include "Record/log_record.h"
+
+#include "Base/overloaded.h"
+#include "Record/field_reader.h"
+#include "Record/json_text.h"
+#include "Record/record_error.h"
+#include "Record/state_json.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+#include <stdexcept>
+
+namespace sagesaddle {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t mostOffset = UINT64_MAX / 2;
+constexpr std::uint64_t mostSchema = 1'000'000;
+constexpr std::size_t longestId = 64;
+constexpr std::size_t recordIdBytes = 16;
+
+json formatBody(const change_record& change, std::uint32_t schema)
+{
+    json put = json::object();
+    for (const declared_object& object : change.put)
+        put[std::string(nameOf(refOf(object.value).kind))].push_back(formatObject(object, schema));
+    json remove = json::object();
+    for (const object_ref& ref : change.remove)
+        remove[std::string(nameOf(ref.kind))].push_back(ref.name);
+    return { { "base_revision", change.baseRevision }, { "operator", change.operatorName },
+        { "put", std::move(put) }, { "remove", std::move(remove) } };
+}
+
+json formatBody(const snapshot_record& snapshot, std::uint32_t)
+{
+    return formatStateJson(*snapshot.state);
+}
+
+json formatBody(const epoch_record& epoch, std::uint32_t)
+{
+    return { { "previous", epoch.previous }, { "members", epoch.members } };
+}
+
+json formatBody(const lease_record& lease, std::uint32_t)
+{
+    return { { "duty", lease.duty }, { "holder", lease.holder }, { "previous_fence", lease.previousFence } };
+}
+
+json formatBody(const unknown_record& record, std::uint32_t)
+{
+    throw std::invalid_argument("a record of unknown kind \"" + record.kind + "\" cannot be written");
+}
+
+std::string kindOf(const record_body& body)
+{
+    return std::visit(overloaded {
+                          [](const change_record&) -> std::string { return "change"; },
+                          [](const snapshot_record&) -> std::string { return "snapshot"; },
+                          [](const epoch_record&) -> std::string { return "epoch"; },
+                          [](const lease_record&) -> std::string { return "lease"; },
+                          [](const unknown_record& record) { return record.kind; },
+                      },
+        body);
+}
+
+// Calls `take` with the kind and each element of the lists in an object such as {"team":[...]}.
+template <typename Take> void forEachListed(const json& lists, const std::string& place, Take take)
+{
+    if (!lists.is_object())
+        throw record_error(place + " must be an object of lists");
+    for (const auto& [name, list] : lists.items()) {
+        const auto kind = parseObjectKind(name);
+        if (!kind)
+            throw record_error(place + ": \"" + name + "\" is no kind of object");
+        if (!list.is_array())
+            throw record_error(place + "." + name + " must be a list");
+        for (const json& element : list)
+            take(*kind, element);
+    }
+}
+
+change_record parseChange(field_reader& reader, std::uint32_t schema)
+{
+    change_record change;
+    change.baseRevision = reader.integer("base_revision", 0, mostOffset);
+    change.operatorName = reader.text("operator");
+    if (reader.has("put"))
+        forEachListed(reader.value("put"), "put", [&](object_kind kind, const json& fields) {
+            change.put.push_back(parseObject(kind, fields, "put." + std::string(nameOf(kind)), schema));
+        });
+    if (reader.has("remove"))
+        forEachListed(reader.value("remove"), "remove", [&](object_kind kind, const json& name) {
+            if (!name.is_string())
+                throw record_error("remove." + std::string(nameOf(kind)) + " must list names");
+            change.remove.push_back({ kind, name.get<std::string>() });
+        });
+    return change;
+}
+
+epoch_record parseEpoch(field_reader& reader)
+{
+    epoch_record epoch;
+    epoch.previous = reader.integer("previous", 0, mostOffset);
+    const json& members = reader.value("members");
+    if (!members.is_array() || members.empty())
+        throw record_error("\"members\" must be a list of at least one entry's name");
+    for (const json& member : members) {
+        if (!member.is_string() || !isObjectName(member.get_ref<const std::string&>()))
+            throw record_error("\"members\" must list names of entries");
+        epoch.members.push_back(member.get<std::string>());
+    }
+    std::sort(epoch.members.begin(), epoch.members.end());
+    if (std::adjacent_find(epoch.members.begin(), epoch.members.end()) != epoch.members.end())
+        throw record_error("\"members\" names an entry twice");
+    return epoch;
+}
+
+lease_record parseLease(field_reader& reader)
+{
+    lease_record lease;
+    lease.duty = reader.name("duty");
+    lease.holder = reader.name("holder");
+    lease.previousFence = reader.integer("previous_fence", 0, mostOffset);
+    return lease;
+}
+
+record_body parseBody(const std::string& kind, const json& body, std::uint32_t schema)
+{
+    if (kind == "snapshot")
+        return snapshot_record { std::make_shared<const fleet_state>(parseStateJson(body)) };
+    field_reader reader(body, kind, schema);
+    record_body result = unknown_record { kind };
+    if (kind == "change")
+        result = parseChange(reader, schema);
+    else if (kind == "epoch")
+        result = parseEpoch(reader);
+    else if (kind == "lease")
+        result = parseLease(reader);
+    else
+        return result;
+    reader.takeUnknown();
+    return result;
+}
+
+} // namespace
+
+std::string formatRecord(const log_record& record)
+{
+    const json text { { "id", record.id }, { "schema", record.schema }, { "kind", kindOf(record.body) },
+        { "body", std::visit([&](const auto& body) { return formatBody(body, record.schema); }, record.body) } };
+    return text.dump();
+}
+
+log_record parseRecord(std::string_view text)
+{
+    const json document = parseJsonText(text, "record");
+    field_reader reader(document, "record", newestSchema);
+    log_record record;
+    record.id = reader.text("id", longestId);
+    record.schema = static_cast<std::uint32_t>(reader.integer("schema", 1, mostSchema));
+    const std::string kind = reader.name("kind");
+    record.body = parseBody(kind, reader.value("body"), record.schema);
+    return record;
+}
+
+std::string makeRecordId()
+{
+    std::array<unsigned char, recordIdBytes> bytes {};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1)
+        throw std::runtime_error("no random bytes for a record's id: RAND_bytes failed");
+    return formatHex(bytes);
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Record/log_record.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Record/fleet_state.h"
+#include "Record/object_json.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \brief An operator's change of the declared objects.
+struct change_record {
+    /// Revision that the change was made against.
+    std::uint64_t baseRevision { 0 };
+    std::string operatorName;
+    std::vector<declared_object> put;
+    std::vector<object_ref> remove;
+
+    auto operator<=>(const change_record&) const = default;
+};
+
+/// \brief The state that a prefix of the log amounts to, for readers whose offset has lapsed.
+struct snapshot_record {
+    fleet_state_ptr state;
+};
+
+/// \brief Proposes the entries that share the teams' rates from here on.
+struct epoch_record {
+    /// Number of the epoch that it replaces.
+    std::uint64_t previous { 0 };
+    /// Names of entries, sorted.
+    std::vector<std::string> members;
+
+    auto operator<=>(const epoch_record&) const = default;
+};
+
+/// \brief Asks for the lease on a duty.
+struct lease_record {
+    std::string duty;
+    std::string holder;
+    /// Fencing number of the lease that it replaces; 0 where there is none.
+    std::uint64_t previousFence { 0 };
+
+    auto operator<=>(const lease_record&) const = default;
+};
+
+/// \brief A record whose kind this program does not know.
+struct unknown_record {
+    std::string kind;
+
+    auto operator<=>(const unknown_record&) const = default;
+};
+
+using record_body = std::variant<change_record, snapshot_record, epoch_record, lease_record, unknown_record>;
+
+/// \brief A record of the `config` stream.
+struct log_record {
+    /// Chosen at random by the writer; a repeated id counts once.
+    std::string id;
+    std::uint32_t schema { 2 };
+    record_body body;
+};
+
+/// \return the record as JSON text.
+/// \throws std::invalid_argument for an unknown_record
+std::string formatRecord(const log_record& record);
+
+/// Parses a record of any content.
+/// \throws record_error naming what is wrong
+log_record parseRecord(std::string_view text);
+
+/// \return a random id for a record.
+std::string makeRecordId();
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Record/object_json.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Record/objects.h"
+
+#include <compare>
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sagesaddle {
+
+/// \brief The kinds of objects that operators declare, in the order of fleet_object's alternatives.
+enum class object_kind {
+    Team,
+    Key,
+    Model,
+    Upstream,
+    Route,
+    Placement,
+    Entry,
+};
+
+inline constexpr object_kind allObjectKinds[] = { object_kind::Team, object_kind::Key, object_kind::Model,
+    object_kind::Upstream, object_kind::Route, object_kind::Placement, object_kind::Entry };
+
+/// \return the kind's name in records, such as `team`.
+std::string_view nameOf(object_kind kind);
+
+/// \return the kind with that name, or nothing where there is none.
+std::optional<object_kind> parseObjectKind(std::string_view name);
+
+/// \brief Names one object of the fleet: a key by its id, a route by its path prefix, a placement as
+/// `model@upstream`.
+struct object_ref {
+    object_kind kind { object_kind::Team };
+    std::string name;
+
+    auto operator<=>(const object_ref&) const = default;
+};
+
+object_ref refOf(const fleet_object& object);
+
+/// \return the reference as people read it, such as `team "gold"`.
+std::string formatRef(const object_ref& ref);
+
+/// \return the reference of a placement.
+std::string placementName(std::string_view model, std::string_view upstream);
+
+/// \brief An object as declared, with the fields that a newer schema has and this program does not know.
+struct declared_object {
+    fleet_object value;
+    /// JSON text of the unknown fields; empty where there are none.
+    std::string unknownFields;
+
+    auto operator<=>(const declared_object&) const = default;
+};
+
+/// \param schema version of the record that it goes into; fields of later versions are left out
+nlohmann::json formatObject(const declared_object& object, std::uint32_t schema);
+
+/// \param place where the object stands, for error messages
+/// \throws record_error naming the place, the field, the allowed range and the remedy
+declared_object parseObject(
+    object_kind kind, const nlohmann::json& fields, const std::string& place, std::uint32_t schema);
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Record/record_error.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace sagesaddle {
+
+/// \brief A record, or an operator's file, that cannot be used; names the place and the remedy.
+class record_error : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Record/state_json.cpp
@@ -0,0 +1,98 @@
+#include "Record/state_json.h"
+
+#include "Record/field_reader.h"
+#include "Record/object_json.h"
+#include "Record/object_table.h"
+#include "Record/record_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sagesaddle {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t mostOffset = UINT64_MAX / 2;
+
+json formatObjects(const fleet_state& state)
+{
+    json lists = json::object();
+    for (const declared_object& object : listObjects(state))
+        lists[std::string(nameOf(refOf(object.value).kind))].push_back(formatObject(object, newestSchema));
+    return lists;
+}
+
+json formatLeases(const fleet_state& state)
+{
+    json leases = json::object();
+    for (const auto& [duty, grant] : state.leases)
+        leases[duty] = { { "holder", grant.holder }, { "fence", grant.fence } };
+    return leases;
+}
+
+// Snapshots are written by newer programs too, so that unknown fields are kept whatever the schema.
+void parseObjects(const json& lists, std::uint32_t schema, fleet_state& state)
+{
+    for (const auto& [name, list] : lists.items()) {
+        const auto kind = parseObjectKind(name);
+        if (!kind)
+            throw record_error("snapshot: \"" + name + "\" is no kind of object");
+        for (const json& fields : list)
+            putObject(state, parseObject(*kind, fields, "snapshot." + name, schema));
+    }
+}
+
+void parseEpoch(const json& fields, fleet_state& state)
+{
+    field_reader reader(fields, "snapshot.epoch", newestSchema);
+    state.epoch.number = reader.integer("number", 0, mostOffset);
+    state.epoch.members = reader.value("members").get<std::vector<std::string>>();
+}
+
+void parseLeases(const json& leases, fleet_state& state)
+{
+    for (const auto& [duty, fields] : leases.items()) {
+        field_reader reader(fields, "snapshot.leases", newestSchema);
+        lease_grant grant;
+        grant.holder = reader.name("holder");
+        grant.fence = reader.integer("fence", 0, mostOffset);
+        state.leases.emplace(duty, grant);
+    }
+}
+
+fleet_state parseStateFields(const json& document)
+{
+    field_reader reader(document, "snapshot", newestSchema);
+    fleet_state state;
+    state.nextOffset = reader.integer("next_offset", 0, mostOffset);
+    state.revision = reader.integer("revision", 0, mostOffset);
+    const auto schema = static_cast<std::uint32_t>(reader.integer("schema", 1, UINT32_MAX));
+    parseObjects(reader.value("objects"), schema, state);
+    parseEpoch(reader.value("epoch"), state);
+    parseLeases(reader.value("leases"), state);
+    state.recentIds = reader.value("recent_ids").get<std::map<std::string, std::uint64_t>>();
+    return state;
+}
+
+} // namespace
+
+json formatStateJson(const fleet_state& state)
+{
+    const std::uint32_t schema = state.unknownFields.empty() ? newestSchema : newestSchema + 1;
+    return { { "next_offset", state.nextOffset }, { "revision", state.revision }, { "schema", schema },
+        { "objects", formatObjects(state) },
+        { "epoch", { { "number", state.epoch.number }, { "members", state.epoch.members } } },
+        { "leases", formatLeases(state) }, { "recent_ids", state.recentIds } };
+}
+
+fleet_state parseStateJson(const json& document)
+{
+    try {
+        return parseStateFields(document);
+    } catch (const json::exception& error) {
+        throw record_error(std::string("snapshot: ") + error.what());
+    }
+}
+
+} // namespace sagesaddle
