--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -1,10 +1,38 @@
 #!/usr/bin/env bash
-# Builds the project and runs all its tests.
+# Builds the project and runs all its tests. Tests entered in KNOWN-RED.txt are run and printed, and their
+# failure alone does not fail the run.
 # usage: Utilities/test.sh [BUILD_DIR] [CMAKE_OPTION...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
 shift || true
-cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "$@" > /dev/null
+launcher=()
+if command -v ccache > /dev/null; then
+    launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+fi
+cmake -S . -B "$build" -G Ninja "${launcher[@]}" "$@" > /dev/null
 cmake --build "$build"
-ctest --test-dir "$build" --output-on-failure -j "$(($(nproc) / 2))"
+
+# An entry of KNOWN-RED.txt: test name | command and seed | what was seen | issue
+known=()
+if [ -s KNOWN-RED.txt ]; then
+    mapfile -t known < <(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | sed 's/[[:space:]]*$//' | grep -v '^$' || true)
+fi
+# Quotes a test name for ctest's regular expressions.
+quoted() { printf '%s' "$1" | sed 's/[][\.*^$+?(){}|]/\\&/g'; }
+excluded=()
+for name in "${known[@]}"; do
+    excluded+=("^$(quoted "$name")\$")
+done
+selection=()
+if [ ${#excluded[@]} -gt 0 ]; then
+    selection=(-E "$(IFS='|'; printf '%s' "${excluded[*]}")")
+fi
+ctest --test-dir "$build" --output-on-failure --no-tests=error -j "$(($(nproc) / 2))" "${selection[@]}"
+for name in "${known[@]}"; do
+    if ctest --test-dir "$build" --no-tests=error -R "^$(quoted "$name")\$" > /dev/null; then
+        echo "KNOWN RED, passing now, take it out of KNOWN-RED.txt: $name"
+    else
+        echo "KNOWN RED: $name"
+    fi
+done
