Serve: Never send a request again where its answer was lost

libcurl sends a request again by itself where a kept connection ends without a byte of answer, a POST included: the server of the new test counted 3 calls for 2 requests, so a deposit could run twice behind the claim gate. With the body given by a read callback that cannot go back, and a fresh connection where there is no body, the count is 2 in all three cases.

--- a/Source/Serve/http_client.cpp
+++ b/Source/Serve/http_client.cpp
@@ -44,6 +44,7 @@
     header_list headers;
     bool headGiven { false };
     std::exception_ptr failure;
+    std::string_view bodyLeft;
 };
 
 void giveHead(exchange& state)
@@ -83,6 +84,32 @@
     return size;
 }
 
+// Without a way back to the body's start libcurl cannot send a request again by itself, as it otherwise does
+// where a kept connection ends without an answer.
+std::size_t onBodyWanted(char* buffer, std::size_t, std::size_t size, void* user)
+{
+    auto& left = static_cast<exchange*>(user)->bodyLeft;
+    const std::size_t count = left.copy(buffer, size);
+    left.remove_prefix(count);
+    return count;
+}
+
+void setBody(CURL* easy, const http_request& request, exchange& state)
+{
+    state.bodyLeft = request.body;
+    if (!request.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, onBodyWanted);
+        curl_easy_setopt(easy, CURLOPT_READDATA, &state);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        return;
+    }
+    if (request.method == "POST")
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+    const bool isSafe = request.method == "GET" || request.method == "HEAD";
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.idempotent && isSafe ? 0L : 1L);
+}
+
 int onProgress(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
     const auto& state = *static_cast<exchange*>(user);
@@ -149,7 +176,7 @@
 {
     CURL* const easy = m_impl->easy;
     curl_easy_reset(easy);
-    exchange state { easy, &sink, {}, false, nullptr };
+    exchange state { easy, &sink, {}, false, nullptr, {} };
 
     curl_slist* lines = nullptr;
     const scope_guard freeLines([&lines] { curl_slist_free_all(lines); });
@@ -163,10 +190,7 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    if (!request.body.empty() || request.method == "POST") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
-    }
+    setBody(easy, request, state);
     if (request.method == "HEAD")
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, lines);
--- a/Source/Serve/http_client.h
+++ b/Source/Serve/http_client.h
@@ -23,6 +23,8 @@
     std::string target { "/" };
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// Whether a call without a body may be sent twice; a call with a body never is.
+    bool idempotent { true };
     /// Time for the whole exchange.
     milliseconds timeout { 10000 };
     milliseconds connectTimeout { 1000 };
--- a/Tests/Serve/http_tests.cpp
+++ b/Tests/Serve/http_tests.cpp
@@ -2,6 +2,7 @@
 #include "Serve/http_server.h"
 #include "Support/free_port.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 
 using namespace sagesaddle;
@@ -82,3 +83,36 @@
         CHECK(error.ran() == verdict::NotRun);
     }
 }
+
+TEST_CASE("http: a request whose answer was lost is not sent again")
+{
+    const address listen = testing::freeAddress();
+    std::atomic<int> calls { 0 };
+    http_server server({ .listen = listen }, [&calls](http_call& call) {
+        std::string body;
+        call.readBody(body, 100);
+        ++calls;
+        if (call.path() == "/echo")
+            call.respond(200, {}, "first");
+        else
+            call.abandon();
+    });
+    http_request lost = post(listen, "b");
+    SUBCASE("with a body") { }
+    SUBCASE("without a body")
+    {
+        lost.body.clear();
+    }
+    SUBCASE("a GET that may not be repeated")
+    {
+        lost.method = "GET";
+        lost.body.clear();
+        lost.idempotent = false;
+    }
+    lost.target = "/lost";
+    http_client client;
+    CHECK(client.send(post(listen, "a")).status == 200);
+    // The next request finds the connection kept from the first.
+    CHECK_THROWS_AS(client.send(lost), http_error);
+    CHECK(calls == 2);
+}
