--- /dev/null
+++ b/Tests/Fakes/engine_memory.cpp
@@ -0,0 +1,230 @@
+#include "Fakes/engine_memory.h"
+
+#include "Fakes/fake_program.h"
+#include "Serve/http_client.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr std::size_t recentOrders = 64;
+constexpr std::size_t keptSnapshots = 1000;
+constexpr milliseconds unloadTime { 5 };
+
+} // namespace
+
+engine_memory::engine_memory(const options& given)
+    : m_options(given)
+    , m_checksFencing(given.checksFencing)
+{
+    for (const std::string& text : given.preload) {
+        const auto equals = text.find('=');
+        if (equals == std::string::npos)
+            throw std::invalid_argument("model '" + text + "' has no size; write it as name=MB");
+        m_models[text.substr(0, equals)] = { std::stoull(text.substr(equals + 1)), "loaded" };
+    }
+    m_peakMb = usedMb();
+    publish();
+}
+
+engine_memory::order_document engine_memory::parseOrder(const nlohmann::json& document)
+{
+    const std::string action = document.at("action");
+    if (action != "load" && action != "unload")
+        throw std::invalid_argument("action '" + action + "' is neither load nor unload");
+    return { document.at("order_id"), document.value("fence", std::uint64_t { 0 }), action == "load",
+        document.at("model"), document.value("memory_mb", std::uint64_t { 0 }) };
+}
+
+void engine_memory::order(http_call& call)
+{
+    const order_document asked = parseOrder(readJson(call));
+    std::unique_lock lock(m_mutex);
+    const bool lost = takeOne(m_faults.loseOrders);
+    const bool answerLost = !lost && takeOne(m_faults.loseOrderAnswers);
+    const milliseconds delay(m_faults.delayOrdersMs);
+    lock.unlock();
+    if (lost)
+        return call.abandon();
+    if (answerLost) {
+        // The order is still on its way while its sender already knows that the answer is lost.
+        std::thread([this, asked, delay] {
+            std::this_thread::sleep_for(delay);
+            accept(asked);
+        }).detach();
+        return call.abandon();
+    }
+    const acceptance answer = accept(asked);
+    respondJson(call, answer.status, answer.body);
+}
+
+engine_memory::acceptance engine_memory::accept(const order_document& order)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto known = m_sequenceOfOrder.find(order.id); known != m_sequenceOfOrder.end())
+        return { 202, { { "sequence", known->second } } };
+    if (m_checksFencing && order.fence < m_highestFence) {
+        ++m_fencedOff;
+        return { 409, { { "highest_fence", m_highestFence } } };
+    }
+    m_highestFence = std::max(m_highestFence, order.fence);
+    if (order.load && m_faults.delayOrdersMs == 0 && !reserve(order))
+        return { 507, { { "memory_used_mb", usedMb() }, { "memory_total_mb", m_options.totalMb } } };
+    m_sequenceOfOrder[order.id] = ++m_sequence;
+    m_orders.emplace_back(order.id, "running");
+    if (m_orders.size() > recentOrders)
+        m_orders.pop_front();
+    start(order);
+    publish();
+    return { 202, { { "sequence", m_sequence } } };
+}
+
+void engine_memory::start(const order_document& order)
+{
+    const milliseconds delay(m_faults.delayOrdersMs);
+    if (!order.load && delay.count() == 0 && m_models.contains(order.model))
+        m_models[order.model].state = "unloading";
+    std::thread([this, order, delay] { runOrder(order, delay); }).detach();
+}
+
+void engine_memory::runOrder(const order_document& order, milliseconds delay)
+{
+    std::this_thread::sleep_for(delay);
+    if (!order.load) {
+        std::this_thread::sleep_for(unloadTime);
+        return settle(order, "unloaded");
+    }
+    if (delay.count() > 0) {
+        const std::lock_guard lock(m_mutex);
+        if (!reserve(order)) {
+            std::find_if(
+                m_orders.begin(), m_orders.end(), [&](const auto& known) { return known.first == order.id; })
+                ->second
+                = "refused";
+            return publish();
+        }
+    }
+    try {
+        fetchWeights(order);
+        settle(order, "loaded");
+    } catch (const std::exception&) {
+        settle(order, "failed");
+    }
+}
+
+bool engine_memory::reserve(const order_document& order)
+{
+    if (m_models.contains(order.model))
+        return true;
+    if (usedMb() + order.memoryMb > m_options.totalMb) {
+        ++m_overcommits;
+        if (m_faults.refuseOvercommit)
+            return false;
+    }
+    m_models[order.model] = { order.memoryMb, "loading" };
+    m_peakMb = std::max(m_peakMb, usedMb());
+    publish();
+    return true;
+}
+
+void engine_memory::fetchWeights(const order_document& order)
+{
+    if (!m_options.store)
+        return std::this_thread::sleep_for(milliseconds(m_options.loadMs));
+    http_request request;
+    request.method = "POST";
+    request.server = *m_options.store;
+    request.target = "/v1/loads";
+    request.body = nlohmann::json { { "model", order.model }, { "memory_mb", order.memoryMb } }.dump();
+    request.timeout = seconds(60);
+    const http_response response = http_client().send(request);
+    if (response.status != 200)
+        throw std::runtime_error("the weight store answered " + std::to_string(response.status));
+}
+
+void engine_memory::settle(const order_document& order, const std::string& outcome)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_models.find(order.model);
+    if (found != m_models.end()) {
+        if (outcome == "loaded") {
+            found->second.state = "loaded";
+            ++m_loads[order.model];
+        } else if (outcome == "unloaded" || found->second.state == "loading") {
+            m_models.erase(found);
+        }
+    }
+    for (auto& [id, known] : m_orders) {
+        if (id == order.id)
+            known = outcome;
+    }
+    ++m_sequence;
+    publish();
+}
+
+std::uint64_t engine_memory::usedMb() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [name, model] : m_models)
+        sum += model.memoryMb;
+    return sum;
+}
+
+void engine_memory::publish()
+{
+    nlohmann::json models = nlohmann::json::array();
+    for (const auto& [name, model] : m_models)
+        models.push_back({ { "name", name }, { "memory_mb", model.memoryMb }, { "state", model.state } });
+    nlohmann::json orders = nlohmann::json::array();
+    for (const auto& [id, outcome] : m_orders)
+        orders.push_back({ { "order_id", id }, { "outcome", outcome } });
+    m_history.push_back({ std::chrono::steady_clock::now(),
+        { { "sequence", m_sequence }, { "memory_total_mb", m_options.totalMb },
+            { "memory_used_mb", usedMb() }, { "models", std::move(models) },
+            { "recent_orders", std::move(orders) } } });
+    if (m_history.size() > keptSnapshots)
+        m_history.pop_front();
+}
+
+bool engine_memory::isLoaded(const std::string& model)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_models.find(model);
+    return found != m_models.end() && found->second.state == "loaded";
+}
+
+nlohmann::json engine_memory::report()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto asOf = std::chrono::steady_clock::now() - milliseconds(m_faults.reportLagMs);
+    std::size_t index = m_history.size() - 1;
+    while (index > 0 && m_history[index].since > asOf)
+        --index;
+    nlohmann::json document = m_history[index].document;
+    document["age_ms"] = m_faults.reportLagMs;
+    return document;
+}
+
+nlohmann::json engine_memory::stats()
+{
+    const std::lock_guard lock(m_mutex);
+    return { { "peak_memory_mb", m_peakMb }, { "memory_total_mb", m_options.totalMb },
+        { "overcommit_orders", m_overcommits }, { "fenced_off", m_fencedOff },
+        { "highest_fence", m_highestFence }, { "loads", m_loads } };
+}
+
+void engine_memory::setFaults(const nlohmann::json& document)
+{
+    const std::lock_guard lock(m_mutex);
+    setSwitch(document, "lose_orders", m_faults.loseOrders);
+    setSwitch(document, "lose_order_answers", m_faults.loseOrderAnswers);
+    setSwitch(document, "delay_orders_ms", m_faults.delayOrdersMs);
+    setSwitch(document, "report_lag_ms", m_faults.reportLagMs);
+    setSwitch(document, "refuse_overcommit", m_faults.refuseOvercommit);
+    setSwitch(document, "check_fencing", m_checksFencing);
+}
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/fake_engine.cpp
@@ -0,0 +1,273 @@
+#include "Fakes/fake_engine.h"
+
+#include "Base/clock.h"
+#include "Base/scope_guard.h"
+#include "Fakes/fake_program.h"
+
+#include <algorithm>
+#include <sstream>
+#include <thread>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr std::uint64_t defaultAnswerTokens = 16;
+constexpr seconds longestHold { 30 };
+
+std::string firstOf(const http_call& call, std::string_view name)
+{
+    const auto values = call.header(name);
+    return values.empty() ? std::string() : values.front();
+}
+
+std::string textOf(const nlohmann::json& content)
+{
+    if (content.is_string())
+        return content;
+    std::string text;
+    for (const auto& part : content)
+        text += part.value("text", "");
+    return text;
+}
+
+std::vector<std::string> wordsOf(const std::string& text)
+{
+    std::istringstream stream(text);
+    return { std::istream_iterator<std::string>(stream), {} };
+}
+
+nlohmann::json chunk(const std::string& model, nlohmann::json choices)
+{
+    return { { "id", "chatcmpl-1" }, { "object", "chat.completion.chunk" }, { "created", 0 },
+        { "model", model }, { "choices", std::move(choices) } };
+}
+
+nlohmann::json deltaChoice(nlohmann::json delta, nlohmann::json finishReason)
+{
+    return nlohmann::json::array(
+        { { { "index", 0 }, { "delta", std::move(delta) }, { "finish_reason", std::move(finishReason) } } });
+}
+
+} // namespace
+
+std::string fake_engine::completion::word(std::uint64_t index) const
+{
+    return (index == 0 ? "" : " ") + words[index % words.size()];
+}
+
+nlohmann::json fake_engine::completion::usage() const
+{
+    return { { "prompt_tokens", promptTokens }, { "completion_tokens", answerTokens },
+        { "total_tokens", promptTokens + answerTokens } };
+}
+
+fake_engine::fake_engine(const options& given)
+    : m_options(given)
+    , m_memory(given.memory)
+    , m_prefixes(given.cachedPrefixes)
+{
+    m_faults.tokensPerSecond = given.tokensPerSecond;
+}
+
+void fake_engine::handle(http_call& call)
+{
+    const std::string path = call.path();
+    if (path == "/v1/chat/completions")
+        return complete(call);
+    if (path == "/control/orders")
+        return m_memory.order(call);
+    if (path == "/control/report")
+        return respondJson(call, 200, report());
+    if (path == "/control/cache-events")
+        return respondJson(call, 200, m_prefixes.events(queryNumber(call, "from", 0)));
+    if (path == "/admin/stats")
+        return respondJson(call, 200, stats());
+    if (path == "/admin/faults") {
+        const nlohmann::json document = readJson(call);
+        m_memory.setFaults(document);
+        setFaults(document);
+        return respondJson(call, 200, nlohmann::json::object());
+    }
+    respondJson(call, 404, { { "error", "no such path: " + path } });
+}
+
+fake_engine::completion fake_engine::parseCompletion(const nlohmann::json& document, const http_call& call)
+{
+    completion asked;
+    asked.model = document.at("model");
+    const auto& messages = document.at("messages");
+    for (const auto& item : messages)
+        asked.promptTokens += wordsOf(textOf(item.at("content"))).size();
+    asked.words = wordsOf(textOf(messages.back().at("content")));
+    if (asked.words.empty())
+        asked.words = { "nothing" };
+    asked.answerTokens
+        = document.value("max_tokens", document.value("max_completion_tokens", defaultAnswerTokens));
+    asked.stream = document.value("stream", false);
+    asked.batchPriority = firstOf(call, "X-Priority") == "batch";
+    return asked;
+}
+
+void fake_engine::complete(http_call& call)
+{
+    const nlohmann::json document = readJson(call);
+    const completion asked = parseCompletion(document, call);
+    if (!m_memory.isLoaded(asked.model))
+        return respondJson(call, 404,
+            { { "error",
+                { { "message", "model " + asked.model + " is not loaded" },
+                    { "code", "model_not_found" } } } });
+    m_prefixes.use(textOf(document.at("messages").front().at("content")));
+    {
+        const std::lock_guard lock(m_mutex);
+        noteArrival(call);
+        ++m_byModelAndTeam[asked.model][firstOf(call, "X-Sagesaddle-Team")];
+    }
+    waitForSlot(asked.batchPriority);
+    const scope_guard release([this] { releaseSlot(); });
+    generate(call, asked);
+}
+
+void fake_engine::noteArrival(const http_call& call)
+{
+    m_headers.add(call.headers());
+    ++m_byTeam[firstOf(call, "X-Sagesaddle-Team")];
+    ++m_byRequest[firstOf(call, "X-Request-Id")];
+}
+
+void fake_engine::waitForSlot(bool batchPriority)
+{
+    std::unique_lock lock(m_mutex);
+    ++m_waiting[batchPriority];
+    m_changed.wait(
+        lock, [&] { return m_running < m_options.batch && (!batchPriority || m_waiting[false] == 0); });
+    --m_waiting[batchPriority];
+    ++m_running;
+    m_changed.wait_for(lock, longestHold, [this] { return !m_faults.hold; });
+}
+
+void fake_engine::releaseSlot()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_running;
+    }
+    m_changed.notify_all();
+}
+
+void fake_engine::generate(http_call& call, const completion& asked)
+{
+    milliseconds delay {};
+    {
+        const std::lock_guard lock(m_mutex);
+        delay = milliseconds(m_faults.delayAnswersMs);
+    }
+    std::this_thread::sleep_for(delay);
+    if (asked.stream)
+        answerStream(call, asked);
+    else
+        answerWhole(call, asked);
+}
+
+void fake_engine::answerWhole(http_call& call, const completion& asked)
+{
+    std::string text;
+    for (std::uint64_t index = 0; index < asked.answerTokens; ++index) {
+        pace();
+        text += asked.word(index);
+    }
+    const std::string body = nlohmann::json {
+        { "id", "chatcmpl-1" }, { "object", "chat.completion" }, { "created", 0 }, { "model", asked.model },
+        { "choices",
+            nlohmann::json::array({ { { "index", 0 }, { "finish_reason", "stop" },
+                { "message", { { "role", "assistant" }, { "content", text } } } } }) },
+        { "usage", asked.usage() }
+    }.dump();
+    std::unique_lock lock(m_mutex);
+    const bool cut = takeOne(m_faults.cutAnswers);
+    ++m_completed;
+    lock.unlock();
+    if (!cut)
+        return call.respond(200, { { "Content-Type", "application/json" } }, body);
+    call.startStream(200, { { "Content-Type", "application/json" } });
+    call.sendPiece(body.substr(0, body.size() / 2));
+    call.abandon();
+}
+
+void fake_engine::answerStream(http_call& call, const completion& asked)
+{
+    std::uint32_t eventsLeft = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        eventsLeft = std::exchange(m_faults.cutAfterEvents, 0);
+    }
+    const bool cuts = eventsLeft > 0;
+    bool open = call.startStream(200, { { "Content-Type", "text/event-stream" } });
+    const auto send = [&](const std::string& data) {
+        if (cuts && eventsLeft == 0)
+            open = false;
+        open = open && call.sendPiece("data: " + data + "\n\n");
+        eventsLeft -= cuts && eventsLeft > 0;
+    };
+    for (std::uint64_t index = 0; index < asked.answerTokens && open; ++index) {
+        pace();
+        send(chunk(asked.model, deltaChoice({ { "content", asked.word(index) } }, nullptr)).dump());
+    }
+    send(chunk(asked.model, deltaChoice(nlohmann::json::object(), "stop")).dump());
+    nlohmann::json last = chunk(asked.model, nlohmann::json::array());
+    last["usage"] = asked.usage();
+    send(last.dump());
+    send("[DONE]");
+    open = open && call.endStream();
+    if (!open)
+        call.abandon();
+    const std::lock_guard lock(m_mutex);
+    ++(open ? m_completed : m_cancelled);
+}
+
+void fake_engine::pace()
+{
+    double rate = 0;
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, longestHold, [this] { return !m_faults.hold; });
+        rate = m_faults.tokensPerSecond;
+    }
+    if (rate > 0)
+        std::this_thread::sleep_for(std::chrono::duration<double>(1 / rate));
+}
+
+void fake_engine::setFaults(const nlohmann::json& document)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        setSwitch(document, "hold", m_faults.hold);
+        setSwitch(document, "cut_after_events", m_faults.cutAfterEvents);
+        setSwitch(document, "cut_answers", m_faults.cutAnswers);
+        setSwitch(document, "delay_answers_ms", m_faults.delayAnswersMs);
+        setSwitch(document, "tokens_per_second", m_faults.tokensPerSecond);
+    }
+    m_changed.notify_all();
+}
+
+nlohmann::json fake_engine::report()
+{
+    nlohmann::json document = m_memory.report();
+    const std::lock_guard lock(m_mutex);
+    document["running"] = m_running;
+    document["waiting"] = m_waiting[false] + m_waiting[true];
+    return document;
+}
+
+nlohmann::json fake_engine::stats()
+{
+    nlohmann::json document = m_memory.stats();
+    const std::lock_guard lock(m_mutex);
+    document.update({ { "by_team", m_byTeam }, { "by_request", m_byRequest },
+        { "by_model_and_team", m_byModelAndTeam }, { "headers", m_headers.document() },
+        { "running", m_running }, { "completed", m_completed }, { "cancelled", m_cancelled } });
+    return document;
+}
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/fake_hosts.cpp
@@ -0,0 +1,44 @@
+#include "Fakes/fake_hosts.h"
+
+#include "Fakes/fake_program.h"
+
+namespace sagesaddle::testing {
+
+fake_hosts::fake_hosts()
+    : m_versions { { monotonic_time::min(), nlohmann::json::array() } }
+{
+}
+
+void fake_hosts::handle(http_call& call)
+{
+    const std::string path = call.path();
+    if (path == "/v1/hosts")
+        return respondJson(call, 200, { { "hosts", shown() } });
+    const bool isList = path == "/admin/hosts";
+    if (!isList && path != "/admin/faults")
+        return respondJson(call, 404, { { "error", "no such path: " + path } });
+    const nlohmann::json document = readJson(call);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (isList)
+            m_versions.push_back({ std::chrono::steady_clock::now(), document.at("hosts") });
+        setSwitch(document, "lag_ms", m_lagMs);
+        setSwitch(document, "repeat_old", m_repeatOld);
+    }
+    respondJson(call, 200, nlohmann::json::object());
+}
+
+nlohmann::json fake_hosts::shown()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto asOf = std::chrono::steady_clock::now() - milliseconds(m_lagMs);
+    std::size_t index = m_versions.size() - 1;
+    while (m_versions[index].since > asOf)
+        --index;
+    // Every second read repeats the state before.
+    if (m_repeatOld && ++m_reads % 2 == 0 && index > 0)
+        --index;
+    return m_versions[index].hosts;
+}
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/fake_service.cpp
@@ -0,0 +1,90 @@
+#include "Fakes/fake_service.h"
+
+#include "Fakes/fake_program.h"
+
+#include <thread>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr std::size_t maxBodyBytes = 64U * 1024 * 1024;
+constexpr seconds longestHold { 30 };
+
+std::string firstOf(const http_call& call, std::string_view name)
+{
+    const auto values = call.header(name);
+    return values.empty() ? std::string() : values.front();
+}
+
+} // namespace
+
+fake_service::fake_service(std::string name)
+    : m_name(std::move(name))
+{
+}
+
+void fake_service::handle(http_call& call)
+{
+    if (call.path() == "/admin/executions")
+        return respondJson(call, 200, executions());
+    if (call.path() == "/admin/faults") {
+        setFaults(readJson(call));
+        return respondJson(call, 200, nlohmann::json::object());
+    }
+    execute(call);
+}
+
+void fake_service::execute(http_call& call)
+{
+    std::string body;
+    if (call.readBody(body, maxBodyBytes) != body_failure::None)
+        return respondJson(call, 400, { { "error", "the body did not come whole" } });
+    std::unique_lock lock(m_mutex);
+    const std::uint64_t number = ++m_total;
+    m_headers.add(call.headers());
+    if (const std::string key = firstOf(call, "Idempotency-Key"); !key.empty())
+        ++m_byKey[key];
+    ++m_byRequest[firstOf(call, "X-Request-Id")];
+    ++m_byTeam[firstOf(call, "X-Sagesaddle-Team")];
+    m_released.wait_for(lock, longestHold, [this] { return !m_hold; });
+    const milliseconds delay(m_delayMs);
+    const bool lost = takeOne(m_loseAnswers);
+    const bool cut = !lost && takeOne(m_cutAnswers);
+    const std::uint16_t status = m_failStatus != 0 ? m_failStatus : 200;
+    lock.unlock();
+    std::this_thread::sleep_for(delay);
+    const nlohmann::json answer
+        = { { "service", m_name }, { "executions", number }, { "path", call.path() }, { "body", body } };
+    if (cut) {
+        const std::string text = answer.dump();
+        call.startStream(status, { { "Content-Type", "application/json" } });
+        call.sendPiece(text.substr(0, text.size() / 2));
+    }
+    if (cut || lost)
+        call.abandon();
+    else
+        respondJson(call, status, answer);
+}
+
+void fake_service::setFaults(const nlohmann::json& document)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        setSwitch(document, "hold", m_hold);
+        setSwitch(document, "delay_ms", m_delayMs);
+        setSwitch(document, "lose_answers", m_loseAnswers);
+        setSwitch(document, "cut_answers", m_cutAnswers);
+        setSwitch(document, "fail_status", m_failStatus);
+    }
+    m_released.notify_all();
+}
+
+nlohmann::json fake_service::executions()
+{
+    const std::lock_guard lock(m_mutex);
+    return { { "total", m_total }, { "by_key", m_byKey }, { "by_request", m_byRequest },
+        { "by_team", m_byTeam }, { "headers", m_headers.document() } };
+}
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/fake_service.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Fakes/seen_headers.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace sagesaddle::testing {
+
+/// \brief Stands in for a plain service and counts what it executes.
+class fake_service {
+public:
+    explicit fake_service(std::string name);
+
+    void handle(http_call& call);
+
+private:
+    void execute(http_call& call);
+    void setFaults(const nlohmann::json& document);
+    nlohmann::json executions();
+
+    std::string m_name;
+    std::mutex m_mutex;
+    std::condition_variable m_released;
+    std::uint64_t m_total { 0 };
+    std::map<std::string, std::uint64_t> m_byKey;
+    std::map<std::string, std::uint64_t> m_byRequest;
+    std::map<std::string, std::uint64_t> m_byTeam;
+    seen_headers m_headers;
+    bool m_hold { false };
+    std::uint32_t m_delayMs { 0 };
+    std::uint32_t m_loseAnswers { 0 };
+    std::uint32_t m_cutAnswers { 0 };
+    std::uint16_t m_failStatus { 0 };
+};
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/fake_store.cpp
@@ -0,0 +1,75 @@
+#include "Fakes/fake_store.h"
+
+#include "Fakes/fake_program.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace sagesaddle::testing {
+
+fake_store::fake_store(limits given)
+    : m_limits(given)
+{
+}
+
+void fake_store::handle(http_call& call)
+{
+    const std::string path = call.path();
+    if (path == "/admin/stats") {
+        const std::lock_guard lock(m_mutex);
+        return respondJson(call, 200,
+            { { "loads", m_loads }, { "running", m_running }, { "peak_running", m_peakRunning },
+                { "by_model", m_byModel } });
+    }
+    const nlohmann::json document = readJson(call);
+    if (path == "/admin/faults") {
+        const std::lock_guard lock(m_mutex);
+        setSwitch(document, "away", m_away);
+        setSwitch(document, "delay_ms", m_delayMs);
+        setSwitch(document, "lose_answers", m_loseAnswers);
+        return respondJson(call, 200, nlohmann::json::object());
+    }
+    if (path != "/v1/loads")
+        return respondJson(call, 404, { { "error", "no such path: " + path } });
+    std::unique_lock lock(m_mutex);
+    if (m_away) {
+        lock.unlock();
+        return respondJson(call, 503, { { "error", "away" } });
+    }
+    const bool lost = takeOne(m_loseAnswers);
+    lock.unlock();
+    std::this_thread::sleep_for(begin(document.at("model")));
+    finish();
+    if (lost)
+        call.abandon();
+    else
+        respondJson(call, 200, { { "model", document.at("model") } });
+}
+
+milliseconds fake_store::begin(const std::string& model)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_loads;
+    ++m_byModel[model];
+    ++m_running;
+    m_peakRunning = std::max(m_peakRunning, m_running);
+    const auto now = std::chrono::steady_clock::now();
+    auto start = now;
+    if (m_limits.loadsPerSecond > 0) {
+        start = std::max(now, m_nextStart);
+        m_nextStart = start
+            + std::chrono::duration_cast<monotonic_span>(
+                std::chrono::duration<double>(1 / m_limits.loadsPerSecond));
+    }
+    const double crowding = std::max(1.0, static_cast<double>(m_running) / m_limits.atOnce);
+    const milliseconds load(static_cast<std::int64_t>(m_limits.loadMs * crowding) + m_delayMs);
+    return std::chrono::duration_cast<milliseconds>(start - now) + load;
+}
+
+void fake_store::finish()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_running;
+}
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Fakes/seen_headers.cpp
@@ -0,0 +1,31 @@
+#include "Fakes/seen_headers.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr std::size_t maxValuesPerName = 200;
+
+} // namespace
+
+void seen_headers::add(const http_call::header_list& headers)
+{
+    for (const auto& [name, value] : headers) {
+        std::string lowered = name;
+        std::transform(lowered.begin(), lowered.end(), lowered.begin(),
+            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        auto& values = m_values[lowered];
+        if (values.size() < maxValuesPerName)
+            values.insert(value);
+    }
+}
+
+nlohmann::json seen_headers::document() const
+{
+    return m_values;
+}
+
+} // namespace sagesaddle::testing
