--- a/Source/Agree/log_client.h
+++ b/Source/Agree/log_client.h
@@ -83,6 +83,9 @@
     /// \throws log_error
     log_batch read(const std::string& stream, std::uint64_t from, std::uint32_t limit, milliseconds wait);
 
+    /// Makes running and later calls fail as away, so that the threads in them come back at once.
+    void stop();
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- /dev/null
+++ b/Source/Agree/state_reader.cpp
@@ -0,0 +1,37 @@
+#include "Agree/state_reader.h"
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr std::uint32_t readLimit = 500;
+
+// Reads one batch; false where the end of the stream was reached.
+bool readBatch(log_client& log, const std::string& stream, state_replica& replica,
+    const state_replica::observer& observe)
+{
+    try {
+        const log_batch batch = log.read(stream, replica.readFrom(), readLimit, milliseconds(0));
+        replica.takeRecords(batch.first, batch.records, observe);
+        return batch.next < batch.end;
+    } catch (const log_error& error) {
+        if (error.failure() != log_failure::Lapsed)
+            throw;
+        replica.startSearch(error.earliest());
+        return true;
+    }
+}
+
+} // namespace
+
+void readToEnd(log_client& log, const std::string& stream, state_replica& replica,
+    const state_replica::observer& observe)
+{
+    while (readBatch(log, stream, replica, observe)) { }
+    if (replica.isSearching())
+        throw std::runtime_error("the log's stream " + stream
+            + " has lost its first records and holds no snapshot "
+              "of them; start an entry that still has the state, so that it appends one");
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Command/entry_status.cpp
@@ -0,0 +1,85 @@
+#include "Command/entry_status.h"
+
+#include "Base/clock.h"
+#include "Serve/http_client.h"
+
+#include <thread>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr milliseconds askTimeout { 1000 };
+constexpr milliseconds forceTimeout { 4000 };
+constexpr milliseconds askPause { 50 };
+
+bool hasRevision(const entry_status& status, std::uint64_t revision)
+{
+    const auto found = status.document.find("revision");
+    return found != status.document.end() && found->is_number_unsigned()
+        && found->get<std::uint64_t>() >= revision;
+}
+
+std::string describe(const entry_status& status)
+{
+    const std::string at = formatAddress(status.admin);
+    if (!status.failure.empty())
+        return at + " (" + status.failure + ")";
+    const std::string name = status.document.value("name", std::string("unnamed"));
+    return name + " at " + at + " (revision " + std::to_string(status.document.value("revision", 0ULL)) + ")";
+}
+
+force_report askAll(const std::vector<address>& entries, std::uint64_t revision)
+{
+    force_report report;
+    for (const address& admin : entries) {
+        const entry_status status = askStatus(admin);
+        (hasRevision(status, revision) ? report.inForce : report.unconfirmed).push_back(describe(status));
+    }
+    return report;
+}
+
+} // namespace
+
+entry_status askStatus(const address& admin)
+{
+    entry_status status { admin, nullptr, {} };
+    http_request request;
+    request.server = admin;
+    request.target = "/admin/status";
+    request.timeout = askTimeout;
+    try {
+        const http_response response = http_client().send(request);
+        nlohmann::json document = nlohmann::json::parse(response.body, nullptr, false);
+        if (response.status == 200 && document.is_object())
+            status.document = std::move(document);
+        else
+            status.failure = "status " + std::to_string(response.status) + " without a JSON object";
+    } catch (const http_error& error) {
+        status.failure = error.what();
+    }
+    return status;
+}
+
+force_report awaitInForce(const std::vector<address>& entries, std::uint64_t revision)
+{
+    const monotonic_time until = std::chrono::steady_clock::now() + forceTimeout;
+    force_report report = askAll(entries, revision);
+    while (!report.unconfirmed.empty() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(askPause);
+        report = askAll(entries, revision);
+    }
+    return report;
+}
+
+std::string formatForceText(const force_report& report)
+{
+    std::string text;
+    for (const std::string& entry : report.inForce)
+        text += "in force at " + entry + "\n";
+    for (const std::string& entry : report.unconfirmed)
+        text += "not confirmed at " + entry + "\n";
+    return text;
+}
+
+} // namespace sagesaddle
