--- a/Source/Agree/fleet_follower.h
+++ b/Source/Agree/fleet_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Agree/freshness.h"
 #include "Base/address.h"
 #include "Base/clock.h"
 #include "Record/fleet_state.h"
@@ -8,21 +9,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sagesaddle {
 
-/// \brief How sure a process is that it holds every accepted record.
-struct freshness {
-    /// Whether the state may be acted upon.
-    bool fresh { false };
-    /// Age of the evidence.
-    milliseconds age { 0 };
-    /// Whether the log is away as seen from here.
-    bool logAway { true };
-
-    auto operator<=>(const freshness&) const = default;
-};
-
 /// \brief Keeps a process's copy of the fleet's state up to date, from the log or from peers.
 ///
 /// Reads the `config` stream on a thread of its own and folds it. While the log is away it asks the
@@ -36,6 +26,10 @@
         std::string self;
         /// How old the evidence may be.
         milliseconds freshFor { 2000 };
+        /// Peers to ask while there is no state that lists the entries; given to `send` as they are.
+        std::vector<std::string> startPeers;
+        /// Whether this process appends snapshots and epochs; false for a mere reader.
+        bool writes { true };
     };
 
     /// Sends a message to another entry; false where it could not be sent.
@@ -59,6 +53,9 @@
     /// Takes in a peer's answer.
     void onTail(const std::string& entry, const tail_answer& answer);
 
+    /// Leaves the epoch's members at once, for a graceful shutdown; answers peers no longer.
+    void leave();
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- a/Source/Record/log_record.h
+++ b/Source/Record/log_record.h
@@ -11,6 +11,9 @@
 
 namespace sagesaddle {
 
+/// Schema version of the records that this program writes.
+inline constexpr std::uint32_t newestRecordSchema = 2;
+
 /// \brief An operator's change of the declared objects.
 struct change_record {
     /// Revision that the change was made against.
@@ -60,7 +63,7 @@
 struct log_record {
     /// Chosen at random by the writer; a repeated id counts once.
     std::string id;
-    std::uint32_t schema { 2 };
+    std::uint32_t schema { newestRecordSchema };
     record_body body;
 };
 
