Plan: Plan a pinned copy of every model and more of the hot ones

Pure planner with hysteresis: copies come at once with demand, within the loads that the weight store takes, and go after demand stayed low. Not wired into the entry yet.

--- /dev/null
+++ b/Source/Plan/placement_planner.cpp
@@ -0,0 +1,153 @@
+#include "Plan/placement_planner.h"
+
+#include "Plan/plan_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace sagesaddle {
+
+struct placement_planner::pass {
+    plan_fleet fleet;
+    std::vector<plan_step> steps;
+
+    void take(plan_action action, const std::string& model, const std::string& upstream, const char* reason)
+    {
+        steps.push_back({ action, model, upstream, reason });
+        fleet.apply(steps.back());
+    }
+};
+
+namespace {
+
+std::vector<std::string> usableCopies(const plan_fleet& fleet, const std::string& model)
+{
+    std::vector<std::string> names;
+    for (const auto& [upstream, pinned] : fleet.copiesOf(model)) {
+        if (fleet.isUsable(upstream))
+            names.push_back(upstream);
+    }
+    return names;
+}
+
+std::optional<std::string> loadedCopy(const plan_fleet& fleet, const std::string& model)
+{
+    for (const std::string& upstream : usableCopies(fleet, model)) {
+        if (fleet.isResident(model, upstream))
+            return upstream;
+    }
+    return std::nullopt;
+}
+
+bool hasUsablePin(const plan_fleet& fleet, const std::string& model)
+{
+    const auto& copies = fleet.copiesOf(model);
+    return std::any_of(copies.begin(), copies.end(),
+        [&](const auto& copy) { return copy.second && fleet.isUsable(copy.first); });
+}
+
+} // namespace
+
+placement_planner::placement_planner(options settings)
+    : m_settings(settings)
+{
+}
+
+std::vector<plan_step> placement_planner::plan(const plan_view& view, monotonic_time now)
+{
+    pass run { plan_fleet(view), {} };
+    for (const plan_model& model : view.models)
+        keepReachable(run, model);
+    std::vector<const plan_model*> byDemand;
+    for (const plan_model& model : view.models)
+        byDemand.push_back(&model);
+    std::stable_sort(
+        byDemand.begin(), byDemand.end(), [](const auto* a, const auto* b) { return a->demand > b->demand; });
+    for (const plan_model* model : byDemand)
+        dropCopies(run, *model, now);
+    for (const plan_model* model : byDemand)
+        addCopies(run, *model);
+    return run.steps;
+}
+
+void placement_planner::keepReachable(pass& run, const plan_model& model) const
+{
+    plan_fleet& fleet = run.fleet;
+    if (!hasUsablePin(fleet, model.name)) {
+        const auto loaded = loadedCopy(fleet, model.name);
+        const auto usable = usableCopies(fleet, model.name);
+        if (loaded) {
+            run.take(plan_action::Pin, model.name, *loaded, "unreachable");
+        } else if (!usable.empty()) {
+            run.take(plan_action::Pin, model.name, usable.front(), "unreachable");
+        } else {
+            placePin(run, model);
+        }
+    }
+    // A copy on an upstream that is lost or leaving is given up once another one is loaded.
+    if (!loadedCopy(fleet, model.name))
+        return;
+    const auto copies = fleet.copiesOf(model.name);
+    for (const auto& [upstream, pinned] : copies) {
+        if (!fleet.isUsable(upstream))
+            run.take(plan_action::Remove, model.name, upstream, "gone");
+    }
+}
+
+void placement_planner::placePin(pass& run, const plan_model& model)
+{
+    auto room = run.fleet.findRoom(model);
+    if (!room) {
+        const auto byRemoval = run.fleet.findRoomByRemoval(model);
+        if (!byRemoval)
+            return;
+        for (const plan_step& step : byRemoval->steps)
+            run.take(step.action, step.model, step.upstream, "room");
+        room = byRemoval->upstream;
+    }
+    run.take(plan_action::Add, model.name, *room, "unreachable");
+    run.take(plan_action::Pin, model.name, *room, "unreachable");
+}
+
+void placement_planner::addCopies(pass& run, const plan_model& model) const
+{
+    const double perCopy = m_settings.copyTokensPerSecond * m_settings.addAbove;
+    const auto wanted = static_cast<std::size_t>(std::max(1.0, std::ceil(model.demand / perCopy)));
+    std::size_t have = usableCopies(run.fleet, model.name).size();
+    while (have < wanted && run.fleet.loading() < m_settings.maxLoading) {
+        const auto room = run.fleet.findRoom(model);
+        if (!room)
+            return;
+        run.take(plan_action::Add, model.name, *room, "hot");
+        ++have;
+    }
+}
+
+bool placement_planner::isCool(const plan_model& model, std::size_t copies, monotonic_time now)
+{
+    const double left = static_cast<double>(copies - 1) * m_settings.copyTokensPerSecond;
+    if (copies < 2 || model.demand >= left * m_settings.removeBelow) {
+        m_coolSince.erase(model.name);
+        return false;
+    }
+    const auto [since, first] = m_coolSince.emplace(model.name, now);
+    return !first && now - since->second >= m_settings.coolDown;
+}
+
+void placement_planner::dropCopies(pass& run, const plan_model& model, monotonic_time now)
+{
+    const auto copies = usableCopies(run.fleet, model.name);
+    if (!isCool(model, copies.size(), now))
+        return;
+    const auto& pins = run.fleet.copiesOf(model.name);
+    for (const std::string& upstream : copies) {
+        if (pins.at(upstream))
+            continue;
+        run.take(plan_action::Remove, model.name, upstream, "cold");
+        m_coolSince.erase(model.name);
+        return;
+    }
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Tests/Plan/placement_planner_tests.cpp
@@ -0,0 +1,116 @@
+#include "Plan/placement_planner.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start { seconds(1000) };
+
+plan_view oneModelOnTwoHosts()
+{
+    plan_view view;
+    view.models = { { "draft", "", 100, 0 } };
+    view.upstreams = { { "a", "zone-1", 150, true, { "draft" } }, { "b", "zone-2", 150, true, {} } };
+    view.copies = { { "draft", "a", true } };
+    return view;
+}
+
+} // namespace
+
+TEST_CASE("planner: a plan that serves its demand is left alone")
+{
+    placement_planner planner({});
+    CHECK(planner.plan(oneModelOnTwoHosts(), start).empty());
+}
+
+TEST_CASE("planner: a model whose pinned upstream is lost is pinned elsewhere at once")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.upstreams[0].usable = false;
+    placement_planner planner({});
+    const std::vector<plan_step> expected { { plan_action::Add, "draft", "b", "unreachable" },
+        { plan_action::Pin, "draft", "b", "unreachable" } };
+    CHECK((planner.plan(view, start) == expected));
+}
+
+TEST_CASE("planner: the copy on a leaving upstream goes only after another one is loaded")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.upstreams[0].usable = false;
+    view.copies.push_back({ "draft", "b", true });
+    placement_planner planner({});
+    CHECK(planner.plan(view, start).empty());
+    view.upstreams[1].resident = { "draft" };
+    const std::vector<plan_step> expected { { plan_action::Remove, "draft", "a", "gone" } };
+    CHECK((planner.plan(view, start) == expected));
+}
+
+TEST_CASE("planner: a hot model gets copies up to its demand, in another zone first")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.upstreams.push_back({ "c", "zone-1", 200, true, {} });
+    view.models[0].demand = 700;
+    placement_planner planner({});
+    const std::vector<plan_step> expected { { plan_action::Add, "draft", "b", "hot" } };
+    CHECK((planner.plan(view, start) == expected));
+}
+
+TEST_CASE("planner: copies are added only while the weight store can take their loads")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.models[0].demand = 10000;
+    for (int i = 0; i < 10; ++i)
+        view.upstreams.push_back({ "more-" + std::to_string(i), "zone-3", 150, true, {} });
+    placement_planner planner({ .maxLoading = 3 });
+    CHECK(planner.plan(view, start).size() == 3);
+}
+
+TEST_CASE("planner: a copy is given up only after demand stayed low, and never the pinned one")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.copies.push_back({ "draft", "b", false });
+    view.upstreams[1].resident = { "draft" };
+    placement_planner planner({ .coolDown = seconds(120) });
+    CHECK(planner.plan(view, start).empty());
+    CHECK(planner.plan(view, start + seconds(119)).empty());
+    const std::vector<plan_step> expected { { plan_action::Remove, "draft", "b", "cold" } };
+    CHECK((planner.plan(view, start + seconds(120)) == expected));
+}
+
+TEST_CASE("planner: demand that comes back in time keeps the copy")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.copies.push_back({ "draft", "b", false });
+    view.upstreams[1].resident = { "draft" };
+    placement_planner planner({ .coolDown = seconds(120) });
+    planner.plan(view, start);
+    view.models[0].demand = 300;
+    CHECK(planner.plan(view, start + seconds(60)).empty());
+    view.models[0].demand = 0;
+    CHECK(planner.plan(view, start + seconds(120)).empty());
+}
+
+TEST_CASE("planner: spare copies of other models make room for one that has none")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.models.push_back({ "brief", "", 100, 0 });
+    view.copies.push_back({ "draft", "b", false });
+    view.upstreams[1].resident = { "draft" };
+    placement_planner planner({});
+    const std::vector<plan_step> expected { { plan_action::Remove, "draft", "b", "room" },
+        { plan_action::Add, "brief", "b", "unreachable" },
+        { plan_action::Pin, "brief", "b", "unreachable" } };
+    CHECK((planner.plan(view, start) == expected));
+}
+
+TEST_CASE("planner: an adapter goes beside its base model")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.models.push_back({ "stitch", "draft", 10, 0 });
+    placement_planner planner({});
+    const auto steps = planner.plan(view, start);
+    REQUIRE(steps.size() == 2);
+    CHECK(steps[0].upstream == "a");
+}
