--- /dev/null
+++ b/Source/Entry/admin_handler.cpp
@@ -0,0 +1,131 @@
+#include "Entry/admin_handler.h"
+
+#include "Watch/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sagesaddle {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr std::string_view traceParameter = "trace=";
+
+std::int64_t millisecondsBetween(monotonic_time from, monotonic_time to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+ordered_json overloadOf(const entry_report& report)
+{
+    ordered_json parts = ordered_json::array();
+    std::int64_t longest = 0;
+    for (const auto& part : report.overloads) {
+        const std::int64_t age = millisecondsBetween(part.since, report.now);
+        longest = std::max(longest, age);
+        parts.push_back({ { "team", part.team }, { "cause", part.cause }, { "refusals", part.refusals },
+            { "since_ms", age } });
+    }
+    ordered_json overload { { "active", !report.overloads.empty() } };
+    if (!report.overloads.empty())
+        overload["since_ms"] = longest;
+    overload["by"] = parts;
+    return overload;
+}
+
+ordered_json upstreamOf(const entry_report& report, const upstream& record)
+{
+    ordered_json value { { "name", record.name },
+        { "kind", record.kind == upstream_kind::Engine ? "engine" : "service" }, { "zone", record.zone },
+        { "leaving", record.leaving } };
+    const auto link = report.sideLinks.find(record.name);
+    value["link_up"] = link != report.sideLinks.end() && link->second;
+    const auto found = report.loads.find(record.name);
+    if (found == report.loads.end())
+        return value;
+    const load_report& load = found->second;
+    value["load"] = { { "queued", load.queued }, { "running", load.running }, { "slots", load.slots },
+        { "free_memory_mb", load.freeMemoryMb }, { "report_age_ms", load.reportAgeMs },
+        { "wait_ms", load.waitMs }, { "draining", load.draining },
+        { "resident_models", load.residentModels } };
+    return value;
+}
+
+std::string textOf(const ordered_json& value)
+{
+    return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+void respondJson(http_call& call, std::uint16_t status, const std::string& text)
+{
+    call.respond(status, { { "Content-Type", "application/json" } }, text);
+}
+
+} // namespace
+
+std::string formatReport(const entry_report& report)
+{
+    ordered_json value { { "name", report.name }, { "ready", report.ready }, { "draining", report.draining },
+        { "fresh", report.fresh.fresh }, { "fresh_age_ms", report.fresh.age.count() },
+        { "log_away", report.fresh.logAway }, { "offset", report.state ? report.state->nextOffset : 0 },
+        { "revision", report.state ? report.state->revision : 0 }, { "in_flight", report.inFlight },
+        { "overload", overloadOf(report) }, { "teams", ordered_json::array() },
+        { "upstreams", ordered_json::array() }, { "peers", ordered_json::array() } };
+    if (report.state) {
+        for (const auto& [name, record] : report.state->teams)
+            value["teams"].push_back({ { "name", name }, { "rate_tokens_per_s", record.rateTokensPerSecond },
+                { "burst_tokens", record.burstTokens } });
+        for (const auto& [name, record] : report.state->upstreams)
+            value["upstreams"].push_back(upstreamOf(report, record));
+    }
+    for (const auto& [name, up] : report.peerLinks)
+        value["peers"].push_back({ { "name", name }, { "link_up", up } });
+    return textOf(value);
+}
+
+std::string formatDecisions(const std::vector<decision_record>& decisions)
+{
+    ordered_json list = ordered_json::array();
+    for (const auto& record : decisions)
+        list.push_back({ { "trace_id", record.traceId }, { "began", formatWallTime(record.began) },
+            { "team", record.team }, { "model", record.model }, { "service", record.service },
+            { "steps", record.steps }, { "status", record.status }, { "verdict", nameOf(record.ran) },
+            { "reason", record.reason }, { "took_ms", record.took.count() } });
+    return textOf({ { "decisions", list } });
+}
+
+admin_handler::admin_handler(std::function<entry_report()> report, const decision_log& decisions,
+    std::function<std::string()> metrics)
+    : m_report(std::move(report))
+    , m_decisions(decisions)
+    , m_metrics(std::move(metrics))
+{
+}
+
+void admin_handler::handle(http_call& call) const
+{
+    const std::string path = call.path();
+    if (call.method() != "GET")
+        return respondJson(call, 405, R"({"detail":"this listener takes GET only"})");
+    if (path == "/healthz")
+        return call.respond(200, { { "Content-Type", "text/plain" } }, "ok\n");
+    if (path == "/readyz") {
+        const bool ready = m_report().ready;
+        return call.respond(
+            ready ? 200 : 503, { { "Content-Type", "text/plain" } }, ready ? "ok\n" : "not ready\n");
+    }
+    if (path == "/metrics")
+        return call.respond(200, { { "Content-Type", metric_registry::contentType } }, m_metrics());
+    if (path == "/admin/status")
+        return respondJson(call, 200, formatReport(m_report()));
+    const std::string query = call.query();
+    if (path == "/admin/explain" && query.starts_with(traceParameter)) {
+        const auto found = m_decisions.find(query.substr(traceParameter.size()));
+        return respondJson(call, found.empty() ? 404 : 200, formatDecisions(found));
+    }
+    respondJson(call, 404,
+        R"({"detail":"there is /healthz, /readyz, /metrics, /admin/status and /admin/explain?trace=ID"})");
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Entry/admin_handler.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Agree/fleet_follower.h"
+#include "Entry/decision_log.h"
+#include "Entry/overload_watch.h"
+#include "Serve/http_server.h"
+#include "Watch/metric_registry.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace sagesaddle {
+
+/// \brief What an entry tells its operators of itself.
+struct entry_report {
+    std::string name;
+    bool ready { false };
+    bool draining { false };
+    freshness fresh;
+    fleet_state_ptr state;
+    std::uint32_t inFlight { 0 };
+    std::map<std::string, load_report> loads;
+    std::map<std::string, bool> sideLinks;
+    std::map<std::string, bool> peerLinks;
+    std::vector<overload_part> overloads;
+    monotonic_time now;
+};
+
+/// \return the report as JSON text.
+std::string formatReport(const entry_report& report);
+
+/// \return the decisions as JSON text.
+std::string formatDecisions(const std::vector<decision_record>& decisions);
+
+/// \brief Answers operators on the admin listener.
+class admin_handler {
+public:
+    admin_handler(std::function<entry_report()> report, const decision_log& decisions,
+        std::function<std::string()> metrics);
+
+    void handle(http_call& call) const;
+
+private:
+    const std::function<entry_report()> m_report;
+    const decision_log& m_decisions;
+    const std::function<std::string()> m_metrics;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Entry/peer_links.cpp
@@ -0,0 +1,138 @@
+#include "Entry/peer_links.h"
+
+#include "Base/overloaded.h"
+#include "Watch/log.h"
+#include "Wire/frame_codec.h"
+#include "Wire/frame_link.h"
+
+namespace sagesaddle {
+
+peer_links::peer_links(wire_pool& pool, std::string self, const std::vector<address>& seeds)
+    : m_pool(pool)
+    , m_self(std::move(self))
+{
+    for (const auto& seed : seeds)
+        m_seeds[formatAddress(seed)] = seed;
+    m_wanted = m_seeds;
+}
+
+peer_links::~peer_links()
+{
+    stop();
+}
+
+void peer_links::start(const address& listen, handlers callbacks)
+{
+    m_handlers = std::move(callbacks);
+    frame_server::handlers asks;
+    asks.onMessage = [this](connection_id connection, const message& value) { onAsk(connection, value); };
+    {
+        const std::lock_guard lock(m_mutex);
+        m_server = std::make_unique<frame_server>(m_pool, listen, std::move(asks));
+        m_running = true;
+        openMissing();
+    }
+}
+
+void peer_links::stop()
+{
+    std::map<std::string, peer> closing;
+    std::unique_ptr<frame_server> server;
+    const std::lock_guard lock(m_mutex);
+    m_running = false;
+    closing.swap(m_peers);
+    server.swap(m_server);
+}
+
+void peer_links::update(const fleet_state& state)
+{
+    std::vector<std::shared_ptr<frame_link>> gone;
+    const std::lock_guard lock(m_mutex);
+    m_wanted.clear();
+    for (const auto& [name, record] : state.entries) {
+        if (name != m_self)
+            m_wanted[name] = record.peer;
+    }
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        const auto wanted = m_wanted.find(it->first);
+        if (wanted != m_wanted.end() && wanted->second == it->second.at) {
+            ++it;
+            continue;
+        }
+        gone.push_back(std::move(it->second.link));
+        it = m_peers.erase(it);
+    }
+    openMissing();
+}
+
+// The caller holds the lock.
+void peer_links::openMissing()
+{
+    if (!m_running)
+        return;
+    for (const auto& [name, at] : m_wanted) {
+        if (!m_peers.contains(name))
+            m_peers[name] = { at, openLink(name, at) };
+    }
+}
+
+std::shared_ptr<frame_link> peer_links::openLink(const std::string& entry, const address& at)
+{
+    frame_link::handlers callbacks;
+    callbacks.onMessage = [this, entry](const message& value) { onAnswer(entry, value); };
+    return std::make_shared<frame_link>(m_pool, at, std::move(callbacks));
+}
+
+bool peer_links::send(const std::string& entry, const message& value)
+{
+    std::shared_ptr<frame_link> link;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_peers.find(entry);
+        if (found == m_peers.end())
+            return false;
+        link = found->second.link;
+    }
+    return link->send(value);
+}
+
+std::map<std::string, bool> peer_links::linkStates() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, bool> states;
+    for (const auto& [name, value] : m_peers)
+        states[name] = value.link->isUp();
+    return states;
+}
+
+void peer_links::onAsk(connection_id connection, const message& value)
+{
+    std::optional<message> answer;
+    std::visit(overloaded {
+                   [&](const tail_ask& ask) { answer = m_handlers.onTailAsk(ask); },
+                   [&](const credit_ask& ask) { answer = m_handlers.onCreditAsk(ask); },
+                   [](const auto&) {},
+               },
+        value);
+    if (!answer)
+        return;
+    try {
+        const std::lock_guard lock(m_mutex);
+        if (m_server)
+            m_server->send(connection, *answer);
+    } catch (const frame_error& error) {
+        writeLog(log_level::Error, "an answer to a peer cannot be sent", { { "error", error.what() } });
+    }
+}
+
+void peer_links::onAnswer(const std::string& entry, const message& value)
+{
+    std::visit(overloaded {
+                   [&](const tail_answer& answer) { m_handlers.onTail(entry, answer); },
+                   [&](const credit_grant& grant) { m_handlers.onGrant(grant); },
+                   [](const auto&) {},
+               },
+        value);
+}
+
+} // namespace sagesaddle
