--- /dev/null
+++ b/Source/Limit/credit_holder.cpp
@@ -0,0 +1,138 @@
+#include "Limit/credit_holder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr std::int64_t nano = 1'000'000'000;
+/// Bounds that keep all arithmetic within 64 bits.
+constexpr double maxTokensPerSecond = 1e9;
+constexpr token_count maxBurst = 4'000'000'000;
+/// Prefetch is granted while less than this share of the burst is outstanding.
+constexpr token_count prefetchDivisor = 2;
+constexpr milliseconds longestWait { 86'400'000 };
+
+__extension__ using wide = __int128;
+
+} // namespace
+
+credit_holder::credit_holder(double tokensPerSecond, token_count burst, token_count level, monotonic_time now)
+    : m_refilledAt(now)
+{
+    setPart(tokensPerSecond, burst, now);
+    m_level = std::clamp<token_count>(level, 0, m_burst) * nano;
+}
+
+void credit_holder::setPart(double tokensPerSecond, token_count burst, monotonic_time now)
+{
+    refill(now);
+    const double rate = std::clamp(tokensPerSecond, 0.0, maxTokensPerSecond);
+    m_nanoTokensPerSecond = static_cast<std::int64_t>(std::floor(rate * static_cast<double>(nano)));
+    m_burst = std::clamp<token_count>(burst, 0, maxBurst);
+    cap();
+}
+
+void credit_holder::refill(monotonic_time now)
+{
+    if (now <= m_refilledAt)
+        return;
+    const auto elapsed = std::chrono::nanoseconds(now - m_refilledAt).count();
+    m_refilledAt = now;
+    const wide product = static_cast<wide>(elapsed) * m_nanoTokensPerSecond + m_remainder;
+    const wide full = static_cast<wide>(m_burst) * nano;
+    m_level = static_cast<std::int64_t>(std::min<wide>(m_level + product / nano, full));
+    m_remainder = static_cast<std::int64_t>(product % nano);
+    cap();
+}
+
+void credit_holder::cap()
+{
+    const std::int64_t room = std::max<token_count>(m_burst - m_outstanding, 0) * nano;
+    if (m_level < room)
+        return;
+    m_level = room;
+    m_remainder = 0;
+}
+
+token_count credit_holder::level(monotonic_time now)
+{
+    refill(now);
+    return m_level / nano;
+}
+
+token_count credit_holder::take(token_count tokens, monotonic_time now)
+{
+    const token_count taken = std::clamp<token_count>(tokens, 0, level(now));
+    m_level -= taken * nano;
+    return taken;
+}
+
+void credit_holder::settle(ledger& account, const credit_settlement& settlement)
+{
+    const token_count settled = std::min(settlement.settledTotal, account.granted);
+    const token_count returned = std::min(settlement.returnedTotal, settled);
+    if (settled <= account.settled)
+        return;
+    m_outstanding -= settled - account.settled;
+    account.settled = settled;
+    if (returned > account.returned) {
+        m_level += std::min(returned - account.returned, m_burst) * nano;
+        account.returned = returned;
+    }
+    cap();
+}
+
+credit_debit credit_holder::grant(
+    const credit_settlement& settlement, token_count needed, token_count prefetch, monotonic_time now)
+{
+    refill(now);
+    ledger& account = m_ledgers[settlement.asker];
+    settle(account, settlement);
+    if (settlement.askId <= account.lastAskId)
+        return { 0, account.granted };
+    account.lastAskId = settlement.askId;
+    const token_count available = level(now);
+    token_count tokens = std::clamp<token_count>(needed, 0, available);
+    const token_count room = m_burst / prefetchDivisor - m_outstanding - tokens;
+    tokens += std::max<token_count>(std::min({ prefetch, (available - tokens) / 2, room }), 0);
+    m_level -= tokens * nano;
+    m_outstanding += tokens;
+    account.granted += tokens;
+    return { tokens, account.granted };
+}
+
+void credit_holder::writeOff(const std::string& asker, monotonic_time now)
+{
+    refill(now);
+    const auto found = m_ledgers.find(asker);
+    if (found == m_ledgers.end())
+        return;
+    m_outstanding -= found->second.granted - found->second.settled;
+    m_ledgers.erase(found);
+}
+
+std::vector<std::string> credit_holder::askers() const
+{
+    std::vector<std::string> names;
+    names.reserve(m_ledgers.size());
+    for (const auto& [name, account] : m_ledgers)
+        names.push_back(name);
+    return names;
+}
+
+milliseconds credit_holder::untilLevel(token_count tokens, monotonic_time now)
+{
+    refill(now);
+    const wide missing = static_cast<wide>(tokens) * nano - m_level;
+    if (missing <= 0)
+        return milliseconds(0);
+    if (m_nanoTokensPerSecond == 0)
+        return longestWait;
+    const wide wait = missing * 1000 / m_nanoTokensPerSecond + 1;
+    return milliseconds(static_cast<milliseconds::rep>(std::min<wide>(wait, longestWait.count())));
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Limit/rate_gate.cpp
@@ -0,0 +1,137 @@
+#include "Limit/rate_gate.h"
+
+#include "Limit/rate_member.h"
+
+#include <algorithm>
+#include <cmath>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace sagesaddle {
+
+namespace {
+
+/// Time that a request waits for credit from other entries.
+constexpr milliseconds longestWait = 2 * askTimeout;
+constexpr milliseconds housekeepInterval { 250 };
+
+/// \return a number that two processes hardly share, with room above it to count on.
+std::uint64_t drawFirstAskId()
+{
+    std::random_device device;
+    const std::uint64_t high = device();
+    return (((high << 32) | device()) >> 2) + 1;
+}
+
+monotonic_time readClock()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+struct rate_gate::impl {
+    send_to_peer send;
+    /// Guards `member`. Nothing is sent while it is held.
+    std::mutex mutex;
+    rate_member member;
+    /// Notified when a grant came or the gate stops.
+    std::condition_variable_any granted;
+    std::jthread housekeeper;
+
+    impl(std::string self, send_to_peer sender)
+        : send(std::move(sender))
+        , member(std::move(self), drawFirstAskId())
+    {
+    }
+
+    /// Sends asks without the lock; the holder of one that cannot be sent counts as away.
+    void sendAll(const std::vector<addressed_ask>& asks)
+    {
+        for (const addressed_ask& each : asks) {
+            if (send(each.holder, each.ask))
+                continue;
+            const std::scoped_lock lock(mutex);
+            member.onUnsent(each.ask, readClock());
+        }
+    }
+
+    void housekeep(const std::stop_token& stop)
+    {
+        while (!stop.stop_requested()) {
+            std::unique_lock lock(mutex);
+            granted.wait_for(lock, stop, housekeepInterval, [] { return false; });
+            if (stop.stop_requested())
+                return;
+            const auto asks = member.housekeep(readClock());
+            lock.unlock();
+            sendAll(asks);
+        }
+    }
+};
+
+rate_gate::rate_gate(std::string self, send_to_peer send)
+    : m_impl(std::make_unique<impl>(std::move(self), std::move(send)))
+{
+    m_impl->housekeeper = std::jthread([this](const std::stop_token& stop) { m_impl->housekeep(stop); });
+}
+
+rate_gate::~rate_gate() = default;
+
+void rate_gate::update(fleet_state_ptr state, monotonic_time now)
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    m_impl->member.update(std::move(state), now);
+}
+
+rate_decision rate_gate::admit(const std::string& team, double tokens, monotonic_time deadline)
+{
+    const auto needed = static_cast<token_count>(std::ceil(std::clamp(tokens, 0.0, 1e15)));
+    const monotonic_time until = std::min(deadline, readClock() + longestWait);
+    std::unique_lock lock(m_impl->mutex);
+    while (true) {
+        const monotonic_time now = readClock();
+        rate_decision decision = m_impl->member.admit(team, needed, now);
+        if (decision.admitted) {
+            const auto ahead = m_impl->member.followUp(team, now);
+            lock.unlock();
+            m_impl->sendAll(ahead);
+            return decision;
+        }
+        if (decision.reason == "request_over_burst" || now >= until)
+            return decision;
+        const auto asks = m_impl->member.asksFor(team, needed, now);
+        if (asks.empty() && !m_impl->member.isAsking(team, now))
+            return decision;
+        lock.unlock();
+        m_impl->sendAll(asks);
+        lock.lock();
+        if (m_impl->member.isAsking(team, readClock()))
+            m_impl->granted.wait_until(lock, until);
+    }
+}
+
+credit_grant rate_gate::answer(const credit_ask& ask, monotonic_time now)
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    return m_impl->member.answer(ask, now);
+}
+
+void rate_gate::onGrant(const credit_grant& grant, monotonic_time now)
+{
+    {
+        const std::scoped_lock lock(m_impl->mutex);
+        m_impl->member.onGrant(grant, now);
+    }
+    m_impl->granted.notify_all();
+}
+
+bool rate_gate::mustRejoin() const
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    return m_impl->member.mustRejoin();
+}
+
+} // namespace sagesaddle
--- a/Source/Limit/rate_gate.h
+++ b/Source/Limit/rate_gate.h
@@ -45,6 +45,10 @@
     /// \param deadline when to give up waiting
     rate_decision admit(const std::string& team, double tokens, monotonic_time deadline);
 
+    /// \return whether this process can hold no share before two records are written: an epoch without
+    /// this entry, then one with it. True at first, and where the entry restarted under its name.
+    bool mustRejoin() const;
+
     /// Answers another entry's ask.
     credit_grant answer(const credit_ask& ask, monotonic_time now);
 
--- /dev/null
+++ b/Source/Limit/rate_member.cpp
@@ -0,0 +1,494 @@
+#include "Limit/rate_member.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagesaddle {
+
+namespace {
+
+/// Time over which recent use is counted, and for which credit is asked ahead.
+constexpr double recentUseSeconds = 1;
+constexpr double prefetchSeconds = 2;
+/// Credit asked ahead is at most this part of a share's burst.
+constexpr token_count prefetchDivisor = 4;
+/// Credit spent is told to its holder at once where it is this part of a share's burst.
+constexpr token_count promptSettleDivisor = 8;
+constexpr milliseconds settleInterval { 500 };
+constexpr milliseconds probeInterval { 1000 };
+constexpr milliseconds shortestEmpty { 5 };
+constexpr milliseconds longestEmpty { 250 };
+constexpr std::uint32_t holderAwayRetryMs = 250;
+constexpr double longestRetryMs = 86'400'000;
+
+double shareRate(const team& record)
+{
+    return record.rateTokensPerSecond / sharesPerTeam;
+}
+
+token_count shareBurst(const team& record)
+{
+    return static_cast<token_count>(std::max(record.burstTokens, 0.0)) / sharesPerTeam;
+}
+
+double decayed(double value, monotonic_time since, monotonic_time now)
+{
+    const double elapsed = std::chrono::duration<double>(now - since).count();
+    return value * std::exp(-std::max(elapsed, 0.0) / recentUseSeconds);
+}
+
+std::string entryOf(const std::string& accountName)
+{
+    return accountName.substr(0, accountName.rfind('/'));
+}
+
+} // namespace
+
+rate_member::rate_member(std::string self, std::uint64_t firstAskId)
+    : m_self(std::move(self))
+    , m_nextAskId(firstAskId)
+{
+}
+
+rate_member::team_state* rate_member::find(const std::string& team)
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? nullptr : &found->second;
+}
+
+bool rate_member::isOpen(const share_state& value, monotonic_time now) const
+{
+    return value.holder.has_value() && now >= value.opensAt;
+}
+
+bool rate_member::mustRejoin() const
+{
+    if (!m_state)
+        return true;
+    const std::uint64_t since = memberSince(m_self, *m_state);
+    return since == 0 || since < m_bornAt;
+}
+
+void rate_member::update(fleet_state_ptr state, monotonic_time now)
+{
+    if (m_state && state->nextOffset < m_state->nextOffset)
+        return;
+    const std::uint64_t known = m_state ? m_state->epoch.number : 0;
+    if (!m_state)
+        m_bornAt = state->nextOffset;
+    std::optional<epoch_list> passed = epochsAfter(*state, known);
+    if (state->epoch.number != known)
+        m_epochLearnedAt = now;
+    m_state = std::move(state);
+    if (passed)
+        scheduleWriteOffs(*passed, now);
+    for (auto& [name, value] : m_teams)
+        value.withdrawn = !m_state->teams.contains(name);
+    for (const auto& [name, record] : m_state->teams)
+        updateTeam(record, passed, now);
+    for (auto& [name, value] : m_teams)
+        if (value.withdrawn && (!passed || !passed->empty()))
+            value.shares = carryShares(value, false, passed, now);
+}
+
+void rate_member::updateTeam(const team& record, const std::optional<epoch_list>& passed, monotonic_time now)
+{
+    const auto [found, isNew] = m_teams.try_emplace(record.name);
+    team_state& value = found->second;
+    const bool changed = isNew || value.record != record;
+    value.record = record;
+    if (isNew || !passed || !passed->empty())
+        value.shares = carryShares(value, isNew, passed, now);
+    if (!changed)
+        return;
+    for (share_state& share : value.shares)
+        if (share.holder)
+            share.holder->setPart(shareRate(record), shareBurst(record), now);
+}
+
+bool rate_member::continues(const std::string& team, const team_share& share, const epoch_list& passed) const
+{
+    return std::all_of(passed.begin(), passed.end(), [&](const membership_epoch* epoch) {
+        const auto shares = sharesOf(team, epoch->members);
+        return std::find(shares.begin(), shares.end(), share) != shares.end();
+    });
+}
+
+std::vector<rate_member::share_state> rate_member::carryShares(
+    team_state& value, bool isNew, const std::optional<epoch_list>& passed, monotonic_time now)
+{
+    const bool stayed = passed && std::all_of(passed->begin(), passed->end(), [this](const auto* epoch) {
+        return isMember(m_self, *epoch);
+    });
+    const bool createdInEpoch = isNew && passed && passed->empty();
+    std::vector<share_state> carried;
+    for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members)) {
+        const auto old = std::find_if(value.shares.begin(), value.shares.end(),
+            [&](const share_state& candidate) { return candidate.share == share; });
+        if (old == value.shares.end() || !passed || !continues(value.record.name, share, *passed)) {
+            carried.push_back(openShare(value, share, createdInEpoch, now));
+            continue;
+        }
+        carried.push_back(std::move(*old));
+        if (!stayed && !isOwn(carried.back()))
+            openAccount(carried.back());
+    }
+    return carried;
+}
+
+void rate_member::openAccount(share_state& value)
+{
+    value.accountName = m_self + "/" + std::to_string(m_nextAskId);
+    value.account.emplace(m_nextAskId);
+    value.toldSettled = 0;
+    value.pendingAsk = 0;
+    ++m_nextAskId;
+}
+
+rate_member::share_state rate_member::openShare(
+    const team_state& value, const team_share& share, bool createdInEpoch, monotonic_time now)
+{
+    share_state opened;
+    opened.share = share;
+    if (!isOwn(opened)) {
+        openAccount(opened);
+        return opened;
+    }
+    const tenure_start tenure = tenureOf(value.record.name, share, *m_state);
+    if (tenure.epoch == 0 || tenure.epoch < m_bornAt)
+        return opened;
+    const token_count burst = shareBurst(value.record);
+    const bool full = tenure.first || createdInEpoch;
+    opened.heldSince = tenure.epoch;
+    opened.opensAt = tenure.first ? now : std::max(now, m_epochLearnedAt + tenureGrace);
+    opened.holder.emplace(shareRate(value.record), burst, full ? burst : 0, std::max(now, opened.opensAt));
+    return opened;
+}
+
+void rate_member::scheduleWriteOffs(const epoch_list& passed, monotonic_time now)
+{
+    const auto left = [&](const std::string& entry) {
+        return std::any_of(passed.begin(), passed.end(),
+            [&](const membership_epoch* epoch) { return !isMember(entry, *epoch); });
+    };
+    for (auto& [name, value] : m_teams)
+        for (share_state& share : value.shares) {
+            if (!share.holder)
+                continue;
+            for (const std::string& asker : share.holder->askers())
+                if (left(entryOf(asker)))
+                    m_writeOffs.push_back({ name, share.share, asker, now + tenureGrace });
+        }
+}
+
+void rate_member::writeOffDue(monotonic_time now)
+{
+    const auto due = std::partition(m_writeOffs.begin(), m_writeOffs.end(),
+        [now](const pending_write_off& value) { return value.due > now; });
+    for (auto at = due; at != m_writeOffs.end(); ++at) {
+        team_state* value = find(at->team);
+        if (!value)
+            continue;
+        for (share_state& share : value->shares)
+            if (share.share == at->share && share.holder)
+                share.holder->writeOff(at->asker, now);
+    }
+    m_writeOffs.erase(due, m_writeOffs.end());
+}
+
+token_count rate_member::spendable(team_state& value, monotonic_time now)
+{
+    token_count sum = 0;
+    for (share_state& share : value.shares) {
+        if (share.account)
+            sum += share.account->inHand();
+        if (isOpen(share, now))
+            sum += share.holder->level(now);
+    }
+    return sum;
+}
+
+token_count rate_member::spendable(const std::string& team, monotonic_time now)
+{
+    team_state* value = find(team);
+    return value && !value->withdrawn ? spendable(*value, now) : 0;
+}
+
+void rate_member::charge(team_state& value, token_count tokens, monotonic_time now)
+{
+    value.recentTokens = decayed(value.recentTokens, value.usedAt, now) + static_cast<double>(tokens);
+    value.usedAt = now;
+    const token_count reserve = shareBurst(value.record) / 2;
+    for (share_state& share : value.shares)
+        if (isOpen(share, now))
+            tokens -= share.holder->take(std::min(tokens, share.holder->level(now) - reserve), now);
+    for (share_state& share : value.shares)
+        if (share.account)
+            tokens -= share.account->spend(tokens);
+    for (share_state& share : value.shares)
+        if (isOpen(share, now))
+            tokens -= share.holder->take(tokens, now);
+}
+
+rate_decision rate_member::refuse(team_state& value, token_count missing, monotonic_time now) const
+{
+    const bool someAway = value.shares.empty()
+        || std::any_of(value.shares.begin(), value.shares.end(), [&](const share_state& share) {
+               return isOwn(share) ? !isOpen(share, now) : share.away || share.pendingAsk != 0;
+           });
+    const double rate = value.record.rateTokensPerSecond;
+    const double wait = rate > 0 ? static_cast<double>(missing) * 1000 / rate : longestRetryMs;
+    auto retryMs = static_cast<std::uint32_t>(std::clamp(std::ceil(wait), 1.0, longestRetryMs));
+    if (someAway)
+        return { false, "rate_holder_away", std::max(retryMs, holderAwayRetryMs) };
+    return { false, "team_rate", retryMs };
+}
+
+rate_decision rate_member::admit(const std::string& team, token_count tokens, monotonic_time now)
+{
+    team_state* value = find(team);
+    if (!value || value->withdrawn)
+        return { false, "rate_holder_away", holderAwayRetryMs };
+    if (tokens > shareBurst(value->record) * sharesPerTeam)
+        return { false, "request_over_burst", 0 };
+    writeOffDue(now);
+    expireAsks(*value, now);
+    const token_count available = spendable(*value, now);
+    if (available < tokens)
+        return refuse(*value, tokens - available, now);
+    charge(*value, tokens, now);
+    return { true, "", 0 };
+}
+
+void rate_member::expireAsks(team_state& value, monotonic_time now)
+{
+    for (share_state& share : value.shares) {
+        if (share.pendingAsk == 0 || now - share.askedAt < askTimeout)
+            continue;
+        share.pendingAsk = 0;
+        share.away = true;
+        share.probedAt = now;
+    }
+}
+
+bool rate_member::isAsking(const std::string& team, monotonic_time now)
+{
+    team_state* value = find(team);
+    if (!value)
+        return false;
+    expireAsks(*value, now);
+    return std::any_of(value->shares.begin(), value->shares.end(),
+        [](const share_state& share) { return share.pendingAsk != 0; });
+}
+
+token_count rate_member::prefetchTarget(const team_state& value, monotonic_time now) const
+{
+    const double perSecond = decayed(value.recentTokens, value.usedAt, now) / recentUseSeconds;
+    return std::min(
+        static_cast<token_count>(perSecond * prefetchSeconds), shareBurst(value.record) / prefetchDivisor);
+}
+
+std::vector<rate_member::share_state*> rate_member::askable(team_state& value, monotonic_time now)
+{
+    std::vector<share_state*> shares;
+    const std::size_t count = value.shares.size();
+    const std::size_t first = count == 0 ? 0 : std::hash<std::string> {}(m_self + value.record.name) % count;
+    for (std::size_t step = 0; step < count; ++step) {
+        share_state& share = value.shares[(first + step) % count];
+        if (share.account && share.pendingAsk == 0 && !share.away && now >= share.emptyUntil)
+            shares.push_back(&share);
+    }
+    return shares;
+}
+
+addressed_ask rate_member::makeAsk(
+    team_state& value, share_state& share, token_count needed, token_count ahead)
+{
+    credit_ask ask;
+    ask.id = m_nextAskId++;
+    ask.team = value.record.name;
+    ask.asker = share.accountName;
+    ask.epoch = m_state->epoch.number;
+    ask.tokens = static_cast<double>(needed + ahead);
+    ask.prefetchTokens = static_cast<double>(ahead);
+    ask.settledTotal = static_cast<double>(share.account->settledTotal());
+    ask.returnedTotal = static_cast<double>(share.account->returnedTotal());
+    ask.share = share.share.index;
+    share.toldSettled = share.account->settledTotal();
+    return { share.share.holder, std::move(ask) };
+}
+
+std::vector<addressed_ask> rate_member::asksFor(
+    const std::string& team, token_count tokens, monotonic_time now)
+{
+    team_state* value = find(team);
+    if (!value || value->withdrawn || isAsking(team, now))
+        return {};
+    const token_count missing = tokens - spendable(*value, now);
+    std::vector<share_state*> shares = askable(*value, now);
+    if (missing <= 0 || shares.empty())
+        return {};
+    if (shares.size() == value->shares.size())
+        shares.resize(1);
+    const auto count = static_cast<token_count>(shares.size());
+    const token_count each = (missing + count - 1) / count;
+    const token_count ahead = prefetchTarget(*value, now) / count;
+    std::vector<addressed_ask> asks;
+    for (share_state* share : shares) {
+        asks.push_back(makeAsk(*value, *share, each, ahead));
+        share->pendingAsk = asks.back().ask.id;
+        share->askedAt = now;
+        share->toldAt = now;
+    }
+    return asks;
+}
+
+void rate_member::askAhead(team_state& value, std::vector<addressed_ask>& asks, monotonic_time now)
+{
+    const token_count target = prefetchTarget(value, now);
+    if (target == 0 || spendable(value, now) * 2 >= target)
+        return;
+    const std::vector<share_state*> shares = askable(value, now);
+    if (shares.empty())
+        return;
+    share_state& share = *shares.front();
+    asks.push_back(makeAsk(value, share, 0, target));
+    share.pendingAsk = asks.back().ask.id;
+    share.askedAt = now;
+    share.toldAt = now;
+}
+
+std::vector<addressed_ask> rate_member::followUp(const std::string& team, monotonic_time now)
+{
+    team_state* value = find(team);
+    if (!value || value->withdrawn || isAsking(team, now))
+        return {};
+    std::vector<addressed_ask> asks;
+    askAhead(*value, asks, now);
+    const token_count much = std::max<token_count>(shareBurst(value->record) / promptSettleDivisor, 1);
+    for (share_state& share : value->shares) {
+        if (!share.account || share.away || share.account->settledTotal() - share.toldSettled < much)
+            continue;
+        asks.push_back(makeAsk(*value, share, 0, 0));
+        share.toldAt = now;
+    }
+    return asks;
+}
+
+std::string rate_member::refusalFor(const credit_ask& ask, const share_state* share, monotonic_time now) const
+{
+    if (!m_state || ask.epoch > m_state->epoch.number)
+        return "epoch";
+    if (!share || !isOpen(*share, now))
+        return "not_holder";
+    if (ask.epoch < share->heldSince)
+        return "epoch";
+    const auto passed = epochsAfter(*m_state, ask.epoch);
+    if (!passed)
+        return "epoch";
+    const std::string entry = entryOf(ask.asker);
+    const bool stayed = std::all_of(passed->begin(), passed->end(),
+        [&](const membership_epoch* epoch) { return isMember(entry, *epoch); });
+    return stayed && isMember(entry, m_state->epoch) ? "" : "not_member";
+}
+
+credit_grant rate_member::answer(const credit_ask& ask, monotonic_time now)
+{
+    writeOffDue(now);
+    credit_grant grant;
+    grant.id = ask.id;
+    grant.team = ask.team;
+    grant.holder = m_self;
+    grant.epoch = m_state ? m_state->epoch.number : 0;
+    grant.share = ask.share;
+    share_state* held = nullptr;
+    if (team_state* value = find(ask.team); value && !value->withdrawn)
+        for (share_state& share : value->shares)
+            if (isOwn(share) && share.share.index == ask.share)
+                held = &share;
+    grant.refusal = refusalFor(ask, held, now);
+    if (!held || !grant.refusal.empty())
+        return grant;
+    const auto ahead = static_cast<token_count>(ask.prefetchTokens);
+    const auto needed = static_cast<token_count>(ask.tokens) - ahead;
+    const credit_settlement settlement { ask.asker, ask.id, static_cast<token_count>(ask.settledTotal),
+        static_cast<token_count>(ask.returnedTotal) };
+    const credit_debit debit = held->holder->grant(settlement, needed, ahead, now);
+    grant.tokens = static_cast<double>(debit.tokens);
+    grant.grantedTotal = static_cast<double>(debit.grantedTotal);
+    if (debit.tokens < needed || (debit.tokens == 0 && ahead > 0)) {
+        const auto wait = held->holder->untilLevel(std::max<token_count>(needed - debit.tokens, 1), now);
+        grant.retryAfterMs = static_cast<std::uint32_t>(wait.count());
+        grant.refusal = debit.tokens == 0 ? "rate" : "";
+    }
+    return grant;
+}
+
+void rate_member::onGrant(const credit_grant& grant, monotonic_time now)
+{
+    team_state* value = find(grant.team);
+    if (!value)
+        return;
+    const team_share from { grant.holder, grant.share };
+    for (share_state& share : value->shares) {
+        if (share.share != from || !share.account)
+            continue;
+        if (grant.id == share.pendingAsk)
+            share.pendingAsk = 0;
+        const bool granted = grant.refusal.empty() || grant.refusal == "rate";
+        share.away = !granted;
+        share.probedAt = now;
+        if (granted)
+            share.account->onGrant(grant.id, static_cast<token_count>(grant.grantedTotal));
+        if (grant.refusal == "rate" || grant.retryAfterMs > 0)
+            share.emptyUntil
+                = now + std::clamp(milliseconds(grant.retryAfterMs), shortestEmpty, longestEmpty);
+    }
+}
+
+void rate_member::onUnsent(const credit_ask& ask, monotonic_time now)
+{
+    team_state* value = find(ask.team);
+    if (!value)
+        return;
+    for (share_state& share : value->shares) {
+        if (share.accountName != ask.asker)
+            continue;
+        share.away = true;
+        share.probedAt = now;
+        if (share.pendingAsk == ask.id)
+            share.pendingAsk = 0;
+    }
+}
+
+void rate_member::housekeepShare(
+    team_state& value, share_state& share, std::vector<addressed_ask>& asks, monotonic_time now)
+{
+    const token_count target = prefetchTarget(value, now);
+    const token_count idle = share.account->inHand() - 2 * target;
+    if (idle > 0)
+        share.account->giveBack(share.account->inHand() - target);
+    const bool untold
+        = share.account->settledTotal() != share.toldSettled && now - share.toldAt >= settleInterval;
+    const bool probe = share.away && now - share.probedAt >= probeInterval;
+    if (share.pendingAsk != 0 || (!untold && !probe))
+        return;
+    share.toldAt = now;
+    share.probedAt = now;
+    asks.push_back(makeAsk(value, share, 0, 0));
+}
+
+std::vector<addressed_ask> rate_member::housekeep(monotonic_time now)
+{
+    writeOffDue(now);
+    std::vector<addressed_ask> asks;
+    for (auto& [name, value] : m_teams) {
+        expireAsks(value, now);
+        for (share_state& share : value.shares)
+            if (share.account)
+                housekeepShare(value, share, asks, now);
+    }
+    return asks;
+}
+
+} // namespace sagesaddle
--- a/Source/Record/fleet_state.h
+++ b/Source/Record/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include "Record/objects.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -21,6 +22,9 @@
     auto operator<=>(const membership_epoch&) const = default;
 };
 
+/// Number of past epochs that a state remembers.
+inline constexpr std::size_t maxPastEpochs = 16;
+
 /// \brief A lease on a fleet-wide duty, granted by a record in the log.
 struct lease_grant {
     std::string holder;
@@ -50,6 +54,9 @@
     std::map<std::string, entry_host> entries;
 
     membership_epoch epoch;
+    /// The epochs before it, oldest first and at most `maxPastEpochs` of them; the first epoch's
+    /// predecessor is number 0 without members.
+    std::vector<membership_epoch> pastEpochs;
     /// By duty.
     std::map<std::string, lease_grant> leases;
     /// Ids of folded records that may still be appended again, with their offsets.
--- a/Source/Wire/frame_generated.h
+++ b/Source/Wire/frame_generated.h
@@ -1336,7 +1336,10 @@
     VT_ASKER = 8,
     VT_EPOCH = 10,
     VT_TOKENS = 12,
-    VT_SETTLED_TOTAL = 14
+    VT_SETTLED_TOTAL = 14,
+    VT_PREFETCH_TOKENS = 16,
+    VT_RETURNED_TOTAL = 18,
+    VT_SHARE = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1356,6 +1359,15 @@
   double settled_total() const {
     return GetField<double>(VT_SETTLED_TOTAL, 0.0);
   }
+  double prefetch_tokens() const {
+    return GetField<double>(VT_PREFETCH_TOKENS, 0.0);
+  }
+  double returned_total() const {
+    return GetField<double>(VT_RETURNED_TOTAL, 0.0);
+  }
+  uint32_t share() const {
+    return GetField<uint32_t>(VT_SHARE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1366,6 +1378,9 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<double>(verifier, VT_TOKENS, 8) &&
            VerifyField<double>(verifier, VT_SETTLED_TOTAL, 8) &&
+           VerifyField<double>(verifier, VT_PREFETCH_TOKENS, 8) &&
+           VerifyField<double>(verifier, VT_RETURNED_TOTAL, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SHARE, 4) &&
            verifier.EndTable();
   }
 };
@@ -1392,6 +1407,15 @@
   void add_settled_total(double settled_total) {
     fbb_.AddElement<double>(CreditAsk::VT_SETTLED_TOTAL, settled_total, 0.0);
   }
+  void add_prefetch_tokens(double prefetch_tokens) {
+    fbb_.AddElement<double>(CreditAsk::VT_PREFETCH_TOKENS, prefetch_tokens, 0.0);
+  }
+  void add_returned_total(double returned_total) {
+    fbb_.AddElement<double>(CreditAsk::VT_RETURNED_TOTAL, returned_total, 0.0);
+  }
+  void add_share(uint32_t share) {
+    fbb_.AddElement<uint32_t>(CreditAsk::VT_SHARE, share, 0);
+  }
   explicit CreditAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1412,12 +1436,18 @@
     flatbuffers::Offset<flatbuffers::String> asker = 0,
     uint64_t epoch = 0,
     double tokens = 0.0,
-    double settled_total = 0.0) {
+    double settled_total = 0.0,
+    double prefetch_tokens = 0.0,
+    double returned_total = 0.0,
+    uint32_t share = 0) {
   CreditAskBuilder builder_(_fbb);
+  builder_.add_returned_total(returned_total);
+  builder_.add_prefetch_tokens(prefetch_tokens);
   builder_.add_settled_total(settled_total);
   builder_.add_tokens(tokens);
   builder_.add_epoch(epoch);
   builder_.add_id(id);
+  builder_.add_share(share);
   builder_.add_asker(asker);
   builder_.add_team(team);
   return builder_.Finish();
@@ -1435,7 +1465,10 @@
     const char *asker = nullptr,
     uint64_t epoch = 0,
     double tokens = 0.0,
-    double settled_total = 0.0) {
+    double settled_total = 0.0,
+    double prefetch_tokens = 0.0,
+    double returned_total = 0.0,
+    uint32_t share = 0) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto asker__ = asker ? _fbb.CreateString(asker) : 0;
   return sagesaddle::wire::CreateCreditAsk(
@@ -1445,7 +1478,10 @@
       asker__,
       epoch,
       tokens,
-      settled_total);
+      settled_total,
+      prefetch_tokens,
+      returned_total,
+      share);
 }
 
 struct CreditGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1459,7 +1495,8 @@
     VT_TOKENS = 12,
     VT_GRANTED_TOTAL = 14,
     VT_RETRY_AFTER_MS = 16,
-    VT_REFUSAL = 18
+    VT_REFUSAL = 18,
+    VT_SHARE = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1485,6 +1522,9 @@
   const flatbuffers::String *refusal() const {
     return GetPointer<const flatbuffers::String *>(VT_REFUSAL);
   }
+  uint32_t share() const {
+    return GetField<uint32_t>(VT_SHARE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1498,6 +1538,7 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyOffsetRequired(verifier, VT_REFUSAL) &&
            verifier.VerifyString(refusal()) &&
+           VerifyField<uint32_t>(verifier, VT_SHARE, 4) &&
            verifier.EndTable();
   }
 };
@@ -1530,6 +1571,9 @@
   void add_refusal(flatbuffers::Offset<flatbuffers::String> refusal) {
     fbb_.AddOffset(CreditGrant::VT_REFUSAL, refusal);
   }
+  void add_share(uint32_t share) {
+    fbb_.AddElement<uint32_t>(CreditGrant::VT_SHARE, share, 0);
+  }
   explicit CreditGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1553,12 +1597,14 @@
     double tokens = 0.0,
     double granted_total = 0.0,
     uint32_t retry_after_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> refusal = 0) {
+    flatbuffers::Offset<flatbuffers::String> refusal = 0,
+    uint32_t share = 0) {
   CreditGrantBuilder builder_(_fbb);
   builder_.add_granted_total(granted_total);
   builder_.add_tokens(tokens);
   builder_.add_epoch(epoch);
   builder_.add_id(id);
+  builder_.add_share(share);
   builder_.add_refusal(refusal);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_holder(holder);
@@ -1580,7 +1626,8 @@
     double tokens = 0.0,
     double granted_total = 0.0,
     uint32_t retry_after_ms = 0,
-    const char *refusal = nullptr) {
+    const char *refusal = nullptr,
+    uint32_t share = 0) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto refusal__ = refusal ? _fbb.CreateString(refusal) : 0;
@@ -1593,7 +1640,8 @@
       tokens,
       granted_total,
       retry_after_ms,
-      refusal__);
+      refusal__,
+      share);
 }
 
 struct TailAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -133,6 +133,9 @@
     std::uint64_t epoch { 0 };
     double tokens { 0 };
     double settledTotal { 0 };
+    double prefetchTokens { 0 };
+    double returnedTotal { 0 };
+    std::uint32_t share { 0 };
 
     auto operator<=>(const credit_ask&) const = default;
 };
@@ -147,6 +150,7 @@
     double grantedTotal { 0 };
     std::uint32_t retryAfterMs { 0 };
     std::string refusal;
+    std::uint32_t share { 0 };
 
     auto operator<=>(const credit_grant&) const = default;
 };
--- /dev/null
+++ b/Tests/Limit/fleet_of.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Limit/share_tenure.h"
+#include "Record/fleet_state.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sagesaddle::testing {
+
+/// \brief A fleet's state that grows by one record at a time.
+class fleet_of {
+public:
+    fleet_of& withTeam(const std::string& name, double rate, double burst)
+    {
+        m_state.teams[name] = team { name, rate, burst, priority::Interactive };
+        ++m_state.nextOffset;
+        return *this;
+    }
+
+    fleet_of& withoutTeam(const std::string& name)
+    {
+        m_state.teams.erase(name);
+        ++m_state.nextOffset;
+        return *this;
+    }
+
+    /// Writes a membership epoch as the next record.
+    fleet_of& withEpoch(std::vector<std::string> members)
+    {
+        m_state.pastEpochs.push_back(m_state.epoch);
+        if (m_state.pastEpochs.size() > maxPastEpochs)
+            m_state.pastEpochs.erase(m_state.pastEpochs.begin());
+        m_state.epoch = { m_state.nextOffset, std::move(members) };
+        ++m_state.nextOffset;
+        return *this;
+    }
+
+    fleet_state_ptr state() const { return std::make_shared<const fleet_state>(m_state); }
+
+private:
+    fleet_state m_state { 1 };
+};
+
+} // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Limit/rate_gate_tests.cpp
@@ -0,0 +1,82 @@
+#include "Limit/fleet_of.h"
+#include "Limit/rate_gate.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+#include <variant>
+
+using namespace sagesaddle;
+using testing::fleet_of;
+
+namespace {
+
+monotonic_time readClock()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// \brief Three gates that reach each other without a network.
+struct linked_gates {
+    std::map<std::string, std::unique_ptr<rate_gate>> gates;
+    std::atomic<bool> cut { false };
+
+    linked_gates()
+    {
+        for (const char* name : { "a", "b", "c" })
+            gates[name] = std::make_unique<rate_gate>(
+                name, [this, name](const std::string& to, const message& value) {
+                    if (cut)
+                        return true;
+                    const credit_grant grant = gates.at(to)->answer(std::get<credit_ask>(value), readClock());
+                    gates.at(name)->onGrant(grant, readClock());
+                    return true;
+                });
+    }
+
+    void learn(const fleet_of& fleet)
+    {
+        for (auto& [name, gate] : gates)
+            gate->update(fleet.state(), readClock());
+    }
+};
+
+} // namespace
+
+TEST_CASE("rate gate: many threads at all entries get the burst and no more")
+{
+    linked_gates fleet;
+    fleet_of records;
+    records.withTeam("desk", 0, 3000);
+    fleet.learn(records);
+    records.withEpoch({ "a", "b", "c" });
+    fleet.learn(records);
+    std::atomic<int> admitted { 0 };
+    {
+        std::vector<std::jthread> callers;
+        for (auto& [name, gate] : fleet.gates)
+            for (int thread = 0; thread < 3; ++thread)
+                callers.emplace_back([&admitted, target = gate.get()] {
+                    for (int request = 0; request < 30; ++request)
+                        admitted += target->admit("desk", 29.5, readClock() + seconds(5)).admitted ? 30 : 0;
+                });
+    }
+    CHECK(admitted <= 3000);
+    CHECK(admitted >= 2700);
+}
+
+TEST_CASE("rate gate: where no holder answers it refuses within its bounded wait")
+{
+    linked_gates fleet;
+    fleet_of records;
+    records.withTeam("desk", 10, 3000);
+    fleet.learn(records);
+    records.withEpoch({ "a", "b", "c" });
+    fleet.learn(records);
+    fleet.cut = true;
+    const rate_decision decision = fleet.gates.at("a")->admit("desk", 2000, readClock() + seconds(30));
+    CHECK_FALSE(decision.admitted);
+    CHECK(decision.reason == "rate_holder_away");
+    CHECK(fleet.gates.at("a")->admit("desk", 900, readClock() + seconds(30)).admitted);
+}
--- /dev/null
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -0,0 +1,185 @@
+#include "Limit/fleet_of.h"
+#include "Limit/rate_member.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace sagesaddle;
+using testing::fleet_of;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+
+/// \brief Three entries that learn states and exchange asks and grants without delay.
+struct small_fleet {
+    std::map<std::string, rate_member> entries;
+
+    small_fleet()
+    {
+        std::uint64_t firstAsk = 1000;
+        for (const char* name : { "a", "b", "c" })
+            entries.emplace(name, rate_member(name, firstAsk += 1000));
+    }
+
+    void learn(const fleet_of& fleet, monotonic_time now)
+    {
+        for (auto& [name, entry] : entries)
+            entry.update(fleet.state(), now);
+    }
+
+    void deliver(const std::string& asker, const std::vector<addressed_ask>& asks, monotonic_time now)
+    {
+        for (const addressed_ask& each : asks)
+            if (auto holder = entries.find(each.holder); holder != entries.end())
+                entries.at(asker).onGrant(holder->second.answer(each.ask, now), now);
+    }
+
+    rate_decision admit(const std::string& at, token_count tokens, monotonic_time now)
+    {
+        rate_member& entry = entries.at(at);
+        rate_decision decision = entry.admit("desk", tokens, now);
+        for (int round = 0; round < 5 && !decision.admitted; ++round) {
+            deliver(at, entry.asksFor("desk", tokens, now), now);
+            decision = entry.admit("desk", tokens, now);
+        }
+        if (decision.admitted)
+            deliver(at, entry.followUp("desk", now), now);
+        return decision;
+    }
+};
+
+fleet_of deskFleet()
+{
+    fleet_of fleet;
+    fleet.withTeam("desk", 300, 3000).withTeam("yard", 30, 300);
+    return fleet;
+}
+
+/// \brief A fleet of three in its first epoch.
+small_fleet startedFleet(fleet_of& fleet)
+{
+    small_fleet entries;
+    entries.learn(fleet, start);
+    fleet.withEpoch({ "a", "b", "c" });
+    entries.learn(fleet, start);
+    return entries;
+}
+
+} // namespace
+
+TEST_CASE("rate member: one entry gets the whole burst where all come to it")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    for (int request = 0; request < 30; ++request)
+        CHECK(entries.admit("a", 100, start).admitted);
+    const rate_decision refused = entries.admit("a", 100, start);
+    CHECK(refused.reason == "team_rate");
+    CHECK(refused.retryAfterMs == 334);
+    CHECK(entries.admit("a", 100, start + milliseconds(350)).admitted);
+}
+
+TEST_CASE("rate member: what can never fit is said so")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    CHECK(entries.admit("a", 3001, start).reason == "request_over_burst");
+    CHECK(entries.admit("a", 3000, start).admitted);
+}
+
+TEST_CASE("rate member: an entry that does not answer costs its share only")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    entries.entries.erase("c");
+    token_count admitted = 0;
+    monotonic_time now = start;
+    for (int request = 0; request < 40; ++request, now += askTimeout)
+        admitted += entries.admit("a", 100, now).admitted ? 100 : 0;
+    CHECK(admitted >= 2000);
+    CHECK(entries.admit("a", 2500, now).reason == "rate_holder_away");
+}
+
+TEST_CASE("rate member: an epoch that keeps a share keeps its tokens, a new share waits and starts empty")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    fleet.withEpoch({ "a", "b" });
+    const monotonic_time learned = start + seconds(1);
+    entries.learn(fleet, learned);
+    CHECK(entries.admit("a", 2000, learned).admitted);
+    CHECK_FALSE(entries.admit("a", 100, learned).admitted);
+    const monotonic_time opened = learned + tenureGrace;
+    CHECK(
+        entries.entries.at("a").spendable("desk", opened) + entries.entries.at("b").spendable("desk", opened)
+        == 800);
+    CHECK(entries.admit("b", 900, opened + seconds(1)).admitted);
+}
+
+TEST_CASE("rate member: credit of a holder that left is dropped at once")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    const std::string asker = "a";
+    CHECK(entries.admit(asker, 3000, start).admitted);
+    for (auto& [name, entry] : entries.entries)
+        CHECK(entry.spendable("desk", start) == 0);
+    const monotonic_time later = start + seconds(4);
+    entries.deliver(asker, entries.entries.at(asker).asksFor("desk", 1200, later), later);
+    entries.deliver(asker, entries.entries.at(asker).asksFor("desk", 1200, later), later);
+    CHECK(entries.entries.at(asker).spendable("desk", later) == 1200);
+    fleet.withEpoch({ "a" });
+    entries.learn(fleet, later);
+    CHECK(entries.entries.at(asker).spendable("desk", later) == 400);
+}
+
+TEST_CASE("rate member: a process that restarts under its name holds nothing until it rejoined")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    rate_member again("a", 77000);
+    again.update(fleet.state(), start);
+    CHECK(again.mustRejoin());
+    CHECK(again.spendable("desk", start + seconds(60)) == 0);
+    fleet.withEpoch({ "b", "c" }).withEpoch({ "a", "b", "c" });
+    again.update(fleet.state(), start);
+    CHECK_FALSE(again.mustRejoin());
+    CHECK(again.spendable("desk", start + tenureGrace - milliseconds(1)) == 0);
+    CHECK(again.spendable("desk", start + tenureGrace + seconds(1)) == 100);
+}
+
+TEST_CASE("rate member: an entry outside the epoch is granted nothing")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    entries.entries.emplace("d", rate_member("d", 90000));
+    entries.learn(fleet, start);
+    CHECK(entries.admit("d", 10, start).reason == "rate_holder_away");
+}
+
+TEST_CASE("rate member: a team that is created while an epoch stands starts with its burst")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    fleet.withTeam("new", 30, 300);
+    entries.learn(fleet, start + seconds(10));
+    token_count sum = 0;
+    for (auto& [name, entry] : entries.entries)
+        sum += entry.spendable("new", start + seconds(10));
+    CHECK(sum == 300);
+}
+
+TEST_CASE("rate member: a team that is removed and made again does not get its burst twice")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    CHECK(entries.admit("b", 3000, start).admitted);
+    fleet.withoutTeam("desk");
+    entries.learn(fleet, start);
+    CHECK_FALSE(entries.admit("b", 1, start).admitted);
+    fleet.withTeam("desk", 300, 3000);
+    entries.learn(fleet, start);
+    CHECK_FALSE(entries.admit("b", 100, start).admitted);
+}
--- /dev/null
+++ b/Tests/Route/fair_queue_tests.cpp
@@ -0,0 +1,132 @@
+#include "Route/fair_queue.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+
+queued_request requestOf(std::uint64_t ticket, const std::string& team, double tokens,
+    priority of = priority::Interactive, monotonic_time deadline = start + seconds(3600))
+{
+    return { ticket, team, of, tokens, start, deadline };
+}
+
+/// Starts and finishes requests one by one, each taking `each`.
+std::map<std::string, double> serveTokens(fair_queue& queue, int requests, milliseconds each)
+{
+    std::map<std::string, double> served;
+    monotonic_time now = start;
+    for (int count = 0; count < requests; ++count) {
+        const auto next = queue.start(now);
+        if (!next)
+            break;
+        served[next->team] += next->tokens;
+        now += each;
+        queue.finish(next->ticket, now);
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("fair queue: tokens are shared evenly between teams, whatever each sends")
+{
+    fair_queue queue({ 1, 10000, 0.1 });
+    std::uint64_t ticket = 0;
+    for (int request = 0; request < 200; ++request)
+        CHECK(queue.offer(requestOf(++ticket, "large", 100), start).accepted);
+    for (int request = 0; request < 50; ++request)
+        CHECK(queue.offer(requestOf(++ticket, "small", 100), start).accepted);
+    const auto served = serveTokens(queue, 60, milliseconds(0));
+    CHECK(served.at("large") == served.at("small"));
+}
+
+TEST_CASE("fair queue: batch gets its share and no more while interactive requests wait")
+{
+    fair_queue queue({ 1, 10000, 0.2 });
+    for (std::uint64_t ticket = 1; ticket <= 200; ++ticket)
+        queue.offer(
+            requestOf(ticket, "team", 10, ticket % 2 ? priority::Interactive : priority::Batch), start);
+    int batch = 0;
+    for (int count = 0; count < 50; ++count) {
+        const auto next = queue.start(start);
+        batch += next->priority == priority::Batch ? 1 : 0;
+        queue.finish(next->ticket, start);
+    }
+    CHECK(batch == 10);
+}
+
+TEST_CASE("fair queue: no more run than there are slots")
+{
+    fair_queue queue({ 2, 10, 0.1 });
+    for (std::uint64_t ticket = 1; ticket <= 3; ++ticket)
+        queue.offer(requestOf(ticket, "team", 10), start);
+    CHECK(queue.start(start));
+    CHECK(queue.start(start));
+    CHECK_FALSE(queue.start(start));
+    queue.finish(1, start);
+    CHECK(queue.start(start)->ticket == 3);
+    CHECK(queue.running() == 2);
+}
+
+TEST_CASE("fair queue: what cannot make its deadline is refused with a time to come back")
+{
+    fair_queue queue({ 1, 100, 0.1 });
+    for (std::uint64_t ticket = 1; ticket <= 4; ++ticket)
+        queue.offer(requestOf(ticket, "team", 100), start);
+    serveTokens(queue, 1, seconds(1));
+    const monotonic_time now = start + seconds(1);
+    REQUIRE(queue.start(now));
+    const auto soon = queue.offer(requestOf(10, "team", 100, priority::Interactive, now + seconds(2)), now);
+    CHECK_FALSE(soon.accepted);
+    CHECK(soon.reason == "deadline");
+    CHECK(soon.retryAfterMs == 2000);
+    CHECK(queue.offer(requestOf(11, "team", 100, priority::Interactive, now + seconds(5)), now).accepted);
+}
+
+TEST_CASE("fair queue: a waiting request is dropped as soon as it can no longer make its deadline")
+{
+    fair_queue queue({ 1, 100, 0.1 });
+    queue.offer(requestOf(1, "team", 100), start);
+    serveTokens(queue, 1, seconds(1));
+    const monotonic_time now = start + seconds(1);
+    queue.offer(requestOf(2, "team", 100), now);
+    REQUIRE(queue.start(now));
+    queue.offer(requestOf(3, "team", 100, priority::Interactive, now + milliseconds(2500)), now);
+    CHECK(queue.takeExpired(now + seconds(1)).empty());
+    const auto expired = queue.takeExpired(now + milliseconds(1500));
+    REQUIRE(expired.size() == 1);
+    CHECK(expired[0].ticket == 3);
+    CHECK(queue.waiting() == 0);
+}
+
+TEST_CASE("fair queue: an idle upstream is tried again however slow it was")
+{
+    fair_queue queue({ 1, 100, 0.1 });
+    queue.offer(requestOf(1, "team", 100), start);
+    serveTokens(queue, 1, seconds(60));
+    const monotonic_time now = start + seconds(60);
+    CHECK(queue.offer(requestOf(2, "team", 100, priority::Interactive, now + seconds(1)), now).accepted);
+}
+
+TEST_CASE("fair queue: a full queue refuses")
+{
+    fair_queue queue({ 1, 1, 0.1 });
+    CHECK(queue.offer(requestOf(1, "team", 1), start).accepted);
+    CHECK(queue.offer(requestOf(2, "team", 1), start).reason == "queue_full");
+}
+
+TEST_CASE("fair queue: a removed request is never started")
+{
+    fair_queue queue({ 1, 10, 0.1 });
+    queue.offer(requestOf(1, "team", 1), start);
+    queue.offer(requestOf(2, "team", 1), start);
+    queue.remove(1);
+    CHECK(queue.start(start)->ticket == 2);
+    CHECK(queue.waiting() == 0);
+}
--- /dev/null
+++ b/Tests/Route/router_tests.cpp
@@ -0,0 +1,199 @@
+#include "Route/router.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+
+upstream engineAt(const std::string& name, const std::string& zone)
+{
+    upstream value;
+    value.name = name;
+    value.region = "south";
+    value.zone = zone;
+    value.slots = 4;
+    value.memoryMb = 1000;
+    return value;
+}
+
+/// Four engines in two zones; the first three hold the model.
+fleet_state smallFleet()
+{
+    fleet_state state;
+    state.models["quote"] = { "quote", 500, "" };
+    state.models["rare"] = { "rare", 500, "" };
+    for (const char* name : { "e1", "e2", "e3", "e4" })
+        state.upstreams[name] = engineAt(name, name == std::string("e3") ? "z2" : "z1");
+    for (const char* name : { "e1", "e2", "e3" })
+        state.placements[{ "quote", name }] = { "quote", name, false };
+    return state;
+}
+
+route_request requestFor(const std::string& model)
+{
+    route_request request;
+    request.model = model;
+    request.tokens = 100;
+    request.deadline = start + seconds(3600);
+    return request;
+}
+
+load_report reportOf(const std::string& name, std::uint32_t running = 0)
+{
+    load_report report;
+    report.upstream = name;
+    report.running = running;
+    report.slots = 4;
+    report.freeMemoryMb = 0;
+    return report;
+}
+
+std::map<std::string, int> countChoices(
+    router& chooser, const route_request& request, int rounds, monotonic_time now)
+{
+    std::map<std::string, int> counts;
+    for (int round = 0; round < rounds; ++round)
+        ++counts[chooser.choose(request, now).upstream];
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("router: an unknown model and one without an upstream are told apart")
+{
+    router chooser("south", "z1", 1);
+    CHECK(chooser.choose(requestFor("quote"), start).reason == "unknown_model");
+    fleet_state state;
+    state.models["quote"] = { "quote", 500, "" };
+    chooser.update(std::make_shared<const fleet_state>(state));
+    const route_choice choice = chooser.choose(requestFor("quote"), start);
+    CHECK(choice.reason == "no_upstream");
+    CHECK(choice.retryAfterMs > 0);
+    CHECK(chooser.choose(requestFor("other"), start).reason == "unknown_model");
+}
+
+TEST_CASE("router: leaving, draining, down and tried upstreams get nothing")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = smallFleet();
+    state.upstreams["e1"].leaving = true;
+    chooser.update(std::make_shared<const fleet_state>(state));
+    load_report draining = reportOf("e2");
+    draining.draining = true;
+    draining.residentModels = { "quote" };
+    chooser.onReport(draining, start);
+    CHECK(
+        countChoices(chooser, requestFor("quote"), 50, start) == std::map<std::string, int> { { "e3", 50 } });
+    route_request again = requestFor("quote");
+    again.tried = { "e3" };
+    chooser.onLink("e4", false, start);
+    CHECK(chooser.choose(again, start).upstream.empty());
+    chooser.onLeaving("e3");
+    CHECK(chooser.choose(requestFor("quote"), start).upstream.empty());
+}
+
+TEST_CASE("router: own work in flight spreads requests before any report tells")
+{
+    router chooser("south", "z1", 1);
+    chooser.update(std::make_shared<const fleet_state>(smallFleet()));
+    std::map<std::string, int> sent;
+    for (int request = 0; request < 90; ++request) {
+        const std::string upstream = chooser.choose(requestFor("quote"), start).upstream;
+        chooser.onSent(upstream, 100, start);
+        ++sent[upstream];
+    }
+    for (const char* name : { "e1", "e2", "e3" })
+        CHECK(sent[name] >= 22);
+}
+
+TEST_CASE("router: a reported load counts, less as it ages")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = smallFleet();
+    state.placements.erase({ "quote", "e3" });
+    chooser.update(std::make_shared<const fleet_state>(state));
+    for (const char* name : { "e1", "e2" }) {
+        load_report report = reportOf(name, name == std::string("e1") ? 40 : 0);
+        report.residentModels = { "quote" };
+        chooser.onReport(report, start);
+    }
+    CHECK(countChoices(chooser, requestFor("quote"), 200, start)["e1"] < 80);
+    for (int request = 0; request < 4; ++request)
+        chooser.onSent("e2", 100, start);
+    CHECK(countChoices(chooser, requestFor("quote"), 200, start + seconds(60))["e1"] > 120);
+}
+
+TEST_CASE("router: an upstream that fails is eased off, then probed by one request")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = smallFleet();
+    state.placements.erase({ "quote", "e3" });
+    chooser.update(std::make_shared<const fleet_state>(state));
+    for (int failure = 0; failure < 3; ++failure) {
+        chooser.onSent("e1", 100, start);
+        chooser.onDone("e1", 100, true, start);
+    }
+    CHECK(countChoices(chooser, requestFor("quote"), 100, start).count("e1") == 0);
+    const monotonic_time later = start + seconds(11);
+    CHECK(countChoices(chooser, requestFor("quote"), 100, later).count("e1") == 1);
+    chooser.onSent("e1", 100, later);
+    CHECK(countChoices(chooser, requestFor("quote"), 100, later).count("e1") == 0);
+    chooser.onDone("e1", 100, false, later);
+    CHECK(countChoices(chooser, requestFor("quote"), 100, later).count("e1") == 1);
+}
+
+TEST_CASE("router: an upstream that answers slowly gets less")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = smallFleet();
+    state.placements.erase({ "quote", "e3" });
+    chooser.update(std::make_shared<const fleet_state>(state));
+    for (int answer = 0; answer < 20; ++answer) {
+        chooser.onSent("e1", 100, start);
+        chooser.onSent("e2", 100, start);
+        chooser.onDone("e2", 100, false, start + milliseconds(100));
+        chooser.onDone("e1", 100, false, start + milliseconds(1000));
+    }
+    const auto counts = countChoices(chooser, requestFor("quote"), 200, start + seconds(1));
+    CHECK(counts.at("e2") > 2 * counts.at("e1"));
+}
+
+TEST_CASE("router: a cached prefix draws requests, a placed model comes before a cold load")
+{
+    router chooser("south", "z1", 1);
+    chooser.update(std::make_shared<const fleet_state>(smallFleet()));
+    for (const char* name : { "e1", "e2" }) {
+        load_report report = reportOf(name);
+        report.residentModels = { "quote" };
+        report.cachedPrefixes
+            = name == std::string("e1") ? std::vector<std::uint64_t> { 9, 7 } : std::vector<std::uint64_t> {};
+        chooser.onReport(report, start);
+    }
+    route_request request = requestFor("quote");
+    request.prefixes = { 7, 9 };
+    CHECK(chooser.choose(request, start) == route_choice { "e1", "prefix", 0 });
+    load_report cold = reportOf("e4");
+    cold.freeMemoryMb = 600;
+    chooser.onReport(cold, start);
+    CHECK(chooser.choose(requestFor("rare"), start) == route_choice { "e4", "cold_load", 0 });
+}
+
+TEST_CASE("router: instances of a service are chosen by name of the service")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state;
+    state.upstreams["l1"] = engineAt("l1", "z1");
+    state.upstreams["l1"].kind = upstream_kind::Service;
+    state.upstreams["l1"].service = "ledger";
+    chooser.update(std::make_shared<const fleet_state>(state));
+    route_request request;
+    request.service = "ledger";
+    request.deadline = start + seconds(1);
+    CHECK(chooser.choose(request, start).upstream == "l1");
+    CHECK(chooser.choose(request, start + seconds(1)).reason == "deadline");
+}
