--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -69,6 +69,7 @@
 
     void readLoop();
     bool readOnce();
+    void onReadFailure(const log_error& error);
     void onBatch(monotonic_time askedAt, const log_batch& batch);
     void peerLoop();
     void publishNew();
@@ -82,22 +83,30 @@
     membership_watch::heard_times heardTimes() const;
     bool pause(milliseconds span);
     void trust();
+    tail_answer evidence(std::uint64_t id) const;
+    std::optional<sent_ask> takeAsk(std::uint64_t id);
 
     const options settings;
     const send_to_peer send;
     const std::function<void(fleet_state_ptr)> onChange;
     log_client log;
 
-    // Guards all that follows; nothing is called or sent while it is held.
+    // Guards the replica, also while records are folded; taken before `mutex`.
+    mutable std::mutex replicaMutex;
+    state_replica replica;
+
+    // Guards all that follows, for moments only; nothing is called or sent while it is held.
     mutable std::mutex mutex;
     std::condition_variable woken;
     bool stopping { false };
     bool leaving { false };
     bool trusted { false };
     std::uint64_t earliest { 0 };
+    std::uint64_t snapshotOffset { 0 };
     std::uint64_t lastAskId { 0 };
     std::map<std::uint64_t, sent_ask> asks;
-    state_replica replica;
+    // The replica's state as last folded.
+    fleet_state_ptr current;
     freshness_judge judge;
     peer_rotation rotation;
     snapshot_schedule snapshots;
@@ -112,6 +121,7 @@
     , send(std::move(sender))
     , onChange(std::move(listener))
     , log(settings.log, logTimeout)
+    , current(replica.state())
     , judge(settings.self, settings.freshFor)
     , snapshots(settings.self)
     , membership({ .self = settings.self }, currentTime())
@@ -153,7 +163,7 @@
 {
     std::uint64_t from = 0;
     {
-        const std::lock_guard lock(mutex);
+        const std::lock_guard lock(replicaMutex);
         from = replica.readFrom();
     }
     const monotonic_time askedAt = currentTime();
@@ -162,19 +172,29 @@
         onBatch(askedAt, batch);
         return !batch.records.empty() || currentTime() - askedAt >= readWait;
     } catch (const log_error& error) {
-        const std::lock_guard lock(mutex);
-        if (error.failure() == log_failure::Lapsed)
-            replica.startSearch(error.earliest());
-        else
-            judge.onLogFailure();
+        onReadFailure(error);
     }
     return false;
 }
 
-void fleet_follower::impl::onBatch(monotonic_time askedAt, const log_batch& batch)
+void fleet_follower::impl::onReadFailure(const log_error& error)
 {
+    if (error.failure() == log_failure::Lapsed) {
+        const std::lock_guard lock(replicaMutex);
+        replica.startSearch(error.earliest());
+        return;
+    }
     const std::lock_guard lock(mutex);
+    judge.onLogFailure();
+}
+
+void fleet_follower::impl::onBatch(monotonic_time askedAt, const log_batch& batch)
+{
+    const std::lock_guard folding(replicaMutex);
     replica.takeRecords(batch.first, batch.records);
+    const std::lock_guard lock(mutex);
+    current = replica.state();
+    snapshotOffset = replica.snapshotOffset();
     earliest = batch.earliest;
     if (batch.next != batch.end || replica.isSearching())
         return;
@@ -201,9 +221,9 @@
     fleet_state_ptr fresh;
     {
         const std::lock_guard lock(mutex);
-        if (!trusted || announced == replica.state())
+        if (!trusted || announced == current)
             return;
-        announced = replica.state();
+        announced = current;
         fresh = announced;
     }
     if (onChange)
@@ -215,7 +235,7 @@
     if (!trusted)
         return settings.startPeers;
     std::vector<std::string> names;
-    for (const auto& [name, entry] : replica.state()->entries)
+    for (const auto& [name, entry] : current->entries)
         if (name != settings.self)
             names.push_back(name);
     return names;
@@ -228,7 +248,7 @@
     std::erase_if(asks, [&](const auto& item) { return now - item.second.askedAt > askLifetime; });
     for (const std::string& peer : rotation.due(now, peerNames(), judge.isLogAway(now))) {
         asks[++lastAskId] = { peer, now };
-        result.emplace_back(peer, tail_ask { lastAskId, replica.state()->nextOffset });
+        result.emplace_back(peer, tail_ask { lastAskId, current->nextOffset });
     }
     return result;
 }
@@ -257,11 +277,10 @@
     fleet_state_ptr state;
     {
         const std::lock_guard lock(mutex);
-        state = replica.state();
+        state = current;
         const bool mayWrite
             = trusted && !leaving && !judge.isLogAway(now) && state->entries.contains(settings.self);
-        if (!mayWrite
-            || !snapshots.isDue(now, replica.snapshotOffset(), state->nextOffset, earliest, state->entries))
+        if (!mayWrite || !snapshots.isDue(now, snapshotOffset, state->nextOffset, earliest, state->entries))
             return std::nullopt;
     }
     return log_record { makeRecordId(), newestRecordSchema, snapshot_record { state } };
@@ -270,7 +289,7 @@
 membership_watch::heard_times fleet_follower::impl::heardTimes() const
 {
     membership_watch::heard_times heard;
-    for (const auto& [name, entry] : replica.state()->entries)
+    for (const auto& [name, entry] : current->entries)
         if (const auto at = judge.lastHeard(name))
             heard.emplace(name, *at);
     return heard;
@@ -281,7 +300,7 @@
     const std::lock_guard lock(mutex);
     if (!trusted || leaving || judge.isLogAway(now))
         return std::nullopt;
-    const fleet_state& state = *replica.state();
+    const fleet_state& state = *current;
     auto members = membership.proposal(now, state, heardTimes());
     if (!members)
         return std::nullopt;
@@ -310,59 +329,78 @@
 fleet_state_ptr fleet_follower::state() const
 {
     const std::lock_guard lock(m_impl->mutex);
-    return m_impl->trusted ? m_impl->replica.state() : nullptr;
+    return m_impl->trusted ? m_impl->current : nullptr;
 }
 
 freshness fleet_follower::freshnessAt(monotonic_time now) const
 {
     const std::lock_guard lock(m_impl->mutex);
-    const fleet_state& state = *m_impl->replica.state();
+    const fleet_state& state = *m_impl->current;
     freshness result = m_impl->judge.judge(now, state.nextOffset, state.entries);
     result.fresh = result.fresh && m_impl->trusted;
     return result;
 }
 
-tail_answer fleet_follower::answerTail(const tail_ask& ask) const
+tail_answer fleet_follower::impl::evidence(std::uint64_t id) const
 {
+    const std::lock_guard lock(mutex);
+    const monotonic_time now = currentTime();
     tail_answer answer;
+    answer.id = leaving ? 0 : id;
+    answer.ageMs = ageMs(judge.lastRead(), now);
+    answer.logAway = judge.isLogAway(now);
+    answer.next = trusted ? current->nextOffset : 0;
+    return answer;
+}
+
+tail_answer fleet_follower::answerTail(const tail_ask& ask) const
+{
+    tail_answer answer = m_impl->evidence(ask.id);
+    answer.first = std::min(ask.from, answer.next);
+    if (answer.first == answer.next)
+        return answer;
     fleet_state_ptr snapshot;
     {
-        const std::lock_guard lock(m_impl->mutex);
-        const monotonic_time now = currentTime();
-        const state_replica& replica = m_impl->replica;
-        answer.id = m_impl->leaving ? 0 : ask.id;
-        answer.ageMs = ageMs(m_impl->judge.lastRead(), now);
-        answer.logAway = m_impl->judge.isLogAway(now);
-        if (!m_impl->trusted)
-            return answer;
-        answer.next = replica.state()->nextOffset;
-        answer.first = std::min(ask.from, answer.next);
-        if (replica.holdsFrom(answer.first)) {
-            answer.records = replica.recordsFrom(answer.first, mostTailBytes);
+        const std::lock_guard lock(m_impl->replicaMutex);
+        if (m_impl->replica.holdsFrom(answer.first)) {
+            answer.records = m_impl->replica.recordsFrom(answer.first, mostTailBytes);
             return answer;
         }
-        answer.first = answer.next;
-        snapshot = replica.state();
+        snapshot = m_impl->replica.state();
     }
+    answer.first = answer.next;
     answer.snapshot = formatStateJson(*snapshot).dump();
     return answer;
 }
 
+std::optional<sent_ask> fleet_follower::impl::takeAsk(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex);
+    const auto found = asks.find(id);
+    if (found == asks.end())
+        return std::nullopt;
+    sent_ask ask = found->second;
+    asks.erase(found);
+    return ask;
+}
+
 void fleet_follower::onTail(const std::string&, const tail_answer& answer)
 {
+    const std::optional<sent_ask> ask = m_impl->takeAsk(answer.id);
+    if (!ask)
+        return;
     const fleet_state_ptr snapshot = parseSnapshot(answer.snapshot);
+    const std::lock_guard folding(m_impl->replicaMutex);
+    state_replica& replica = m_impl->replica;
+    const bool adopted = replica.adopt(snapshot);
+    const bool moved = !replica.isSearching() && replica.takeRecords(answer.first, answer.records);
+
     const std::lock_guard lock(m_impl->mutex);
-    const auto ask = m_impl->asks.find(answer.id);
-    if (ask == m_impl->asks.end())
-        return;
-    const sent_ask sent = ask->second;
-    m_impl->asks.erase(ask);
-    const bool adopted = m_impl->replica.adopt(snapshot);
-    const bool moved
-        = !m_impl->replica.isSearching() && m_impl->replica.takeRecords(answer.first, answer.records);
+    m_impl->current = replica.state();
+    m_impl->snapshotOffset = replica.snapshotOffset();
     m_impl->judge.onPeer(
-        sent.entry, sent.askedAt, { answer.next, milliseconds(answer.ageMs), answer.logAway });
-    if (adopted || moved)
+        ask->entry, ask->askedAt, { answer.next, milliseconds(answer.ageMs), answer.logAway });
+    if ((adopted || moved) && m_impl->current->nextOffset >= answer.next)
         m_impl->trust();
 }
 
@@ -372,7 +410,7 @@
     {
         const std::lock_guard lock(m_impl->mutex);
         m_impl->leaving = true;
-        const membership_epoch& epoch = m_impl->replica.state()->epoch;
+        const membership_epoch& epoch = m_impl->current->epoch;
         epoch_record next { epoch.number, epoch.members };
         std::erase(next.members, m_impl->settings.self);
         if (m_impl->trusted && !next.members.empty() && next.members != epoch.members)
