--- a/Source/Entry/admin_handler.cpp
+++ b/Source/Entry/admin_handler.cpp
@@ -95,8 +95,8 @@
     return textOf({ { "decisions", list } });
 }
 
-admin_handler::admin_handler(std::function<entry_report()> report, const decision_log& decisions,
-    std::function<std::string()> metrics)
+admin_handler::admin_handler(
+    std::function<entry_report()> report, const decision_log& decisions, std::function<std::string()> metrics)
     : m_report(std::move(report))
     , m_decisions(decisions)
     , m_metrics(std::move(metrics))
--- a/Source/Entry/caller_request.cpp
+++ b/Source/Entry/caller_request.cpp
@@ -2,7 +2,7 @@
 
 #include "Entry/entry_settings.h"
 #include "Entry/refusal.h"
-#include "Entry/sha256.h"
+#include "Record/json_text.h"
 
 #include <algorithm>
 #include <array>
--- a/Source/Entry/entry_settings.cpp
+++ b/Source/Entry/entry_settings.cpp
@@ -55,6 +55,7 @@
     settings.limits = readLimits(reader);
     settings.admin = reader.requiredAddress("admin", "listen");
     settings.peers = reader.requiredAddress("peers", "listen");
+    settings.peerSeeds = reader.addressList("peers", "seeds");
     settings.log = reader.requiredAddress("log", "address");
     settings.freshFor = reader.duration("log", "fresh_for_ms", settings.freshFor, { 200, 10000 });
     settings.hosts = reader.optionalAddress("hosts", "address");
--- a/Source/Entry/entry_settings.h
+++ b/Source/Entry/entry_settings.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sagesaddle {
 
@@ -49,6 +50,8 @@
 
     address admin;
     address peers;
+    /// Entries to ask for the state before any record is known.
+    std::vector<address> peerSeeds;
     address log;
     std::optional<address> hosts;
     milliseconds hostsPeriod { 500 };
--- a/Source/Entry/host_watcher.cpp
+++ b/Source/Entry/host_watcher.cpp
@@ -1,10 +1,10 @@
 #include "Entry/host_watcher.h"
 
-#include "Serve/http_client.h"
 #include "Watch/log.h"
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 namespace sagesaddle {
 
@@ -44,42 +44,22 @@
 host_watcher::host_watcher(
     address list, milliseconds period, std::function<void(const std::string& host)> onLeaving)
     : m_list(std::move(list))
-    , m_period(period)
     , m_onLeaving(std::move(onLeaving))
-    , m_thread([this] { run(); })
+    , m_poller(period, [this] { poll(); })
 {
 }
 
-host_watcher::~host_watcher()
+void host_watcher::poll()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_stopping = true;
-    }
-    m_stopped.notify_all();
-    m_thread.join();
-}
-
-void host_watcher::run()
-{
-    http_client client;
-    std::set<std::string> told;
-    bool away = false;
-    std::unique_lock lock(m_mutex);
-    while (!m_stopping) {
-        lock.unlock();
-        try {
-            for (const auto& host : askLeavingHosts(client, m_list)) {
-                if (told.insert(host).second)
-                    m_onLeaving(host);
-            }
-            away = false;
-        } catch (const std::runtime_error& error) {
-            if (!std::exchange(away, true))
-                writeLog(log_level::Warning, "the host list cannot be read", { { "error", error.what() } });
+    try {
+        for (const auto& host : askLeavingHosts(m_client, m_list)) {
+            if (m_told.insert(host).second)
+                m_onLeaving(host);
         }
-        lock.lock();
-        m_stopped.wait_for(lock, m_period, [this] { return m_stopping; });
+        m_away = false;
+    } catch (const std::runtime_error& error) {
+        if (!std::exchange(m_away, true))
+            writeLog(log_level::Warning, "the host list cannot be read", { { "error", error.what() } });
     }
 }
 
--- /dev/null
+++ b/Source/Entry/housekeeper.cpp
@@ -0,0 +1,32 @@
+#include "Entry/housekeeper.h"
+
+namespace sagesaddle {
+
+housekeeper::housekeeper(milliseconds period, std::function<void()> action)
+    : m_period(period)
+    , m_action(std::move(action))
+    , m_thread([this] { run(); })
+{
+}
+
+housekeeper::~housekeeper()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_stopped.notify_all();
+    m_thread.join();
+}
+
+void housekeeper::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopped.wait_for(lock, m_period, [this] { return m_stopping; })) {
+        lock.unlock();
+        m_action();
+        lock.lock();
+    }
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Entry/housekeeper.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Base/clock.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace sagesaddle {
+
+/// \brief Runs an action again and again on a thread of its own.
+class housekeeper {
+public:
+    housekeeper(milliseconds period, std::function<void()> action);
+    ~housekeeper();
+
+    housekeeper(const housekeeper&) = delete;
+    housekeeper& operator=(const housekeeper&) = delete;
+
+private:
+    void run();
+
+    const milliseconds m_period;
+    const std::function<void()> m_action;
+    std::mutex m_mutex;
+    std::condition_variable m_stopped;
+    bool m_stopping { false };
+    std::thread m_thread;
+};
+
+} // namespace sagesaddle
--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -164,6 +164,12 @@
 
 void request_handler::serve(visit& current)
 {
+    if (m_services.refusing())
+        throw request_refused({ .status = 503,
+            .reason = "entry_leaving",
+            .detail = "this entry is leaving; try another",
+            .ran = verdict::NotRun,
+            .retryAfterMs = stateRetryMs });
     try {
         checkHeaders(current.call.headers());
         current.secret = bearerSecret(current.call.headers());
--- a/Source/Entry/request_handler.h
+++ b/Source/Entry/request_handler.h
@@ -29,6 +29,8 @@
         std::function<freshness(monotonic_time)> freshnessAt;
         std::function<rate_decision(const std::string& team, double tokens, monotonic_time deadline)> admit;
         std::function<bool()> ready;
+        /// Whether the process leaves and takes no new request.
+        std::function<bool()> refusing;
         dispatcher& routes;
         metric_registry& metrics;
         span_exporter& spans;
--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -4,8 +4,21 @@
 #include "Record/side_view.h"
 #include "Wire/frame_link.h"
 
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
 namespace sagesaddle {
 
+namespace {
+
+/// A side that was silent for this long may be asked for its load.
+constexpr milliseconds askAfter { 1000 };
+/// Sides asked at a time, so that control traffic stays small however many there are.
+constexpr std::size_t asksAtOnce = 8;
+
+} // namespace
+
 side_links::side_links(wire_pool& pool, exchange_table& exchanges, handlers callbacks)
     : m_pool(pool)
     , m_exchanges(exchanges)
@@ -54,7 +67,7 @@
         gone = takeGoneLinks(*state);
         for (const auto& [name, record] : state->upstreams) {
             if (!m_sides.contains(name))
-                m_sides[name] = { record.side, openLink(name, record.side), {} };
+                m_sides[name] = { record.side, openLink(name, record.side), {}, {} };
             names.push_back(name);
         }
     }
@@ -94,6 +107,23 @@
     return link->send(value);
 }
 
+void side_links::askLoads()
+{
+    const monotonic_time now = std::chrono::steady_clock::now();
+    std::vector<std::pair<monotonic_time, std::string>> silent;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [name, value] : m_sides) {
+            if (now - value.heard >= askAfter && value.link->isUp())
+                silent.emplace_back(value.heard, name);
+        }
+    }
+    const auto asked = std::min(asksAtOnce, silent.size());
+    std::partial_sort(silent.begin(), silent.begin() + static_cast<std::ptrdiff_t>(asked), silent.end());
+    for (std::size_t i = 0; i < asked; ++i)
+        send(silent[i].second, load_ask {});
+}
+
 std::map<std::string, bool> side_links::linkStates() const
 {
     const std::lock_guard lock(m_mutex);
@@ -122,11 +152,21 @@
         m_handlers.onStrayFrame(upstream);
 }
 
+void side_links::noteHeard(const std::string& upstream)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_sides.find(upstream);
+    if (found != m_sides.end())
+        found->second.heard = std::chrono::steady_clock::now();
+}
+
 void side_links::onMessage(const std::string& upstream, message value)
 {
     const auto report = [this, &upstream](const load_report& load) {
-        if (load.upstream == upstream)
-            m_handlers.onLoad(load);
+        if (load.upstream != upstream)
+            return;
+        noteHeard(upstream);
+        m_handlers.onLoad(load);
     };
     std::visit(overloaded {
                    [&](answer_head& head) { deliver(upstream, head.id, std::move(head)); },
--- a/Source/Entry/side_links.h
+++ b/Source/Entry/side_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/clock.h"
 #include "Entry/exchange.h"
 #include "Record/fleet_state.h"
 #include "Wire/messages.h"
@@ -9,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace sagesaddle {
 
@@ -40,7 +42,10 @@
     /// \return false where nothing was sent.
     bool send(const std::string& upstream, const message& value);
 
-    /// \return names of the upstreams whose link stands.
+    /// Asks some of the sides for their load, those first whose last report is the oldest.
+    void askLoads();
+
+    /// \return the upstreams, and whether the link to each stands.
     std::map<std::string, bool> linkStates() const;
 
 private:
@@ -49,6 +54,7 @@
         std::shared_ptr<frame_link> link;
         /// The view that was last sent, without its offset.
         std::string sentView;
+        monotonic_time heard {};
     };
     using link_list = std::vector<std::shared_ptr<frame_link>>;
 
@@ -57,6 +63,7 @@
     void onUp(const std::string& upstream);
     void onDown(const std::string& upstream);
     void deliver(const std::string& upstream, std::uint64_t id, exchange_event event);
+    void noteHeard(const std::string& upstream);
     void sendView(const std::string& upstream, bool evenIfUnchanged);
     link_list takeGoneLinks(const fleet_state& state);
 
--- a/Source/Settings/settings_reader.cpp
+++ b/Source/Settings/settings_reader.cpp
@@ -188,6 +188,28 @@
     return optionalAddress(section, key).value_or(address {});
 }
 
+std::vector<address> settings_reader::addressList(std::string_view section, std::string_view key)
+{
+    const toml::node* node = m_impl->find(section, key);
+    if (!node)
+        return {};
+    const std::string remedy = "; write a list such as [\"10.0.0.1:8080\", \"10.0.0.2:8080\"]";
+    std::vector<address> list;
+    const toml::array* items = node->as_array();
+    if (!items) {
+        m_impl->fault(section, key, "must be a list of addresses" + remedy);
+        return {};
+    }
+    for (const auto& item : *items) {
+        try {
+            list.push_back(parseAddress(item.value_exact<std::string>().value_or("")));
+        } catch (const std::invalid_argument& error) {
+            m_impl->fault(section, key, error.what() + remedy);
+        }
+    }
+    return list;
+}
+
 std::int64_t settings_reader::integer(
     std::string_view section, std::string_view key, std::int64_t fallback, integer_range allowed)
 {
--- a/Source/Settings/settings_reader.h
+++ b/Source/Settings/settings_reader.h
@@ -58,6 +58,9 @@
     address requiredAddress(std::string_view section, std::string_view key);
     std::optional<address> optionalAddress(std::string_view section, std::string_view key);
 
+    /// \return a list of `ip:port` texts; empty where the key is absent.
+    std::vector<address> addressList(std::string_view section, std::string_view key);
+
     std::int64_t integer(
         std::string_view section, std::string_view key, std::int64_t fallback, integer_range allowed);
     double number(
