--- a/Source/Record/field_reader.cpp
+++ b/Source/Record/field_reader.cpp
@@ -36,7 +36,8 @@
 
 bool isObjectName(std::string_view text)
 {
-    return !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), isNameCharacter);
+    return !text.empty() && text.size() <= longestName
+        && std::all_of(text.begin(), text.end(), isNameCharacter);
 }
 
 field_reader::field_reader(const nlohmann::json& object, std::string place, std::uint32_t schema)
@@ -50,8 +51,8 @@
 
 void field_reader::fail(std::string_view key, const std::string& found, const std::string& allowed) const
 {
-    throw record_error(
-        m_place + ": \"" + std::string(key) + "\" is " + found + "; allowed: " + allowed + ". Correct this field.");
+    throw record_error(m_place + ": \"" + std::string(key) + "\" is " + found + "; allowed: " + allowed
+        + ". Correct this field.");
 }
 
 const nlohmann::json* field_reader::find(std::string_view key)
@@ -112,10 +113,12 @@
 std::uint64_t field_reader::integer(std::string_view key, std::uint64_t least, std::uint64_t most)
 {
     const nlohmann::json& found = value(key);
-    const bool whole = found.is_number_unsigned() || (found.is_number_integer() && found.get<std::int64_t>() >= 0);
+    const bool whole
+        = found.is_number_unsigned() || (found.is_number_integer() && found.get<std::int64_t>() >= 0);
     const std::uint64_t result = whole ? found.get<std::uint64_t>() : 0;
     if (!whole || result < least || result > most)
-        fail(key, quoted(found), "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        fail(key, quoted(found),
+            "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
     return result;
 }
 
@@ -140,8 +143,9 @@
     if (!has(key))
         return false;
     if (m_schema < schema)
-        throw record_error(m_place + ": \"" + std::string(key) + "\" belongs to schema " + std::to_string(schema)
-            + ", but this is schema " + std::to_string(m_schema) + ". Raise the schema, or remove this field.");
+        throw record_error(m_place + ": \"" + std::string(key) + "\" belongs to schema "
+            + std::to_string(schema) + ", but this is schema " + std::to_string(m_schema)
+            + ". Raise the schema, or remove this field.");
     return true;
 }
 
@@ -154,8 +158,9 @@
     if (unknown.empty())
         return {};
     if (m_schema <= newestSchema)
-        throw record_error(m_place + ": \"" + unknown.begin().key() + "\" is no field of this table in schema "
-            + std::to_string(m_schema) + ". Correct its name, or remove it.");
+        throw record_error(m_place + ": \"" + unknown.begin().key()
+            + "\" is no field of this table in schema " + std::to_string(m_schema)
+            + ". Correct its name, or remove it.");
     return unknown.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
--- a/Source/Record/fold.cpp
+++ b/Source/Record/fold.cpp
@@ -67,13 +67,14 @@
 // A snapshot says nothing that its readers below do not have; an unknown kind is only reported.
 std::string apply(fleet_state& state, std::uint64_t offset, const record_body& body)
 {
-    return std::visit(overloaded {
-                          [&](const change_record& change) { return applyChange(state, offset, change); },
-                          [&](const epoch_record& epoch) { return applyEpoch(state, offset, epoch); },
-                          [&](const lease_record& lease) { return applyLease(state, offset, lease); },
-                          [](const snapshot_record&) { return std::string(); },
-                          [](const unknown_record& unknown) { return "unknown kind \"" + unknown.kind + "\""; },
-                      },
+    return std::visit(
+        overloaded {
+            [&](const change_record& change) { return applyChange(state, offset, change); },
+            [&](const epoch_record& epoch) { return applyEpoch(state, offset, epoch); },
+            [&](const lease_record& lease) { return applyLease(state, offset, lease); },
+            [](const snapshot_record&) { return std::string(); },
+            [](const unknown_record& unknown) { return "unknown kind \"" + unknown.kind + "\""; },
+        },
         body);
 }
 
@@ -112,7 +113,8 @@
     try {
         const log_record record = parseRecord(text);
         if (state.recentIds.contains(record.id))
-            return { std::move(state), fold_outcome::Duplicate, "id \"" + record.id + "\" was folded before" };
+            return { std::move(state), fold_outcome::Duplicate,
+                "id \"" + record.id + "\" was folded before" };
         rememberId(state, offset, record.id);
         std::string reason = apply(state, offset, record.body);
         const fold_outcome outcome = outcomeOf(record.body, reason);
--- a/Source/Record/log_record.cpp
+++ b/Source/Record/log_record.cpp
@@ -151,7 +151,8 @@
 std::string formatRecord(const log_record& record)
 {
     const json text { { "id", record.id }, { "schema", record.schema }, { "kind", kindOf(record.body) },
-        { "body", std::visit([&](const auto& body) { return formatBody(body, record.schema); }, record.body) } };
+        { "body",
+            std::visit([&](const auto& body) { return formatBody(body, record.schema); }, record.body) } };
     return text.dump();
 }
 
--- a/Source/Record/object_json.cpp
+++ b/Source/Record/object_json.cpp
@@ -46,8 +46,9 @@
 {
     return { { "name", value.name }, { "kind", value.kind == upstream_kind::Engine ? "engine" : "service" },
         { "region", value.region }, { "zone", value.zone }, { "side", formatAddress(value.side) },
-        { "target", formatAddress(value.target) }, { "service", value.service }, { "memory_mb", value.memoryMb },
-        { "slots", value.slots }, { "checks_fencing", value.checksFencing }, { "leaving", value.leaving } };
+        { "target", formatAddress(value.target) }, { "service", value.service },
+        { "memory_mb", value.memoryMb }, { "slots", value.slots }, { "checks_fencing", value.checksFencing },
+        { "leaving", value.leaving } };
 }
 
 json formatFields(const route& value, std::uint32_t schema)
@@ -259,12 +260,18 @@
 {
     const auto kind = static_cast<object_kind>(object.index());
     return std::visit(overloaded {
-                          [&](const api_key& value) { return object_ref { kind, value.id }; },
-                          [&](const route& value) { return object_ref { kind, value.pathPrefix }; },
+                          [&](const api_key& value) {
+                              return object_ref { kind, value.id };
+                          },
+                          [&](const route& value) {
+                              return object_ref { kind, value.pathPrefix };
+                          },
                           [&](const placement& value) {
                               return object_ref { kind, placementName(value.model, value.upstream) };
                           },
-                          [&](const auto& value) { return object_ref { kind, value.name }; },
+                          [&](const auto& value) {
+                              return object_ref { kind, value.name };
+                          },
                       },
         object);
 }
--- a/Source/Record/object_table.cpp
+++ b/Source/Record/object_table.cpp
@@ -87,16 +87,17 @@
 {
     const object_ref ref = refOf(object.value);
     removeObject(state, ref);
-    std::visit(
-        overloaded {
-            [&](const team& value) { state.teams.emplace(value.name, value); },
-            [&](const api_key& value) { state.keys.emplace(value.secretSha256, value); },
-            [&](const model& value) { state.models.emplace(value.name, value); },
-            [&](const upstream& value) { state.upstreams.emplace(value.name, value); },
-            [&](const route& value) { state.routes.emplace(value.pathPrefix, value); },
-            [&](const placement& value) { state.placements.emplace(std::pair(value.model, value.upstream), value); },
-            [&](const entry_host& value) { state.entries.emplace(value.name, value); },
-        },
+    std::visit(overloaded {
+                   [&](const team& value) { state.teams.emplace(value.name, value); },
+                   [&](const api_key& value) { state.keys.emplace(value.secretSha256, value); },
+                   [&](const model& value) { state.models.emplace(value.name, value); },
+                   [&](const upstream& value) { state.upstreams.emplace(value.name, value); },
+                   [&](const route& value) { state.routes.emplace(value.pathPrefix, value); },
+                   [&](const placement& value) {
+                       state.placements.emplace(std::pair(value.model, value.upstream), value);
+                   },
+                   [&](const entry_host& value) { state.entries.emplace(value.name, value); },
+               },
         object.value);
     if (!object.unknownFields.empty())
         state.unknownFields.emplace(formatRef(ref), object.unknownFields);
--- a/Source/Record/record_folder.cpp
+++ b/Source/Record/record_folder.cpp
@@ -58,11 +58,13 @@
     const std::string at = file + ":" + std::to_string(node.source().begin.line) + ": ";
     if (!kind)
         throw record_error(at + "\"" + std::string(name)
-            + "\" is no table of records; allowed: schema, [[team]], [[key]], [[model]], [[upstream]], [[route]], "
+            + "\" is no table of records; allowed: schema, [[team]], [[key]], [[model]], [[upstream]], "
+              "[[route]], "
               "[[placement]], [[entry]]. Correct its name, or remove it.");
     const toml::array* tables = node.as_array();
     if (!tables || !tables->is_homogeneous(toml::node_type::table))
-        throw record_error(at + "\"" + std::string(name) + "\" must be written as [[" + std::string(name) + "]].");
+        throw record_error(
+            at + "\"" + std::string(name) + "\" must be written as [[" + std::string(name) + "]].");
     for (const toml::node& element : *tables) {
         const std::string place
             = file + ":" + std::to_string(element.source().begin.line) + ": [[" + std::string(name) + "]]";
@@ -91,7 +93,8 @@
         throw record_error(folder.string() + ": cannot be read as a folder: " + error.message()
             + "; name the folder that holds the records.");
     if (files.empty())
-        throw record_error(folder.string() + ": holds no *.toml file; name the folder that holds the records.");
+        throw record_error(
+            folder.string() + ": holds no *.toml file; name the folder that holds the records.");
     std::sort(files.begin(), files.end());
     return files;
 }
--- /dev/null
+++ b/Source/Side/header_rules.cpp
@@ -0,0 +1,100 @@
+#include "Side/header_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> keyHeaders { "authorization", "proxy-authorization", "x-api-key",
+    "api-key", "x-sagesaddle-key" };
+
+constexpr std::array<std::string_view, 12> connectionHeaders { "connection", "content-length", "expect",
+    "host", "keep-alive", "proxy-authenticate", "proxy-connection", "te", "trailer", "transfer-encoding",
+    "upgrade", "proxy-authorization" };
+
+// Set by this process only, so that no caller can claim another team's name.
+constexpr std::array<std::string_view, 5> ownHeaders { "x-sagesaddle-team", "x-request-id", "traceparent",
+    "idempotency-key", "x-priority" };
+
+constexpr std::uint16_t statusNoContent = 204;
+constexpr std::uint16_t statusNotModified = 304;
+
+std::string lowered(std::string_view text)
+{
+    std::string result(text);
+    std::transform(
+        result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
+    return result;
+}
+
+bool isOneOf(const auto& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::string requestIdOf(const request_message& request, const trace_context& span)
+{
+    for (const header_field& field : request.headers) {
+        if (lowered(field.name) == "x-request-id")
+            return field.value;
+    }
+    return span.traceId;
+}
+
+} // namespace
+
+std::optional<std::string> findKeyHeader(const std::vector<header_field>& headers)
+{
+    for (const header_field& field : headers) {
+        if (isOneOf(keyHeaders, lowered(field.name)))
+            return field.name;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::pair<std::string, std::string>> upstreamHeaders(
+    const request_message& request, const trace_context& span)
+{
+    std::vector<std::pair<std::string, std::string>> result;
+    for (const header_field& field : request.headers) {
+        const std::string name = lowered(field.name);
+        if (!isOneOf(connectionHeaders, name) && !isOneOf(ownHeaders, name) && !isOneOf(keyHeaders, name))
+            result.emplace_back(field.name, field.value);
+    }
+    if (!request.team.empty())
+        result.emplace_back("X-Sagesaddle-Team", request.team);
+    result.emplace_back("X-Request-Id", requestIdOf(request, span));
+    result.emplace_back("traceparent", formatTraceparent(span));
+    if (!request.idempotencyKey.empty())
+        result.emplace_back("Idempotency-Key", request.idempotencyKey);
+    result.emplace_back("X-Priority", nameOf(request.priority));
+    return result;
+}
+
+std::vector<header_field> callerHeaders(const std::vector<std::pair<std::string, std::string>>& headers)
+{
+    std::vector<header_field> result;
+    for (const auto& [name, value] : headers) {
+        if (!isOneOf(connectionHeaders, lowered(name)))
+            result.push_back({ name, value });
+    }
+    return result;
+}
+
+bool hasDelimitedBody(const std::string& method, std::uint16_t status,
+    const std::vector<std::pair<std::string, std::string>>& headers)
+{
+    if (method == "HEAD" || status == statusNoContent || status == statusNotModified)
+        return true;
+    return std::any_of(headers.begin(), headers.end(), [](const auto& field) {
+        const std::string name = lowered(field.first);
+        if (name == "transfer-encoding")
+            return lowered(field.second).find("chunked") != std::string::npos;
+        return name == "content-length";
+    });
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Side/request_dispatcher.cpp
@@ -0,0 +1,575 @@
+#include "Side/request_dispatcher.h"
+
+#include "Base/scope_guard.h"
+#include "Serve/http_client.h"
+#include "Side/engine_control.h"
+#include "Side/fifo_queue.h"
+#include "Side/header_rules.h"
+#include "Side/request_job.h"
+#include "Side/upstream_exchange.h"
+#include "Watch/log.h"
+#include "Watch/metric_registry.h"
+#include "Watch/span_exporter.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace sagesaddle {
+
+namespace {
+
+using job_ptr = std::shared_ptr<request_job>;
+using job_key = std::pair<connection_id, std::uint64_t>;
+
+constexpr milliseconds expiryPeriod { 20 };
+constexpr milliseconds sendRetryDelay { 5 };
+constexpr milliseconds drainRetryAfter { 100 };
+constexpr milliseconds memoryRetryAfter { 1000 };
+
+// Why a request is not run.
+struct refusal_cause {
+    verdict ran { verdict::NotRun };
+    std::string reason;
+    std::string detail;
+    milliseconds retryAfter { 0 };
+};
+
+// A refusal that is sent once the lock is given back.
+struct pending_refusal {
+    job_ptr job;
+    refusal_cause cause;
+};
+
+monotonic_time steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+queued_request queuedRequestOf(const request_job& job)
+{
+    return { job.ticket, job.request.team, job.request.priority, static_cast<double>(job.request.tokens),
+        job.arrived, job.deadline };
+}
+
+std::uint32_t millisecondsOf(milliseconds value)
+{
+    return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(value.count(), 0, UINT32_MAX));
+}
+
+job_ptr makeJob(connection_id connection, request_message request)
+{
+    auto job = std::make_shared<request_job>();
+    job->connection = connection;
+    job->arrived = steadyNow();
+    job->deadline = job->arrived + milliseconds(request.deadlineMs);
+    job->arrivedWall = std::chrono::system_clock::now();
+    job->parent = parseTraceparent(request.traceparent).value_or(startTrace());
+    job->span = childOf(job->parent);
+    job->request = std::move(request);
+    return job;
+}
+
+} // namespace
+
+struct request_dispatcher::impl {
+    impl(options given, send_frame sender, metric_registry& registry, span_exporter& exporter)
+        : settings(std::move(given))
+        , send(std::move(sender))
+        , metrics(registry)
+        , spans(exporter)
+        , queue({ .slots = 1, .maxWaiting = settings.maxWaiting })
+    {
+        expiry = std::thread([this] { runExpiry(); });
+    }
+
+    // Taking requests on.
+
+    void onRequest(connection_id connection, request_message request)
+    {
+        const job_ptr job = makeJob(connection, std::move(request));
+        std::vector<pending_refusal> refusals;
+        {
+            const std::scoped_lock lock(mutex);
+            if (!keys.emplace(job_key(connection, job->request.id), nextTicket).second) {
+                writeLog(log_level::Warning, "a doubled request frame was ignored",
+                    { { "trace_id", job->span.traceId }, { "id", job->request.id } });
+                return;
+            }
+            job->ticket = nextTicket++;
+            jobs.emplace(job->ticket, job);
+            if (const auto cause = admit(job))
+                dropLocked(job, *cause, refusals);
+        }
+        workReady.notify_one();
+        refuse(refusals);
+    }
+
+    std::optional<refusal_cause> admit(const job_ptr& job)
+    {
+        if (auto cause = whyNotNow())
+            return cause;
+        if (job->deadline <= steadyNow())
+            return refusal_cause { verdict::NotRun, "deadline", "the request came after its deadline", {} };
+        if (const auto name = findKeyHeader(job->request.headers)) {
+            return refusal_cause { verdict::NotRun, "key_header",
+                "the header \"" + *name + "\" may hold a key, which no upstream may see", {} };
+        }
+        if (engine)
+            return admitToEngine(job);
+        return offer(job);
+    }
+
+    std::optional<refusal_cause> whyNotNow() const
+    {
+        if (!view)
+            return refusal_cause { verdict::NotRun, "not_ready",
+                "the side process does not know its records yet", drainRetryAfter };
+        if (draining)
+            return refusal_cause { verdict::NotRun, "draining", "the side process is stopping", {} };
+        if (view->upstream.leaving)
+            return refusal_cause { verdict::NotRun, "leaving", "the upstream takes no new work", {} };
+        return std::nullopt;
+    }
+
+    std::optional<refusal_cause> admitToEngine(const job_ptr& job)
+    {
+        const std::string& name = job->request.model;
+        switch (engine->request(name, job->arrived)) {
+        case model_readiness::Ready:
+            engine->beginUse(name);
+            modelUsers.insert(job->ticket);
+            return offer(job);
+        case model_readiness::Loading:
+            return waitForModel(job);
+        case model_readiness::NoMemory:
+            return refusal_cause { verdict::NotRun, "no_memory",
+                "the model \"" + name + "\" is not loaded and does not fit beside the pinned ones",
+                memoryRetryAfter };
+        case model_readiness::NoOrders:
+            return refusal_cause { verdict::NotRun, "model_not_loaded",
+                "the model \"" + name + "\" is not loaded and cannot be ordered now", memoryRetryAfter };
+        case model_readiness::Unknown:
+            break;
+        }
+        return refusal_cause { verdict::NotRun, "unknown_model",
+            "the records that this side process holds name no model \"" + name + "\"", {} };
+    }
+
+    std::optional<refusal_cause> waitForModel(const job_ptr& job)
+    {
+        const milliseconds expected = engine->expectedLoad(job->request.model);
+        if (job->arrived + expected > job->deadline) {
+            return refusal_cause { verdict::NotRun, "model_loading",
+                "the model \"" + job->request.model + "\" is being loaded and will be late", expected };
+        }
+        engine->beginUse(job->request.model);
+        modelUsers.insert(job->ticket);
+        parked.insert(job->ticket);
+        return std::nullopt;
+    }
+
+    std::optional<refusal_cause> offer(const job_ptr& job)
+    {
+        const queue_decision decision = queue.offer(queuedRequestOf(*job), steadyNow());
+        if (decision.accepted)
+            return std::nullopt;
+        return refusal_cause { verdict::NotRun, decision.reason, "the upstream's queue is too long",
+            milliseconds(decision.retryAfterMs) };
+    }
+
+    void onModelsChanged()
+    {
+        std::vector<pending_refusal> refusals;
+        {
+            const std::scoped_lock lock(mutex);
+            const std::set<std::uint64_t> tickets = parked;
+            for (const std::uint64_t ticket : tickets)
+                retryParked(jobs.at(ticket), refusals);
+        }
+        workReady.notify_all();
+        refuse(refusals);
+    }
+
+    void retryParked(const job_ptr& job, std::vector<pending_refusal>& refusals)
+    {
+        const model_readiness readiness = engine->request(job->request.model, steadyNow());
+        if (readiness == model_readiness::Loading)
+            return;
+        parked.erase(job->ticket);
+        auto cause = readiness == model_readiness::Ready
+            ? offer(job)
+            : refusal_cause { verdict::NotRun, "model_not_loaded",
+                  "the model \"" + job->request.model + "\" could not be loaded", memoryRetryAfter };
+        if (cause)
+            dropLocked(job, *cause, refusals);
+    }
+
+    // Giving requests up.
+
+    void onCancel(connection_id connection, std::uint64_t id)
+    {
+        const std::scoped_lock lock(mutex);
+        if (const auto found = keys.find({ connection, id }); found != keys.end())
+            cancelLocked(jobs.at(found->second));
+    }
+
+    void onConnectionClosed(connection_id connection)
+    {
+        const std::scoped_lock lock(mutex);
+        std::vector<job_ptr> lost;
+        for (auto it = keys.lower_bound({ connection, 0 }); it != keys.end() && it->first.first == connection;
+             ++it)
+            lost.push_back(jobs.at(it->second));
+        for (const job_ptr& job : lost) {
+            job->disconnected = true;
+            cancelLocked(job);
+        }
+    }
+
+    // A call that may run once goes on once it was started: cutting it off would not undo it.
+    void cancelLocked(const job_ptr& job)
+    {
+        if (!running.contains(job->ticket)) {
+            queue.remove(job->ticket);
+            forgetLocked(job);
+        } else if (job->request.idempotent || engine) {
+            job->cancelled = true;
+        }
+    }
+
+    void dropLocked(const job_ptr& job, const refusal_cause& cause, std::vector<pending_refusal>& refusals)
+    {
+        forgetLocked(job);
+        refusals.push_back({ job, cause });
+    }
+
+    void forgetLocked(const job_ptr& job)
+    {
+        if (modelUsers.erase(job->ticket) > 0)
+            engine->endUse(job->request.model, steadyNow());
+        parked.erase(job->ticket);
+        keys.erase({ job->connection, job->request.id });
+        jobs.erase(job->ticket);
+        if (jobs.empty())
+            becameIdle.notify_all();
+    }
+
+    void refuse(const std::vector<pending_refusal>& refusals)
+    {
+        for (const pending_refusal& refusal : refusals)
+            sendRefusal(*refusal.job, refusal.cause);
+    }
+
+    void sendRefusal(const request_job& job, const refusal_cause& cause)
+    {
+        metrics.add("sagesaddle_side_refusals_total", "Requests refused, by reason and verdict.",
+            { { "reason", cause.reason }, { "verdict", std::string(nameOf(cause.ran)) } });
+        writeLog(log_level::Info, "request refused",
+            { { "trace_id", job.span.traceId }, { "team", job.request.team }, { "model", job.request.model },
+                { "reason", cause.reason }, { "verdict", nameOf(cause.ran) } });
+        refusal_message refusal { job.request.id, cause.ran, cause.reason, cause.detail,
+            millisecondsOf(cause.retryAfter), load() };
+        sendPatiently(job, refusal);
+        recordSpan(job, cause.reason, cause.ran, 0);
+    }
+
+    // Drops what can no longer make its deadline.
+    void runExpiry()
+    {
+        std::unique_lock lock(mutex);
+        while (!stopping) {
+            expiryStop.wait_for(lock, expiryPeriod);
+            std::vector<pending_refusal> refusals;
+            collectExpired(refusals);
+            lock.unlock();
+            refuse(refusals);
+            lock.lock();
+        }
+    }
+
+    void collectExpired(std::vector<pending_refusal>& refusals)
+    {
+        const monotonic_time now = steadyNow();
+        for (const queued_request& expired : queue.takeExpired(now)) {
+            dropLocked(jobs.at(expired.ticket),
+                { verdict::NotRun, "deadline", "the request cannot make its deadline in the queue", {} },
+                refusals);
+        }
+        const std::set<std::uint64_t> tickets = parked;
+        for (const std::uint64_t ticket : tickets) {
+            const job_ptr job = jobs.at(ticket);
+            if (job->deadline <= now) {
+                dropLocked(job,
+                    { verdict::NotRun, "model_loading",
+                        "the model \"" + job->request.model + "\" was not loaded in time",
+                        engine->expectedLoad(job->request.model) },
+                    refusals);
+            }
+        }
+    }
+
+    // Running requests.
+
+    void growWorkers(std::uint32_t wanted)
+    {
+        while (workers.size() < wanted)
+            workers.emplace_back([this] { runWorker(); });
+    }
+
+    void runWorker()
+    {
+        http_client client;
+        std::unique_lock lock(mutex);
+        while (!stopping) {
+            const auto next = queue.start(steadyNow());
+            if (!next) {
+                workReady.wait(lock);
+                continue;
+            }
+            const job_ptr job = jobs.at(next->ticket);
+            running.emplace(job->ticket, job);
+            lock.unlock();
+            const exchange_outcome outcome = runJob(client, *job);
+            lock.lock();
+            queue.finish(job->ticket, steadyNow());
+            if (outcome.reason == "model_not_loaded" && engine)
+                engine->noteNotLoaded(job->request.model);
+            lock.unlock();
+            report(*job, outcome);
+            lock.lock();
+            running.erase(job->ticket);
+            forgetLocked(job);
+        }
+    }
+
+    exchange_outcome runJob(http_client& client, request_job& job)
+    {
+        exchange_hooks hooks;
+        hooks.send = [&](const message& value) { return sendPatiently(job, value); };
+        hooks.isCancelled = [&] { return job.cancelled.load(); };
+        if (kind == upstream_kind::Service && !job.request.idempotent)
+            return runOnce(client, job, hooks);
+        return runExchange(client, settings.target, kind, job.request, job.span, job.deadline, hooks);
+    }
+
+    exchange_outcome runOnce(http_client& client, request_job& job, const exchange_hooks& hooks)
+    {
+        if (job.request.idempotencyKey.empty())
+            return refused("no_idempotency_key", "a call that may run once needs an Idempotency-Key");
+        if (!claims.claim)
+            return refused("log_unavailable", "calls that may run once cannot be claimed");
+        const claim_result claimed = claims.claim(job.request.team, job.request.idempotencyKey, job.deadline);
+        switch (claimed.outcome) {
+        case claim_outcome::Taken:
+            return refused(
+                "already_claimed", "an earlier call with this key may have run", verdict::MayHaveRun);
+        case claim_outcome::TooOld:
+            return refused("key_too_old", "the key is older than what is remembered", verdict::MayHaveRun);
+        case claim_outcome::Unavailable:
+            return refused("log_unavailable", "the claim could not be settled in the log");
+        case claim_outcome::Granted:
+            break;
+        }
+        exchange_outcome outcome
+            = runExchange(client, settings.target, kind, job.request, job.span, job.deadline, hooks);
+        if (outcome.ran == verdict::NotRun && claims.release)
+            claims.release(claimed);
+        return outcome;
+    }
+
+    static exchange_outcome refused(std::string reason, std::string detail, verdict ran = verdict::NotRun)
+    {
+        exchange_outcome outcome;
+        outcome.ran = ran;
+        outcome.reason = std::move(reason);
+        outcome.detail = std::move(detail);
+        return outcome;
+    }
+
+    // Waits while the connection's queue is full, so that a slow entry slows the upstream down.
+    bool sendPatiently(const request_job& job, const message& value)
+    {
+        while (!job.disconnected && !stopping) {
+            if (send(job.connection, value))
+                return true;
+            if (steadyNow() >= job.deadline)
+                return false;
+            std::this_thread::sleep_for(sendRetryDelay);
+        }
+        return false;
+    }
+
+    void report(const request_job& job, const exchange_outcome& outcome)
+    {
+        if (outcome.ran != verdict::Answered)
+            return sendRefusal(job, { outcome.ran, outcome.reason, outcome.detail, {} });
+        sendPatiently(
+            job, answer_end { job.request.id, outcome.frames, outcome.bytes, outcome.tokensUsed, load() });
+        const std::chrono::duration<double> took = steadyNow() - job.arrived;
+        metrics.add("sagesaddle_side_answers_total", "Whole answers passed on.");
+        metrics.observeSeconds("sagesaddle_side_answer_seconds",
+            "Time from a request's arrival to its answer's end.", took.count());
+        recordSpan(job, "", verdict::Answered, outcome.status);
+    }
+
+    void recordSpan(const request_job& job, const std::string& reason, verdict ran, std::uint16_t status)
+    {
+        if (!job.span.sampled)
+            return;
+        span value;
+        value.context = job.span;
+        value.parentSpanId = job.parent.spanId;
+        value.name = "side request";
+        value.start = job.arrivedWall;
+        value.end = std::chrono::system_clock::now();
+        value.failed = ran != verdict::Answered;
+        value.attributes = { { "upstream", settings.upstream }, { "team", job.request.team },
+            { "model", job.request.model }, { "verdict", nameOf(ran) }, { "status", status },
+            { "reason", reason } };
+        spans.record(std::move(value));
+    }
+
+    load_report load() const
+    {
+        const std::scoped_lock lock(mutex);
+        load_report report;
+        report.upstream = settings.upstream;
+        report.queued = static_cast<std::uint32_t>(queue.waiting() + parked.size());
+        report.running = static_cast<std::uint32_t>(queue.running());
+        report.slots = slots;
+        report.waitMs = millisecondsOf(queue.expectedWait(priority::Interactive, steadyNow()));
+        report.draining = draining || (view && view->upstream.leaving);
+        if (engine) {
+            const engine_status status = engine->status(steadyNow());
+            report.freeMemoryMb = status.freeMemoryMb;
+            report.reportAgeMs = millisecondsOf(status.reportAge);
+            report.residentModels = status.residentModels;
+            report.cachedPrefixes = status.cachedPrefixes;
+        }
+        return report;
+    }
+
+    options settings;
+    send_frame send;
+    metric_registry& metrics;
+    span_exporter& spans;
+
+    mutable std::mutex mutex;
+    // A request may be startable, or the workers stop.
+    std::condition_variable workReady;
+    std::condition_variable becameIdle;
+    std::condition_variable expiryStop;
+    std::optional<side_view> view;
+    upstream_kind kind { upstream_kind::Engine };
+    engine_control* engine { nullptr };
+    claim_hooks claims;
+    std::uint32_t slots { 0 };
+    fifo_queue queue;
+    std::map<std::uint64_t, job_ptr> jobs;
+    std::map<job_key, std::uint64_t> keys;
+    std::map<std::uint64_t, job_ptr> running;
+    // Wait for their model.
+    std::set<std::uint64_t> parked;
+    // Hold their model on the engine.
+    std::set<std::uint64_t> modelUsers;
+    std::uint64_t nextTicket { 1 };
+    bool draining { false };
+    std::atomic<bool> stopping { false };
+    std::vector<std::thread> workers;
+    std::thread expiry;
+};
+
+request_dispatcher::request_dispatcher(
+    options settings, send_frame send, metric_registry& metrics, span_exporter& spans)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(send), metrics, spans))
+{
+}
+
+request_dispatcher::~request_dispatcher()
+{
+    {
+        const std::scoped_lock lock(m_impl->mutex);
+        m_impl->stopping = true;
+        for (const auto& [ticket, job] : m_impl->running)
+            job->cancelled = true;
+    }
+    m_impl->workReady.notify_all();
+    m_impl->expiryStop.notify_all();
+    for (std::thread& worker : m_impl->workers)
+        worker.join();
+    m_impl->expiry.join();
+}
+
+void request_dispatcher::setView(const side_view& view, engine_control* engine, claim_hooks claims)
+{
+    {
+        const std::scoped_lock lock(m_impl->mutex);
+        m_impl->view = view;
+        m_impl->kind = view.upstream.kind;
+        m_impl->engine = engine;
+        m_impl->claims = std::move(claims);
+        m_impl->slots = std::min(view.upstream.slots, m_impl->settings.workers);
+        m_impl->queue.setSlots(m_impl->slots);
+        m_impl->growWorkers(m_impl->slots);
+    }
+    m_impl->workReady.notify_all();
+}
+
+void request_dispatcher::onRequest(connection_id connection, request_message request)
+{
+    m_impl->onRequest(connection, std::move(request));
+}
+
+void request_dispatcher::onCancel(connection_id connection, std::uint64_t id)
+{
+    m_impl->onCancel(connection, id);
+}
+
+void request_dispatcher::onConnectionClosed(connection_id connection)
+{
+    m_impl->onConnectionClosed(connection);
+}
+
+void request_dispatcher::onModelsChanged()
+{
+    m_impl->onModelsChanged();
+}
+
+void request_dispatcher::drain()
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    m_impl->draining = true;
+}
+
+bool request_dispatcher::isDraining() const
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    return m_impl->draining;
+}
+
+bool request_dispatcher::isIdle() const
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    return m_impl->jobs.empty();
+}
+
+void request_dispatcher::waitIdle()
+{
+    std::unique_lock lock(m_impl->mutex);
+    m_impl->becameIdle.wait(lock, [this] { return m_impl->jobs.empty(); });
+}
+
+load_report request_dispatcher::load() const
+{
+    return m_impl->load();
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Side/request_job.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Watch/trace_context.h"
+#include "Wire/frame_server.h"
+#include "Wire/messages.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace sagesaddle {
+
+/// \brief A request that a side process has taken on.
+struct request_job {
+    std::uint64_t ticket { 0 };
+    connection_id connection { 0 };
+    request_message request;
+    monotonic_time arrived;
+    monotonic_time deadline;
+    wall_time arrivedWall;
+    /// The entry's span.
+    trace_context parent;
+    /// This hop.
+    trace_context span;
+    /// Nobody waits for the answer any more.
+    std::atomic<bool> cancelled { false };
+    /// The connection to the entry is gone.
+    std::atomic<bool> disconnected { false };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Side/side_settings.cpp
@@ -0,0 +1,40 @@
+#include "Side/side_settings.h"
+
+#include "Settings/settings_reader.h"
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr integer_range workersAllowed { 1, 512 };
+constexpr integer_range waitingAllowed { 1, 100000 };
+constexpr integer_range settlingAllowedMs { 100, 600000 };
+constexpr integer_range reportPeriodAllowedMs { 10, 10000 };
+
+} // namespace
+
+side_settings parseSideSettings(settings_reader& reader)
+{
+    side_settings settings;
+    settings.name = reader.requiredName("process", "name");
+    settings.frames = reader.requiredAddress("frames", "listen");
+    settings.target = reader.requiredAddress("target", "address");
+    settings.admin = reader.requiredAddress("admin", "listen");
+    settings.log = reader.requiredAddress("log", "address");
+    settings.traces = reader.optionalAddress("traces", "address");
+    settings.logging.level
+        = parseLogLevel(reader.choice("logging", "level", "info", { "debug", "info", "warning", "error" }));
+    settings.logging.file = reader.text("logging", "file", "");
+    settings.workers
+        = static_cast<std::uint32_t>(reader.integer("target", "workers", settings.workers, workersAllowed));
+    settings.maxWaiting = static_cast<std::uint32_t>(
+        reader.integer("target", "max_waiting", settings.maxWaiting, waitingAllowed));
+    settings.orderSettling
+        = reader.duration("target", "order_settling_ms", settings.orderSettling, settlingAllowedMs);
+    settings.reportPeriod
+        = reader.duration("target", "report_period_ms", settings.reportPeriod, reportPeriodAllowedMs);
+    reader.finish();
+    return settings;
+}
+
+} // namespace sagesaddle
--- a/Source/Wire/frame_connection.cpp
+++ b/Source/Wire/frame_connection.cpp
@@ -66,7 +66,7 @@
 bool frame_connection::send(std::vector<std::uint8_t> frame)
 {
     const std::scoped_lock lock(m_queueMutex);
-    if (m_isClosed || m_queuedBytes + frame.size() > maxQueuedBytes)
+    if (m_isClosed || m_isEnding || m_queuedBytes + frame.size() > maxQueuedBytes)
         return false;
     m_queuedBytes += frame.size();
     m_queue.push_back(std::move(frame));
@@ -77,6 +77,16 @@
     return true;
 }
 
+void frame_connection::endSending()
+{
+    const std::scoped_lock lock(m_queueMutex);
+    m_isEnding = true;
+    if (!m_isWriting) {
+        m_isWriting = true;
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->writeQueued(); });
+    }
+}
+
 void frame_connection::close(const std::string& reason)
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this(), reason] { self->closeNow(reason); });
@@ -145,6 +155,8 @@
         const std::scoped_lock lock(m_queueMutex);
         if (m_isClosed || m_queue.empty()) {
             m_isWriting = false;
+            if (m_isEnding && !m_isClosed)
+                shutdownSending();
             return;
         }
         m_writing.swap(m_queue);
@@ -162,6 +174,12 @@
         });
 }
 
+void frame_connection::shutdownSending()
+{
+    std::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void frame_connection::onWritten(std::size_t bytes)
 {
     m_writing.clear();
--- a/Source/Wire/frame_connection.h
+++ b/Source/Wire/frame_connection.h
@@ -39,6 +39,9 @@
     /// \return false where the connection is closed or its queue is full
     bool send(std::vector<std::uint8_t> frame);
 
+    /// Sends what is queued and then tells the peer that nothing more comes; safe from any thread.
+    void endSending();
+
     /// Closes the connection; safe from any thread.
     void close(const std::string& reason);
 
@@ -47,6 +50,7 @@
     void takeFrames();
     bool takeFrame();
     void writeQueued();
+    void shutdownSending();
     void onWritten(std::size_t bytes);
     void closeNow(const std::string& reason);
 
@@ -63,6 +67,7 @@
     std::deque<std::vector<std::uint8_t>> m_queue;
     std::size_t m_queuedBytes { 0 };
     bool m_isWriting { false };
+    bool m_isEnding { false };
     bool m_isClosed { false };
 };
 
--- a/Source/Wire/frame_server.cpp
+++ b/Source/Wire/frame_server.cpp
@@ -9,9 +9,11 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace sagesaddle {
 
@@ -83,6 +85,7 @@
             const std::scoped_lock lock(mutex);
             connections.erase(id);
         }
+        forgotten.notify_all();
         gate.run([&] {
             if (onEvent.onProblem)
                 onEvent.onProblem(id, reason);
@@ -98,6 +101,16 @@
         return found == connections.end() ? nullptr : found->second;
     }
 
+    std::vector<std::shared_ptr<frame_connection>> all()
+    {
+        const std::scoped_lock lock(mutex);
+        std::vector<std::shared_ptr<frame_connection>> result;
+        result.reserve(connections.size());
+        for (const auto& [id, connection] : connections)
+            result.push_back(connection);
+        return result;
+    }
+
     void closeAcceptor()
     {
         asio::post(acceptor.get_executor(), [self = shared_from_this()] {
@@ -124,6 +137,7 @@
     address local;
     callback_gate gate;
     std::mutex mutex;
+    std::condition_variable forgotten;
     std::map<connection_id, std::shared_ptr<frame_connection>> connections;
     connection_id nextId { 1 };
     bool stopped { false };
@@ -151,6 +165,22 @@
     return found && found->send(encodeFrame(value));
 }
 
+void frame_server::broadcast(const message& value)
+{
+    const std::vector<std::uint8_t> frame = encodeFrame(value);
+    for (const auto& connection : m_impl->all())
+        connection->send(frame);
+}
+
+void frame_server::finish(std::chrono::milliseconds limit)
+{
+    m_impl->closeAcceptor();
+    for (const auto& connection : m_impl->all())
+        connection->endSending();
+    std::unique_lock lock(m_impl->mutex);
+    m_impl->forgotten.wait_for(lock, limit, [this] { return m_impl->connections.empty(); });
+}
+
 void frame_server::stopAccepting()
 {
     m_impl->closeAcceptor();
--- a/Source/Wire/frame_server.h
+++ b/Source/Wire/frame_server.h
@@ -3,6 +3,7 @@
 #include "Base/address.h"
 #include "Wire/messages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -43,6 +44,14 @@
     /// \return false where the connection is gone or its send queue is full: then nothing was sent
     bool send(connection_id connection, const message& value);
 
+    /// Queues a message for every connection that stands.
+    void broadcast(const message& value);
+
+    /// Ends all connections in good order: sends what is queued, says that nothing more will come and
+    /// waits until the peers have closed.
+    /// \param limit when to stop waiting
+    void finish(std::chrono::milliseconds limit);
+
     /// Accepts no further connection; those that stand go on.
     void stopAccepting();
 
