--- a/Source/Plan/plan_fleet.cpp
+++ b/Source/Plan/plan_fleet.cpp
@@ -126,7 +126,7 @@
 
 std::optional<std::string> plan_fleet::findRoom(const plan_model& model) const
 {
-    if (const auto beside = findBesideBase(model))
+    if (auto beside = findBesideBase(model))
         return beside;
     return findByFreeMemory(model);
 }
