Once: Wake callers as soon as an empty claims stream is known

Cause: a claim waits until the stream's claims are known, and was only woken when a record was folded; on a stream without records it waited out its deadline.

--- a/Source/Once/claim_gate.cpp
+++ b/Source/Once/claim_gate.cpp
@@ -148,6 +148,7 @@
     }
     const std::lock_guard lock(mutex);
     reader.emplace(claimCapacity, earliest);
+    wakeCallers.notify_all();
     return true;
 }
 
