--- a/Source/Record/record_folder.cpp
+++ b/Source/Record/record_folder.cpp
@@ -124,6 +124,8 @@
     for (const auto& [key, node] : document)
         if (key.str() != "schema")
             parseTables(file, key.str(), node, schema, folder.objects);
+    std::ranges::stable_sort(
+        folder.objects, {}, [](const declared_object& object) { return object.value.index(); });
 }
 
 record_folder readRecordFolder(const std::filesystem::path& path)
--- /dev/null
+++ b/Tests/Record/fold_tests.cpp
@@ -0,0 +1,160 @@
+#include "Record/fold.h"
+#include "Record/log_record.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+const std::string hash(64, 'a');
+
+std::string change(const std::string& id, std::uint64_t base, std::vector<declared_object> put,
+    std::vector<object_ref> remove = {})
+{
+    return formatRecord({ id, 2, change_record { base, "ann", std::move(put), std::move(remove) } });
+}
+
+// Folds texts from an empty state on; the last one's result.
+fold_result foldAll(const std::vector<std::string>& texts)
+{
+    fold_result result;
+    for (const std::string& text : texts) {
+        const std::uint64_t offset = result.state.nextOffset;
+        result = fold(std::move(result.state), offset, text);
+    }
+    return result;
+}
+
+declared_object gold()
+{
+    return { team { "gold", 1, 1 }, {} };
+}
+
+declared_object entry(const std::string& name)
+{
+    return { entry_host { name, "r", "z", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } }, {} };
+}
+
+declared_object engine(std::uint64_t memoryMb)
+{
+    upstream value { "u", upstream_kind::Engine, "r", "z", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } };
+    value.memoryMb = memoryMb;
+    return { value, {} };
+}
+
+} // namespace
+
+TEST_CASE("fold: of two racing changes exactly one is accepted")
+{
+    const fold_result result
+        = foldAll({ change("a", 0, { gold() }), change("b", 0, { { team { "tin", 1, 1 }, {} } }) });
+    CHECK(result.outcome == fold_outcome::Rejected);
+    CHECK(result.reason.find("revision 0") != std::string::npos);
+    CHECK(result.state.revision == 1);
+    CHECK(result.state.teams.size() == 1);
+    CHECK(result.state.nextOffset == 2);
+}
+
+TEST_CASE("fold: a repeated id counts once")
+{
+    const std::string text = change("a", 0, { gold() });
+    const fold_result result = foldAll({ text, text });
+    CHECK(result.outcome == fold_outcome::Duplicate);
+    CHECK(result.state.revision == 1);
+}
+
+TEST_CASE("fold: ids are remembered within their window and forgotten after it")
+{
+    std::vector<std::string> texts { change("first", 0, { gold() }) };
+    for (std::uint64_t index = 1; index <= 2 * recentIdOffsets; ++index)
+        texts.push_back(change("id" + std::to_string(index), 99, {}));
+    const fold_result result = foldAll(texts);
+    CHECK_FALSE(result.state.recentIds.contains("first"));
+    CHECK(result.state.recentIds.size() >= recentIdOffsets);
+    CHECK(result.state.recentIds.size() <= 2 * recentIdOffsets);
+}
+
+TEST_CASE("fold: a change that leaves a reference open is rejected")
+{
+    const declared_object key { api_key { "k", "gold", hash }, {} };
+    CHECK(foldAll({ change("a", 0, { key }) }).outcome == fold_outcome::Rejected);
+    CHECK(foldAll({ change("a", 0, { key, gold() }) }).outcome == fold_outcome::Accepted);
+    const fold_result removal
+        = foldAll({ change("a", 0, { key, gold() }), change("b", 1, {}, { { object_kind::Team, "gold" } }) });
+    CHECK(removal.outcome == fold_outcome::Rejected);
+    CHECK(removal.reason.find("key \"k\" needs team \"gold\"") != std::string::npos);
+}
+
+TEST_CASE("fold: placements beyond an upstream's memory are rejected")
+{
+    const std::vector<declared_object> put { { model { "m", 600, "" }, {} }, { model { "n", 600, "" }, {} },
+        { placement { "m", "u", true }, {} }, { placement { "n", "u", true }, {} } };
+    auto small = put;
+    small.push_back(engine(1000));
+    auto large = put;
+    large.push_back(engine(1200));
+    CHECK(foldAll({ change("a", 0, small) }).outcome == fold_outcome::Rejected);
+    CHECK(foldAll({ change("a", 0, large) }).outcome == fold_outcome::Accepted);
+    CHECK(foldAll({ change("a", 0, large), change("b", 1, { engine(1100) }) }).outcome
+        == fold_outcome::Rejected);
+}
+
+TEST_CASE("fold: a withdrawn key stays withdrawn")
+{
+    const declared_object given { api_key { "k", "gold", hash, false }, {} };
+    const declared_object withdrawn { api_key { "k", "gold", hash, true }, {} };
+    const fold_result result = foldAll(
+        { change("a", 0, { gold(), given }), change("b", 1, { withdrawn }), change("c", 2, { given }) });
+    CHECK(result.outcome == fold_outcome::Rejected);
+    CHECK(result.state.keys.at(hash).withdrawn);
+}
+
+TEST_CASE("fold: an epoch must follow the current one and name entries")
+{
+    const std::string first = formatRecord({ "e", 2, epoch_record { 0, { "entry-b", "entry-a" } } });
+    const std::vector<std::string> entries { change("a", 0, { entry("entry-a"), entry("entry-b") }) };
+    CHECK(foldAll({ first }).outcome == fold_outcome::Rejected);
+    const fold_result accepted = foldAll({ entries[0], first });
+    CHECK(accepted.state.epoch == membership_epoch { 1, { "entry-a", "entry-b" } });
+    const std::string late = formatRecord({ "f", 2, epoch_record { 0, { "entry-a" } } });
+    CHECK(foldAll({ entries[0], first, late }).outcome == fold_outcome::Rejected);
+}
+
+TEST_CASE("fold: a lease is granted only against the current fence")
+{
+    const std::string entries = change("a", 0, { entry("entry-a"), entry("entry-b") });
+    const std::string first = formatRecord({ "l", 2, lease_record { "plan", "entry-a", 0 } });
+    const std::string second = formatRecord({ "m", 2, lease_record { "plan", "entry-b", 0 } });
+    const std::string third = formatRecord({ "n", 2, lease_record { "plan", "entry-b", 1 } });
+    CHECK(foldAll({ entries, first, second }).state.leases.at("plan") == lease_grant { "entry-a", 1 });
+    CHECK(foldAll({ entries, first, second, third }).state.leases.at("plan") == lease_grant { "entry-b", 3 });
+}
+
+TEST_CASE("fold: an unknown kind and a malformed text are reported and change nothing")
+{
+    const fold_result unknown = foldAll({ R"({"id":"a","schema":9,"kind":"quota","body":{}})" });
+    CHECK(unknown.outcome == fold_outcome::UnknownKind);
+    CHECK(unknown.state.teams.empty());
+    const fold_result malformed = foldAll({ "{" });
+    CHECK(malformed.outcome == fold_outcome::Malformed);
+    CHECK(malformed.state.nextOffset == 1);
+}
+
+TEST_CASE("fold: a newer schema's optional field is kept, an unknown field of a known schema is refused")
+{
+    const auto record = [](const std::string& schema) {
+        return R"({"id":"a","schema":)" + schema
+            + R"(,"kind":"change","body":{"base_revision":0,"operator":"ann","put":{"team":[{"name":"gold",)"
+              R"("rate_tokens_per_s":1,"burst_tokens":1,"colour":"red"}]}}})";
+    };
+    const fold_result newer = foldAll({ record("3") });
+    CHECK(newer.outcome == fold_outcome::Accepted);
+    CHECK(newer.state.unknownFields.at("team \"gold\"") == R"({"colour":"red"})");
+    CHECK(foldAll({ record("2") }).outcome == fold_outcome::Malformed);
+}
+
+TEST_CASE("fold: records are folded in the order of their offsets only")
+{
+    CHECK_THROWS_AS(fold({}, 1, "{}"), std::invalid_argument);
+}
--- /dev/null
+++ b/Tests/Record/naive_fold.cpp
@@ -0,0 +1,152 @@
+#include "Record/naive_fold.h"
+
+#include "Record/field_reader.h"
+#include "Record/object_table.h"
+
+namespace sagesaddle::testing {
+
+namespace {
+
+using nlohmann::json;
+
+std::string nameIn(const std::string& kind, const json& fields)
+{
+    if (kind == "key")
+        return fields.at("id");
+    if (kind == "route")
+        return fields.at("path_prefix");
+    if (kind == "placement")
+        return fields.at("model").get<std::string>() + "@" + fields.at("upstream").get<std::string>();
+    return fields.at("name");
+}
+
+bool holdsTogether(const naive_state& state)
+{
+    const auto has = [&](const char* kind, const json& name) {
+        return state.objects.contains({ kind, name });
+    };
+    std::map<std::string, double> placedMb;
+    std::set<std::string> services;
+    std::set<std::string> hashes;
+    for (const auto& [ref, fields] : state.objects)
+        if (ref.first == "upstream")
+            services.insert(fields.at("service").get<std::string>());
+    for (const auto& [ref, fields] : state.objects) {
+        if (ref.first == "key"
+            && (!has("team", fields.at("team")) || !hashes.insert(fields.at("secret_sha256")).second))
+            return false;
+        if (ref.first == "model" && fields.at("base") != "") {
+            if (!has("model", fields.at("base"))
+                || state.objects.at({ "model", fields.at("base") }).at("base") != "")
+                return false;
+        }
+        if (ref.first == "route" && !services.contains(fields.at("service")))
+            return false;
+        if (ref.first != "placement")
+            continue;
+        if (!has("model", fields.at("model")) || !has("upstream", fields.at("upstream")))
+            return false;
+        const json& host = state.objects.at({ "upstream", fields.at("upstream") });
+        double& placed = placedMb[fields.at("upstream")];
+        placed += state.objects.at({ "model", fields.at("model") }).at("memory_mb").get<double>();
+        if (host.at("kind") != "engine" || placed > host.at("memory_mb").get<double>())
+            return false;
+    }
+    return true;
+}
+
+bool bringsBackKey(const naive_state& before, const naive_state& after)
+{
+    for (const auto& [ref, old] : before.objects)
+        for (const auto& [otherRef, fresh] : after.objects)
+            if (ref.first == "key" && otherRef.first == "key"
+                && old.at("secret_sha256") == fresh.at("secret_sha256") && old.at("withdrawn") == true
+                && fresh.at("withdrawn") == false)
+                return true;
+    return false;
+}
+
+bool applyChange(naive_state& state, std::uint64_t offset, const json& body)
+{
+    if (body.at("base_revision") != state.revision)
+        return false;
+    naive_state next = state;
+    std::set<std::pair<std::string, std::string>> named;
+    for (const auto& [kind, names] : body.at("remove").items())
+        for (const json& name : names)
+            if (!named.insert({ kind, name }).second || next.objects.erase({ kind, name }) == 0)
+                return false;
+    for (const auto& [kind, list] : body.at("put").items())
+        for (const json& fields : list) {
+            if (!named.insert({ kind, nameIn(kind, fields) }).second)
+                return false;
+            next.objects[{ kind, nameIn(kind, fields) }] = fields;
+        }
+    if (!holdsTogether(next) || bringsBackKey(state, next))
+        return false;
+    next.revision = offset + 1;
+    state = std::move(next);
+    return true;
+}
+
+bool applyEpoch(naive_state& state, std::uint64_t offset, const json& body)
+{
+    if (body.at("previous") != state.epoch)
+        return false;
+    for (const json& member : body.at("members"))
+        if (!state.objects.contains({ "entry", member }))
+            return false;
+    state.epoch = offset;
+    state.members = body.at("members").get<std::set<std::string>>();
+    return true;
+}
+
+bool applyLease(naive_state& state, std::uint64_t offset, const json& body)
+{
+    const auto held = state.leases.find(body.at("duty"));
+    if (body.at("previous_fence") != (held == state.leases.end() ? 0 : held->second.second)
+        || !state.objects.contains({ "entry", body.at("holder") }))
+        return false;
+    state.leases[body.at("duty")] = { body.at("holder"), offset };
+    return true;
+}
+
+} // namespace
+
+fold_outcome naiveFold(naive_state& state, std::uint64_t offset, const std::string& text)
+{
+    const json record = json::parse(text, nullptr, false);
+    if (!record.is_object() || !record.contains("id"))
+        return fold_outcome::Malformed;
+    if (!state.ids.insert(record.at("id")).second)
+        return fold_outcome::Duplicate;
+    const std::string kind = record.at("kind");
+    const json& body = record.at("body");
+    bool accepted = kind == "snapshot";
+    if (kind == "change")
+        accepted = applyChange(state, offset, body);
+    else if (kind == "epoch")
+        accepted = applyEpoch(state, offset, body);
+    else if (kind == "lease")
+        accepted = applyLease(state, offset, body);
+    else if (!accepted)
+        return fold_outcome::UnknownKind;
+    return accepted ? fold_outcome::Accepted : fold_outcome::Rejected;
+}
+
+naive_state naiveForm(const fleet_state& state)
+{
+    naive_state result;
+    result.revision = state.revision;
+    for (const declared_object& object : listObjects(state)) {
+        const object_ref ref = refOf(object.value);
+        result.objects[{ std::string(nameOf(ref.kind)), ref.name }] = formatObject(object, newestSchema);
+    }
+    result.epoch = state.epoch.number;
+    result.members = { state.epoch.members.begin(), state.epoch.members.end() };
+    for (const auto& [duty, grant] : state.leases)
+        result.leases[duty] = { grant.holder, grant.fence };
+    return result;
+}
+
+} // namespace sagesaddle::testing
