--- /dev/null
+++ b/Tests/Failure/drain_tests.cpp
@@ -0,0 +1,85 @@
+#include "Support/calls.h"
+#include "Support/fleet.h"
+#include "Support/until.h"
+
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace sagesaddle;
+using namespace sagesaddle::testing;
+
+namespace {
+
+constexpr std::size_t streams = 8;
+constexpr seconds leavingBound { 4 };
+
+const chat_call slowStream { .model = "model-1", .tokens = 30, .stream = true };
+
+std::vector<std::future<http_response>> startStreams(fleet& fleet)
+{
+    setFaults(fleet.engine(0).listen, { { "tokens_per_second", 20 } });
+    std::vector<std::future<http_response>> answers;
+    for (std::size_t i = 0; i < streams; ++i)
+        answers.push_back(std::async(std::launch::async,
+            [&fleet] { return chat(fleet.entry(0).listen, "walkin", slowStream); }));
+    REQUIRE(until([&] {
+        return getJson(fleet.engine(0).listen, "/admin/stats").at("running") == streams;
+    }));
+    return answers;
+}
+
+void checkWhole(std::vector<std::future<http_response>>& answers)
+{
+    for (auto& answer : answers)
+        CHECK(textOf(answer.get()) == expectedText(slowStream));
+}
+
+std::uint64_t runsOf(const fleet_member& engine)
+{
+    return getJson(engine.listen, "/admin/stats").at("by_team").value("walkin", 0);
+}
+
+} // namespace
+
+TEST_CASE("drain: an entry that is stopped finishes its streams")
+{
+    fleet fleet({ .engines = 1, .services = 0 });
+    auto answers = startStreams(fleet);
+    fleet.entry(0).process->terminate();
+    CHECK(until([&] { return statusOf(fleet.entry(0).admin, "/readyz") == 503; }));
+    checkWhole(answers);
+    CHECK(fleet.entry(0).process->waitFor(generousBound) == 0);
+}
+
+TEST_CASE("drain: a side that is stopped finishes its streams")
+{
+    fleet fleet({ .engines = 1, .services = 0 });
+    auto answers = startStreams(fleet);
+    fleet.engineSide(0).process->terminate();
+    checkWhole(answers);
+    CHECK(fleet.engineSide(0).process->waitFor(generousBound) == 0);
+}
+
+TEST_CASE("drain: a leaving upstream gets nothing new, though the list repeats an older state")
+{
+    fleet fleet({ .engines = 2, .services = 0 });
+    http_request list;
+    list.method = "POST";
+    list.server = fleet.hosts().listen;
+    list.target = "/admin/hosts";
+    list.body = R"({"hosts":[{"name":"engine-1","state":"live"},{"name":"engine-2","state":"live"}]})";
+    REQUIRE(send(list, "").status == 200);
+    setFaults(fleet.hosts().listen, { { "repeat_old", true } });
+    list.body = R"({"hosts":[{"name":"engine-1","state":"leaving"},{"name":"engine-2","state":"live"}]})";
+    REQUIRE(send(list, "").status == 200);
+
+    const auto start = std::chrono::steady_clock::now();
+    REQUIRE(until([&] {
+        chat(fleet.entry(0).listen, "walkin", { .model = "shared" });
+        return std::chrono::steady_clock::now() - start > leavingBound;
+    }));
+    const std::uint64_t before = runsOf(fleet.engine(0));
+    for (int i = 0; i < 60; ++i)
+        CHECK(chat(fleet.entry(static_cast<std::size_t>(i) % 2).listen, "walkin", {}).status == 200);
+    CHECK(runsOf(fleet.engine(0)) == before);
+}
--- a/Tests/Fakes/fake_service.cpp
+++ b/Tests/Fakes/fake_service.cpp
@@ -26,7 +26,7 @@
 
 void fake_service::handle(http_call& call)
 {
-    if (call.path() == "/admin/executions")
+    if (call.path() == "/admin/executions" || call.path() == "/admin/stats")
         return respondJson(call, 200, executions());
     if (call.path() == "/admin/faults") {
         setFaults(readJson(call));
--- /dev/null
+++ b/Tests/Support/fleet.cpp
@@ -0,0 +1,238 @@
+#include "Support/fleet.h"
+
+#include "Support/calls.h"
+#include "Support/free_port.h"
+#include "Support/until.h"
+
+#include <stdexcept>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr int startTries = 5;
+constexpr std::uint64_t modelMemoryMb = 100;
+constexpr std::uint32_t upstreamSlots = 16;
+constexpr milliseconds startBound { 20000 };
+constexpr milliseconds commandBound { 30000 };
+const std::string probeTeam = "probe";
+
+std::string program(const std::string& name)
+{
+    return std::string(SAGESADDLE_BIN) + "/" + name;
+}
+
+std::string zoneOf(std::size_t index)
+{
+    return std::string(1, static_cast<char>('a' + index % 3));
+}
+
+std::string numbered(const std::string& name, std::size_t index)
+{
+    return name + "-" + std::to_string(index + 1);
+}
+
+bool isReady(const address& admin)
+{
+    return statusOf(admin, "/readyz") == 200;
+}
+
+fleet_member makeFake(const std::string& name, const std::string& fake)
+{
+    const address listen = freeAddress();
+    return { name, { program(fake), "--listen", formatAddress(listen) }, listen, listen, nullptr };
+}
+
+} // namespace
+
+fleet::fleet(fleet_plan plan)
+    : m_plan(std::move(plan))
+{
+    for (int attempt = 0;; ++attempt) {
+        choosePorts();
+        makeRecords();
+        if (startAll())
+            break;
+        stopAll();
+        if (attempt == startTries)
+            throw std::runtime_error("the fleet does not start; its logs say: " + m_commandOutput);
+    }
+    if (apply() != 0)
+        throw std::runtime_error("the records are not applied: " + m_commandOutput);
+    awaitReady();
+}
+
+void fleet::choosePorts()
+{
+    m_log = makeFake("log", "fake-log");
+    m_entryLogs.clear();
+    m_entryPeers.clear();
+    for (std::vector<fleet_member>* list :
+        { &m_engines, &m_services, &m_entries, &m_engineSides, &m_serviceSides })
+        list->clear();
+    for (std::size_t i = 0; i < m_plan.entries; ++i) {
+        m_entryLogs.push_back(freeAddress());
+        m_entryPeers.push_back(freeAddress());
+        m_log.command.insert(m_log.command.end(), { "--listen", formatAddress(m_entryLogs.back()) });
+    }
+    m_hosts = makeFake("hosts", "fake-hosts");
+    for (std::size_t i = 0; i < m_plan.engines; ++i) {
+        fleet_member engine = makeFake(numbered("fake-engine", i), "fake-engine");
+        engine.command.insert(engine.command.end(),
+            { "--memory-mb", std::to_string(m_plan.engineMemoryMb), "--check-fencing",
+                m_plan.checksFencing ? "yes" : "no" });
+        engine.command.insert(
+            engine.command.end(), m_plan.engineOptions.begin(), m_plan.engineOptions.end());
+        m_engineSides.push_back(makeSide(numbered("engine", i), engine.listen));
+        m_engines.push_back(std::move(engine));
+    }
+    for (std::size_t i = 0; i < m_plan.services; ++i) {
+        m_services.push_back(makeFake(numbered("fake-service", i), "fake-service"));
+        m_serviceSides.push_back(makeSide(numbered("ledger", i), m_services.back().listen));
+    }
+    for (std::size_t i = 0; i < m_plan.entries; ++i)
+        m_entries.push_back(makeEntry(i));
+}
+
+fleet_member fleet::makeEntry(std::size_t index)
+{
+    fleet_member member;
+    member.name = numbered("entry", index);
+    member.listen = freeAddress();
+    member.admin = freeAddress();
+    const auto settings = folder() / (member.name + ".toml");
+    writeFile(settings,
+        "[process]\nname = \"" + member.name + "\"\nregion = \"north\"\nzone = \"" + zoneOf(index)
+            + "\"\n[callers]\nlisten = \"" + formatAddress(member.listen) + "\"\n[admin]\nlisten = \""
+            + formatAddress(member.admin) + "\"\n[peers]\nlisten = \"" + formatAddress(m_entryPeers[index])
+            + "\"\n[log]\naddress = \"" + formatAddress(m_entryLogs[index]) + "\"\n[hosts]\naddress = \""
+            + formatAddress(m_hosts.listen) + "\"\n" + m_plan.entrySettings);
+    member.command = { program("sagesaddle-entry"), "--config", settings.string() };
+    return member;
+}
+
+fleet_member fleet::makeSide(const std::string& name, const address& target)
+{
+    fleet_member member;
+    member.name = name;
+    member.listen = freeAddress();
+    member.admin = freeAddress();
+    const auto settings = folder() / (name + ".toml");
+    writeFile(settings,
+        "[process]\nname = \"" + name + "\"\n[frames]\nlisten = \"" + formatAddress(member.listen)
+            + "\"\n[target]\naddress = \"" + formatAddress(target) + "\"\n[admin]\nlisten = \""
+            + formatAddress(member.admin) + "\"\n[log]\naddress = \"" + formatAddress(m_log.listen)
+            + "\"\n");
+    member.command = { program("sagesaddle-side"), "--config", settings.string() };
+    return member;
+}
+
+void fleet::makeRecords()
+{
+    m_records = {};
+    m_records.addTeam(probeTeam, 1000000, 1000000);
+    for (const char* name : { "walkin", "dealer" })
+        m_records.addTeam(name, m_plan.teamRate, m_plan.teamBurst);
+    m_records.models.push_back({ "shared", modelMemoryMb, "" });
+    for (std::size_t i = 0; i < m_plan.engines; ++i) {
+        const std::string name = m_engineSides[i].name;
+        m_records.upstreams.push_back({ name, upstream_kind::Engine, "north", zoneOf(i), m_engineSides[i].listen,
+            m_engines[i].listen, "", m_plan.engineMemoryMb, upstreamSlots, m_plan.checksFencing, false });
+        m_records.models.push_back({ numbered("model", i), modelMemoryMb, "" });
+        m_records.placements.push_back({ numbered("model", i), name, true });
+        m_records.placements.push_back({ "shared", name, true });
+    }
+    for (std::size_t i = 0; i < m_plan.services; ++i)
+        m_records.upstreams.push_back({ m_serviceSides[i].name, upstream_kind::Service, "north", zoneOf(i),
+            m_serviceSides[i].listen, m_services[i].listen, "ledger", 0, upstreamSlots, false, false });
+    m_records.routes.push_back({ "/orders", "ledger", false, false });
+    m_records.routes.push_back({ "/stock", "ledger", false, true });
+    for (std::size_t i = 0; i < m_plan.entries; ++i)
+        m_records.entries.push_back(
+            { m_entries[i].name, "north", zoneOf(i), m_entryPeers[i], m_entries[i].admin });
+}
+
+void fleet::forEachMember(const std::function<void(fleet_member&)>& visit)
+{
+    visit(m_log);
+    visit(m_hosts);
+    for (std::vector<fleet_member>* list :
+        { &m_engines, &m_services, &m_entries, &m_engineSides, &m_serviceSides }) {
+        for (fleet_member& member : *list)
+            visit(member);
+    }
+}
+
+bool fleet::startAll()
+{
+    bool started = true;
+    forEachMember([&](fleet_member& member) { started = started && startMember(member); });
+    return started;
+}
+
+bool fleet::startMember(fleet_member& member)
+{
+    member.process = std::make_unique<child_process>(member.command, folder() / (member.name + ".log"));
+    const bool listening = until(
+        [&] { return !member.process->isRunning() || statusOf(member.admin, "/admin/stats") != 0; }, startBound);
+    if (listening && member.process->isRunning())
+        return true;
+    m_commandOutput = member.process->output();
+    return false;
+}
+
+void fleet::stopAll()
+{
+    forEachMember([](fleet_member& member) { member.process.reset(); });
+}
+
+void fleet::restart(fleet_member& member)
+{
+    member.process.reset();
+    if (!startMember(member))
+        throw std::runtime_error(member.name + " does not start again: " + m_commandOutput);
+}
+
+void fleet::awaitReady()
+{
+    forEachMember([&](fleet_member& member) {
+        const bool isDaemon = member.listen != member.admin;
+        if (isDaemon && !until([&] { return isReady(member.admin); }))
+            throw std::runtime_error(member.name + " is not ready: " + member.process->output());
+    });
+    for (const fleet_member& entry : m_entries) {
+        for (const model& wanted : m_records.models) {
+            http_response last;
+            const auto answers = [&] {
+                last = chat(entry.listen, probeTeam, { .model = wanted.name });
+                return last.status == 200;
+            };
+            if (!until(answers))
+                throw std::runtime_error(
+                    wanted.name + " does not answer at " + entry.name + ": " + last.body);
+        }
+    }
+}
+
+int fleet::apply(const std::vector<std::string>& options)
+{
+    const auto records = folder() / "records";
+    std::filesystem::create_directories(records);
+    writeFile(records / "fleet.toml", formatToml(m_records));
+    std::vector<std::string> arguments { "apply", records.string(), "--log", formatAddress(m_log.listen),
+        "--operator", "tester" };
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    return command(arguments);
+}
+
+int fleet::command(const std::vector<std::string>& arguments)
+{
+    std::vector<std::string> words { program("sagesaddle") };
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    child_process process(words, folder() / ("command-" + std::to_string(++m_commands) + ".log"));
+    const auto code = process.waitFor(commandBound);
+    m_commandOutput = process.output();
+    return code.value_or(-1);
+}
+
+} // namespace sagesaddle::testing
