--- a/Tests/Failure/drain_tests.cpp
+++ b/Tests/Failure/drain_tests.cpp
@@ -20,11 +20,9 @@
     setFaults(fleet.engine(0).listen, { { "tokens_per_second", 20 } });
     std::vector<std::future<http_response>> answers;
     for (std::size_t i = 0; i < streams; ++i)
-        answers.push_back(std::async(std::launch::async,
-            [&fleet] { return chat(fleet.entry(0).listen, "walkin", slowStream); }));
-    REQUIRE(until([&] {
-        return getJson(fleet.engine(0).listen, "/admin/stats").at("running") == streams;
-    }));
+        answers.push_back(std::async(
+            std::launch::async, [&fleet] { return chat(fleet.entry(0).listen, "walkin", slowStream); }));
+    REQUIRE(until([&] { return getJson(fleet.engine(0).listen, "/admin/stats").at("running") == streams; }));
     return answers;
 }
 
--- a/Tests/Failure/key_tests.cpp
+++ b/Tests/Failure/key_tests.cpp
@@ -40,8 +40,7 @@
 {
     const std::string key = "Bearer " + secretOf("walkin");
     using header = std::pair<std::string, std::string>;
-    for (const std::vector<header>& headers : std::vector<std::vector<header>> {
-             { { "AUTHORIZATION", key } },
+    for (const std::vector<header>& headers : std::vector<std::vector<header>> { { { "AUTHORIZATION", key } },
              { { "Authorization", key }, { "authorization", key } },
              { { "Authorization", key }, { "Proxy-Authorization", key } },
              { { "aUtHoRiZaTiOn", key }, { "Authorization", "Bearer " + secretOf("dealer") } },
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -35,8 +35,7 @@
     constexpr int flags = O_WRONLY | O_CREAT | O_APPEND;
     throwOnError(posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_output.c_str(), flags, 0600),
         m_output.string());
-    throwOnError(
-        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO), m_output.string());
+    throwOnError(posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO), m_output.string());
     std::vector<char*> arguments;
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -81,8 +81,7 @@
         engine.command.insert(engine.command.end(),
             { "--memory-mb", std::to_string(m_plan.engineMemoryMb), "--check-fencing",
                 m_plan.checksFencing ? "yes" : "no" });
-        engine.command.insert(
-            engine.command.end(), m_plan.engineOptions.begin(), m_plan.engineOptions.end());
+        engine.command.insert(engine.command.end(), m_plan.engineOptions.begin(), m_plan.engineOptions.end());
         m_engineSides.push_back(makeSide(numbered("engine", i), engine.listen));
         m_engines.push_back(std::move(engine));
     }
@@ -121,8 +120,7 @@
     writeFile(settings,
         "[process]\nname = \"" + name + "\"\n[frames]\nlisten = \"" + formatAddress(member.listen)
             + "\"\n[target]\naddress = \"" + formatAddress(target) + "\"\n[admin]\nlisten = \""
-            + formatAddress(member.admin) + "\"\n[log]\naddress = \"" + formatAddress(m_log.listen)
-            + "\"\n");
+            + formatAddress(member.admin) + "\"\n[log]\naddress = \"" + formatAddress(m_log.listen) + "\"\n");
     member.command = { program("sagesaddle-side"), "--config", settings.string() };
     return member;
 }
@@ -136,8 +134,9 @@
     m_records.models.push_back({ "shared", modelMemoryMb, "" });
     for (std::size_t i = 0; i < m_plan.engines; ++i) {
         const std::string name = m_engineSides[i].name;
-        m_records.upstreams.push_back({ name, upstream_kind::Engine, "north", zoneOf(i), m_engineSides[i].listen,
-            m_engines[i].listen, "", m_plan.engineMemoryMb, upstreamSlots, m_plan.checksFencing, false });
+        m_records.upstreams.push_back(
+            { name, upstream_kind::Engine, "north", zoneOf(i), m_engineSides[i].listen, m_engines[i].listen,
+                "", m_plan.engineMemoryMb, upstreamSlots, m_plan.checksFencing, false });
         m_records.models.push_back({ numbered("model", i), modelMemoryMb, "" });
         m_records.placements.push_back({ numbered("model", i), name, true });
         m_records.placements.push_back({ "shared", name, true });
@@ -173,8 +172,9 @@
 bool fleet::startMember(fleet_member& member)
 {
     member.process = std::make_unique<child_process>(member.command, folder() / (member.name + ".log"));
-    const bool listening = until(
-        [&] { return !member.process->isRunning() || statusOf(member.admin, "/admin/stats") != 0; }, startBound);
+    const bool listening
+        = until([&] { return !member.process->isRunning() || statusOf(member.admin, "/admin/stats") != 0; },
+            startBound);
     if (listening && member.process->isRunning())
         return true;
     m_commandOutput = member.process->output();
