--- a/Tests/Failure/key_tests.cpp
+++ b/Tests/Failure/key_tests.cpp
@@ -66,7 +66,7 @@
     const auto start = std::chrono::steady_clock::now();
     auto firstRefusal = std::async(std::launch::async, [&] { return first.awaitRefusal(); });
     auto secondRefusal = std::async(std::launch::async, [&] { return second.awaitRefusal(); });
-    CHECK(fleet.apply() == 0);
+    CHECK(fleet.apply().exitCode == 0);
     CHECK(firstRefusal.get() - start <= withdrawalBound);
     CHECK(secondRefusal.get() - start <= withdrawalBound);
     CHECK(problemMember(first.call(), "verdict") == "not_run");
@@ -93,7 +93,7 @@
         });
         return last;
     });
-    CHECK(fleet.apply() == 0);
+    CHECK(fleet.apply().exitCode == 0);
     setFaults(fleet.log().listen, { { "away", true } });
     CHECK(lastAnswer.get() - start <= withdrawalBound);
     CHECK(cut.call().status == 401);
--- a/Tests/Fakes/fake_engine.cpp
+++ b/Tests/Fakes/fake_engine.cpp
@@ -123,6 +123,7 @@
         const std::lock_guard lock(m_mutex);
         noteArrival(call);
         ++m_byModelAndTeam[asked.model][firstOf(call, "X-Sagesaddle-Team")];
+        m_tokensByTeam[firstOf(call, "X-Sagesaddle-Team")] += asked.promptTokens + asked.answerTokens;
     }
     waitForSlot(asked.batchPriority);
     const scope_guard release([this] { releaseSlot(); });
@@ -264,9 +265,10 @@
 {
     nlohmann::json document = m_memory.stats();
     const std::lock_guard lock(m_mutex);
-    document.update({ { "by_team", m_byTeam }, { "by_request", m_byRequest },
-        { "by_model_and_team", m_byModelAndTeam }, { "headers", m_headers.document() },
-        { "running", m_running }, { "completed", m_completed }, { "cancelled", m_cancelled } });
+    document.update(
+        { { "by_team", m_byTeam }, { "by_request", m_byRequest }, { "by_model_and_team", m_byModelAndTeam },
+            { "tokens_by_team", m_tokensByTeam }, { "headers", m_headers.document() },
+            { "running", m_running }, { "completed", m_completed }, { "cancelled", m_cancelled } });
     return document;
 }
 
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -55,10 +55,10 @@
             break;
         stopAll();
         if (attempt == startTries)
-            throw std::runtime_error("the fleet does not start; its logs say: " + m_commandOutput);
+            throw std::runtime_error("the fleet does not start; its logs say: " + m_startFailure);
     }
-    if (apply() != 0)
-        throw std::runtime_error("the records are not applied: " + m_commandOutput);
+    if (const command_result applied = apply(); applied.exitCode != 0)
+        throw std::runtime_error("the records are not applied: " + applied.output);
     awaitReady();
 }
 
@@ -93,6 +93,16 @@
         m_entries.push_back(makeEntry(i));
 }
 
+std::string fleet::seedsOf(std::size_t index) const
+{
+    std::string seeds;
+    for (std::size_t i = 0; i < m_entryPeers.size(); ++i) {
+        if (i != index)
+            seeds += (seeds.empty() ? "\"" : ", \"") + formatAddress(m_entryPeers[i]) + '"';
+    }
+    return seeds;
+}
+
 fleet_member fleet::makeEntry(std::size_t index)
 {
     fleet_member member;
@@ -177,7 +187,7 @@
             startBound);
     if (listening && member.process->isRunning())
         return true;
-    m_commandOutput = member.process->output();
+    m_startFailure = member.process->output();
     return false;
 }
 
@@ -190,7 +200,7 @@
 {
     member.process.reset();
     if (!startMember(member))
-        throw std::runtime_error(member.name + " does not start again: " + m_commandOutput);
+        throw std::runtime_error(member.name + " does not start again: " + m_startFailure);
 }
 
 void fleet::awaitReady()
@@ -214,25 +224,25 @@
     }
 }
 
-int fleet::apply(const std::vector<std::string>& options)
+command_result fleet::apply(
+    const fleet_records& records, const std::string& operatorName, const std::vector<std::string>& options)
 {
-    const auto records = folder() / "records";
-    std::filesystem::create_directories(records);
-    writeFile(records / "fleet.toml", formatToml(m_records));
-    std::vector<std::string> arguments { "apply", records.string(), "--log", formatAddress(m_log.listen),
-        "--operator", "tester" };
+    const auto target = folder() / ("records-" + std::to_string(++m_commands));
+    std::filesystem::create_directories(target);
+    writeFile(target / "fleet.toml", formatToml(records));
+    std::vector<std::string> arguments { "apply", target.string(), "--log", formatAddress(m_log.listen),
+        "--operator", operatorName };
     arguments.insert(arguments.end(), options.begin(), options.end());
     return command(arguments);
 }
 
-int fleet::command(const std::vector<std::string>& arguments)
+command_result fleet::command(const std::vector<std::string>& arguments)
 {
     std::vector<std::string> words { program("sagesaddle") };
     words.insert(words.end(), arguments.begin(), arguments.end());
     child_process process(words, folder() / ("command-" + std::to_string(++m_commands) + ".log"));
     const auto code = process.waitFor(commandBound);
-    m_commandOutput = process.output();
-    return code.value_or(-1);
+    return { code.value_or(-1), process.output() };
 }
 
 } // namespace sagesaddle::testing
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -5,8 +5,9 @@
 #include "Support/fleet_records.h"
 #include "Support/temp_folder.h"
 
+#include <atomic>
+#include <functional>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,12 @@
     std::vector<std::string> engineOptions;
 };
 
+/// \brief What a run of the `sagesaddle` program gave.
+struct command_result {
+    int exitCode { 0 };
+    std::string output;
+};
+
 /// \brief One process of a fleet, that can be started again at the same addresses.
 struct fleet_member {
     std::string name;
@@ -59,13 +66,12 @@
 
     fleet_records& records() { return m_records; }
 
-    /// Puts the records into the log with the `sagesaddle` program.
-    /// \return its exit code
-    int apply(const std::vector<std::string>& options = {});
-    /// Runs the `sagesaddle` program.
-    /// \return its exit code; its output is in `commandOutput()`
-    int command(const std::vector<std::string>& arguments);
-    const std::string& commandOutput() const { return m_commandOutput; }
+    /// Puts the records into the log with the `sagesaddle` program; safe from any thread.
+    command_result apply(const fleet_records& records, const std::string& operatorName = "tester",
+        const std::vector<std::string>& options = {});
+    command_result apply() { return apply(m_records); }
+    /// Runs the `sagesaddle` program; safe from any thread.
+    command_result command(const std::vector<std::string>& arguments);
 
     void restart(fleet_member& member);
     const std::filesystem::path& folder() const { return m_folder.path(); }
@@ -77,6 +83,8 @@
     bool startMember(fleet_member& member);
     void stopAll();
     void awaitReady();
+    /// \return the peer addresses of the other entries, as a TOML list without its brackets.
+    std::string seedsOf(std::size_t index) const;
     fleet_member makeEntry(std::size_t index);
     fleet_member makeSide(const std::string& name, const address& target);
     void forEachMember(const std::function<void(fleet_member&)>& visit);
@@ -93,8 +101,8 @@
     std::vector<fleet_member> m_entries;
     std::vector<fleet_member> m_engineSides;
     std::vector<fleet_member> m_serviceSides;
-    std::string m_commandOutput;
-    std::size_t m_commands { 0 };
+    std::string m_startFailure;
+    std::atomic<int> m_commands { 0 };
 };
 
 } // namespace sagesaddle::testing
--- /dev/null
+++ b/Tests/Support/rate_run.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Base/clock.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sagesaddle::testing {
+
+/// \brief Tokens of a chat request of a rate test, as the engine counts them.
+struct chat_call_size {
+    std::uint32_t prompt { 2 };
+    std::uint32_t answer { 18 };
+};
+
+/// \brief What became of the requests of a rate test.
+struct rate_report {
+    std::uint64_t admitted { 0 };
+    std::uint64_t refusedForRate { 0 };
+    std::uint64_t refusedOtherwise { 0 };
+    std::uint64_t unanswered { 0 };
+};
+
+/// \brief Callers of one team that send all the time, and the account of what they got.
+class rate_run {
+public:
+    struct options {
+        std::vector<address> entries;
+        std::string team;
+        chat_call_size size;
+        std::size_t callers { 1 };
+        /// Requests of ten that go to the first entry, the others to the second.
+        std::size_t firstOfTen { 5 };
+        /// Time between a caller's requests.
+        milliseconds pause { 10 };
+    };
+
+    explicit rate_run(options given);
+
+    /// Lets the callers go on for that long.
+    void waitFor(milliseconds length);
+    void stopAfter(milliseconds length);
+
+    rate_report report() const;
+
+    /// \return the time since the first request.
+    monotonic_span length() const { return std::chrono::steady_clock::now() - m_start; }
+
+    /// \return by how many tokens, at most, the use within any window of the run exceeds `burst + rate ×
+    /// window`:
+    ///         a request counts in each window that holds both its start and its end.
+    double worstExcess(double rate, double burst) const;
+
+private:
+    struct sample {
+        monotonic_time sent;
+        monotonic_time done;
+    };
+
+    void callAllTheTime(std::size_t number, const std::stop_token& stop);
+    void callOnce(const address& entry);
+
+    options m_options;
+    const monotonic_time m_start { std::chrono::steady_clock::now() };
+    mutable std::mutex m_mutex;
+    std::vector<sample> m_admitted;
+    rate_report m_report;
+    std::vector<std::jthread> m_callers;
+};
+
+} // namespace sagesaddle::testing
--- a/Utilities/path.sh
+++ b/Utilities/path.sh
@@ -70,7 +70,7 @@
     kill -0 "$pid" 2> /dev/null
 }
 
-entry_settings() { # NAME ZONE LISTEN ADMIN PEER
+entry_settings() { # NAME ZONE LISTEN ADMIN PEER OTHER_PEER
     cat << END
 [process]
 name = "$1"
@@ -83,6 +83,7 @@
 listen = "$4"
 [peers]
 listen = "$5"
+seeds = ["$6"]
 [log]
 address = "$log"
 [hosts]
@@ -219,8 +220,8 @@
 
 start_path() {
     choose_ports
-    entry_settings entry-a a "$entry1" "$entry1_admin" "$entry1_peer" > "$work/entry-a.toml"
-    entry_settings entry-b b "$entry2" "$entry2_admin" "$entry2_peer" > "$work/entry-b.toml"
+    entry_settings entry-a a "$entry1" "$entry1_admin" "$entry1_peer" "$entry2_peer" > "$work/entry-a.toml"
+    entry_settings entry-b b "$entry2" "$entry2_admin" "$entry2_peer" "$entry1_peer" > "$work/entry-b.toml"
     side_settings drafting-1 "$side1" "$engine1" "$side1_admin" > "$work/drafting-1.toml"
     side_settings drafting-2 "$side2" "$engine2" "$side2_admin" > "$work/drafting-2.toml"
     side_settings ledger-1 "$side3" "$ledger" "$side3_admin" > "$work/ledger-1.toml"
