--- a/Source/Record/fold.cpp
+++ b/Source/Record/fold.cpp
@@ -47,6 +47,9 @@
     for (const std::string& member : epoch.members)
         if (!state.entries.contains(member))
             return "\"" + member + "\" is no entry";
+    state.pastEpochs.push_back(std::move(state.epoch));
+    if (state.pastEpochs.size() > maxPastEpochs)
+        state.pastEpochs.erase(state.pastEpochs.begin());
     state.epoch = { offset, epoch.members };
     return {};
 }
--- a/Source/Record/state_json.cpp
+++ b/Source/Record/state_json.cpp
@@ -43,11 +43,26 @@
     }
 }
 
-void parseEpoch(const json& fields, fleet_state& state)
+json formatEpoch(const membership_epoch& epoch)
+{
+    return { { "number", epoch.number }, { "members", epoch.members } };
+}
+
+json formatPastEpochs(const fleet_state& state)
+{
+    json list = json::array();
+    for (const membership_epoch& epoch : state.pastEpochs)
+        list.push_back(formatEpoch(epoch));
+    return list;
+}
+
+membership_epoch parseEpoch(const json& fields)
 {
     field_reader reader(fields, "snapshot.epoch", newestSchema);
-    state.epoch.number = reader.integer("number", 0, mostOffset);
-    state.epoch.members = reader.value("members").get<std::vector<std::string>>();
+    membership_epoch epoch;
+    epoch.number = reader.integer("number", 0, mostOffset);
+    epoch.members = reader.value("members").get<std::vector<std::string>>();
+    return epoch;
 }
 
 void parseLeases(const json& leases, fleet_state& state)
@@ -69,7 +84,10 @@
     state.revision = reader.integer("revision", 0, mostOffset);
     const auto schema = static_cast<std::uint32_t>(reader.integer("schema", 1, UINT32_MAX));
     parseObjects(reader.value("objects"), schema, state);
-    parseEpoch(reader.value("epoch"), state);
+    state.epoch = parseEpoch(reader.value("epoch"));
+    if (reader.has("past_epochs"))
+        for (const json& epoch : reader.value("past_epochs"))
+            state.pastEpochs.push_back(parseEpoch(epoch));
     parseLeases(reader.value("leases"), state);
     state.recentIds = reader.value("recent_ids").get<std::map<std::string, std::uint64_t>>();
     return state;
@@ -81,9 +99,9 @@
 {
     const std::uint32_t schema = state.unknownFields.empty() ? newestSchema : newestSchema + 1;
     return { { "next_offset", state.nextOffset }, { "revision", state.revision }, { "schema", schema },
-        { "objects", formatObjects(state) },
-        { "epoch", { { "number", state.epoch.number }, { "members", state.epoch.members } } },
-        { "leases", formatLeases(state) }, { "recent_ids", state.recentIds } };
+        { "objects", formatObjects(state) }, { "epoch", formatEpoch(state.epoch) },
+        { "past_epochs", formatPastEpochs(state) }, { "leases", formatLeases(state) },
+        { "recent_ids", state.recentIds } };
 }
 
 fleet_state parseStateJson(const json& document)
