--- a/Source/Limit/rate_member.cpp
+++ b/Source/Limit/rate_member.cpp
@@ -21,16 +21,6 @@
 constexpr std::uint32_t holderAwayRetryMs = 250;
 constexpr double longestRetryMs = 86'400'000;
 
-double shareRate(const team& record)
-{
-    return record.rateTokensPerSecond / sharesPerTeam;
-}
-
-token_count shareBurst(const team& record)
-{
-    return static_cast<token_count>(std::max(record.burstTokens, 0.0)) / sharesPerTeam;
-}
-
 double decayed(double value, monotonic_time since, monotonic_time now)
 {
     const double elapsed = std::chrono::duration<double>(now - since).count();
@@ -45,11 +35,27 @@
 } // namespace
 
 rate_member::rate_member(std::string self, std::uint64_t firstAskId)
+    : rate_member(std::move(self), firstAskId, division {})
+{
+}
+
+rate_member::rate_member(std::string self, std::uint64_t firstAskId, division divided)
     : m_self(std::move(self))
+    , m_division(divided)
     , m_nextAskId(firstAskId)
 {
 }
 
+double rate_member::shareRate(const team& record) const
+{
+    return record.rateTokensPerSecond / m_division.shares;
+}
+
+token_count rate_member::shareBurst(const team& record) const
+{
+    return static_cast<token_count>(std::max(record.burstTokens, 0.0)) / m_division.shares;
+}
+
 rate_member::team_state* rate_member::find(const std::string& team)
 {
     const auto found = m_teams.find(team);
@@ -109,7 +115,7 @@
 bool rate_member::continues(const std::string& team, const team_share& share, const epoch_list& passed) const
 {
     return std::all_of(passed.begin(), passed.end(), [&](const membership_epoch* epoch) {
-        const auto shares = sharesOf(team, epoch->members);
+        const auto shares = sharesOf(team, epoch->members, m_division.shares);
         return std::find(shares.begin(), shares.end(), share) != shares.end();
     });
 }
@@ -122,7 +128,7 @@
     });
     const bool createdInEpoch = isNew && passed && passed->empty();
     std::vector<share_state> carried;
-    for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members)) {
+    for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members, m_division.shares)) {
         const auto old = std::find_if(value.shares.begin(), value.shares.end(),
             [&](const share_state& candidate) { return candidate.share == share; });
         if (old == value.shares.end() || !passed || !continues(value.record.name, share, *passed)) {
@@ -154,7 +160,7 @@
         openAccount(opened);
         return opened;
     }
-    const tenure_start tenure = tenureOf(value.record.name, share, *m_state);
+    const tenure_start tenure = tenureOf(value.record.name, share, *m_state, m_division.shares);
     if (tenure.epoch == 0 || tenure.epoch < m_bornAt)
         return opened;
     const token_count burst = shareBurst(value.record);
@@ -249,7 +255,7 @@
     team_state* value = find(team);
     if (!value || value->withdrawn)
         return { false, "rate_holder_away", holderAwayRetryMs };
-    if (tokens > shareBurst(value->record) * sharesPerTeam)
+    if (tokens > shareBurst(value->record) * m_division.shares)
         return { false, "request_over_burst", 0 };
     writeOffDue(now);
     expireAsks(*value, now);
@@ -291,6 +297,8 @@
 std::vector<rate_member::share_state*> rate_member::askable(team_state& value, monotonic_time now)
 {
     std::vector<share_state*> shares;
+    if (!m_division.asks)
+        return shares;
     const std::size_t count = value.shares.size();
     const std::size_t first = count == 0 ? 0 : std::hash<std::string> {}(m_self + value.record.name) % count;
     for (std::size_t step = 0; step < count; ++step) {
--- a/Source/Limit/rate_member.h
+++ b/Source/Limit/rate_member.h
@@ -35,9 +35,17 @@
 /// \brief An entry's part in the team rates: the shares it holds and its credit from others; pure.
 class rate_member {
 public:
+    /// \brief How rates are divided; products use the defaults, the measuring tool compares others.
+    struct division {
+        std::uint32_t shares { sharesPerTeam };
+        /// Whether credit is asked of other holders.
+        bool asks { true };
+    };
+
     /// \param self name of this entry in the records
     /// \param firstAskId a number that no earlier process of this name has come near
     rate_member(std::string self, std::uint64_t firstAskId);
+    rate_member(std::string self, std::uint64_t firstAskId, division divided);
 
     /// Takes in a newer state; an older one is ignored.
     void update(fleet_state_ptr state, monotonic_time now);
@@ -134,7 +142,11 @@
         team_state& value, share_state& share, std::vector<addressed_ask>& asks, monotonic_time now);
     std::string refusalFor(const credit_ask& ask, const share_state* share, monotonic_time now) const;
 
+    double shareRate(const team& record) const;
+    token_count shareBurst(const team& record) const;
+
     std::string m_self;
+    division m_division;
     std::uint64_t m_nextAskId;
     fleet_state_ptr m_state;
     /// Offset from which on this process has learned every record itself.
--- a/Source/Limit/share_tenure.cpp
+++ b/Source/Limit/share_tenure.cpp
@@ -42,20 +42,21 @@
 
 } // namespace
 
-std::vector<team_share> sharesOf(const std::string& team, const std::vector<std::string>& members)
+std::vector<team_share> sharesOf(
+    const std::string& team, const std::vector<std::string>& members, std::uint32_t shares)
 {
     std::vector<ranked_member> ranked;
     ranked.reserve(members.size());
     const std::uint64_t seed = hashOf(team, 0);
     for (const std::string& name : members)
         ranked.push_back({ hashOf(name, seed), &name });
-    const std::size_t holders = std::min<std::size_t>(members.size(), sharesPerTeam);
+    const std::size_t holders = std::min<std::size_t>(members.size(), shares);
     std::partial_sort(
         ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(holders), ranked.end(), outranks);
-    std::vector<team_share> shares;
-    for (std::uint32_t share = 0; share < sharesPerTeam && holders > 0; ++share)
-        shares.push_back({ *ranked[share % holders].name, static_cast<std::uint32_t>(share / holders) });
-    return shares;
+    std::vector<team_share> handedOut;
+    for (std::uint32_t share = 0; share < shares && holders > 0; ++share)
+        handedOut.push_back({ *ranked[share % holders].name, static_cast<std::uint32_t>(share / holders) });
+    return handedOut;
 }
 
 std::optional<std::vector<const membership_epoch*>> epochsAfter(
@@ -76,11 +77,12 @@
     return later;
 }
 
-tenure_start tenureOf(const std::string& team, const team_share& share, const fleet_state& state)
+tenure_start tenureOf(
+    const std::string& team, const team_share& share, const fleet_state& state, std::uint32_t shares)
 {
     return startOfRun(state, [&](const membership_epoch& epoch) {
-        const auto shares = sharesOf(team, epoch.members);
-        return std::find(shares.begin(), shares.end(), share) != shares.end();
+        const auto held = sharesOf(team, epoch.members, shares);
+        return std::find(held.begin(), held.end(), share) != held.end();
     });
 }
 
--- a/Source/Limit/share_tenure.h
+++ b/Source/Limit/share_tenure.h
@@ -32,14 +32,16 @@
 };
 
 /// \return the shares of a team, handed to the members by rendezvous hashing; empty without members.
-std::vector<team_share> sharesOf(const std::string& team, const std::vector<std::string>& members);
+std::vector<team_share> sharesOf(
+    const std::string& team, const std::vector<std::string>& members, std::uint32_t shares = sharesPerTeam);
 
 /// \return the epochs after the one with this number up to the current one, oldest first; nothing where
 /// the state does not remember so far.
 std::optional<std::vector<const membership_epoch*>> epochsAfter(
     const fleet_state& state, std::uint64_t number);
 
-tenure_start tenureOf(const std::string& team, const team_share& share, const fleet_state& state);
+tenure_start tenureOf(const std::string& team, const team_share& share, const fleet_state& state,
+    std::uint32_t shares = sharesPerTeam);
 
 /// \return number of the epoch since which the entry is a member without a break; 0 where it is not,
 /// or where that began before the epochs that the state remembers.
--- /dev/null
+++ b/Tests/Limit/rate_history_properties.cpp
@@ -0,0 +1,155 @@
+#include "Limit/exact_bucket.h"
+#include "Limit/rate_world.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace sagesaddle;
+using testing::exact_bucket;
+using testing::rate_world;
+
+namespace {
+
+constexpr token_count deskRate = 100;
+constexpr token_count deskBurst = 900;
+const std::vector<std::string> allEntries { "a", "b", "c", "d", "e" };
+
+/// \brief One step of a random history.
+struct history_step {
+    int kind { 0 };
+    int entry { 0 };
+    int amount { 0 };
+};
+
+void showValue(const history_step& step, std::ostream& out)
+{
+    out << '{' << step.kind << ',' << step.entry << ',' << step.amount << '}';
+}
+
+rc::Gen<history_step> anyStep()
+{
+    return rc::gen::map(
+        rc::gen::tuple(rc::gen::inRange(0, 20), rc::gen::inRange(0, 5), rc::gen::inRange(0, 1000)),
+        [](const std::tuple<int, int, int>& parts) {
+            return history_step { std::get<0>(parts), std::get<1>(parts), std::get<2>(parts) };
+        });
+}
+
+std::vector<std::string> membersOf(int mask)
+{
+    std::vector<std::string> members;
+    for (std::size_t entry = 0; entry < allEntries.size(); ++entry)
+        if (mask & (1 << entry))
+            members.push_back(allEntries[entry]);
+    return members.empty() ? allEntries : members;
+}
+
+void apply(rate_world& world, const history_step& step)
+{
+    const std::string& entry = allEntries[static_cast<std::size_t>(step.entry)];
+    if (step.kind < 8)
+        world.send(entry, "desk", 1 + step.amount % 400);
+    else if (step.kind < 12)
+        world.run(milliseconds(1 + step.amount));
+    else if (step.kind < 15)
+        world.sync(entry);
+    else if (step.kind == 15)
+        world.freeze(entry);
+    else if (step.kind == 16)
+        world.wake(entry);
+    else if (step.kind == 17)
+        world.startEntry(entry);
+    else if (step.kind == 18)
+        world.records().withEpoch(membersOf(step.amount % 32));
+    else
+        world.run(milliseconds(4 * step.amount));
+}
+
+rate_world startedWorld(rate_world::options settings, std::uint64_t seed)
+{
+    rate_world world(settings, seed);
+    world.records().withTeam("desk", deskRate, deskBurst);
+    for (const std::string& entry : allEntries)
+        world.startEntry(entry);
+    world.records().withEpoch(allEntries);
+    for (const std::string& entry : allEntries)
+        world.sync(entry);
+    return world;
+}
+
+/// Charges every admitted token to one exact bucket that started full.
+bool staysWithinBound(const rate_world& world, monotonic_time start)
+{
+    exact_bucket bound(deskRate, deskBurst, start);
+    bool within = true;
+    for (const testing::admitted_charge& charge : world.charges())
+        within = bound.use(charge.tokens, charge.at) && within;
+    return within;
+}
+
+rate_world::options badNetwork()
+{
+    rate_world::options settings;
+    settings.loss = 0.15;
+    settings.doubling = 0.15;
+    settings.mostDelay = milliseconds(400);
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("rate history: every window stays within burst and rate under lost, doubled and late messages, "
+          "kills, freezes and epochs")
+{
+    const bool held = rc::check([] {
+        const auto steps = *rc::gen::container<std::vector<history_step>>(anyStep());
+        rate_world world = startedWorld(badNetwork(), *rc::gen::inRange<std::uint64_t>(0, 1'000'000));
+        const monotonic_time start = world.now();
+        for (const history_step& step : steps)
+            apply(world, step);
+        RC_ASSERT(staysWithinBound(world, start));
+    });
+    CHECK(held);
+}
+
+TEST_CASE("rate history: every window stays within the bound while entries read the log by themselves")
+{
+    const bool held = rc::check([] {
+        const auto steps = *rc::gen::container<std::vector<history_step>>(anyStep());
+        rate_world::options settings = badNetwork();
+        settings.mostDelay = milliseconds(20);
+        settings.syncEvery = milliseconds(*rc::gen::inRange(50, 1500));
+        rate_world world = startedWorld(settings, *rc::gen::inRange<std::uint64_t>(0, 1'000'000));
+        const monotonic_time start = world.now();
+        for (const history_step& step : steps)
+            apply(world, step);
+        RC_ASSERT(staysWithinBound(world, start));
+    });
+    CHECK(held);
+}
+
+TEST_CASE("rate history: with a good network the fleet admits what one exact bucket admits, but for a share")
+{
+    const bool held = rc::check([] {
+        rate_world::options settings;
+        settings.syncEvery = milliseconds(100);
+        rate_world world = startedWorld(settings, *rc::gen::inRange<std::uint64_t>(0, 1'000'000));
+        exact_bucket naive(deskRate, deskBurst, world.now());
+        token_count exact = 0;
+        const auto sizes = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(1, 40));
+        for (int size : sizes) {
+            const auto entry = static_cast<std::size_t>(*rc::gen::inRange(0, 5));
+            exact += naive.tryTake(size, world.now()) ? size : 0;
+            world.send(allEntries[entry], "desk", size);
+            world.run(milliseconds(150));
+        }
+        token_count admitted = 0;
+        for (const testing::admitted_charge& charge : world.charges())
+            admitted += charge.tokens;
+        RC_ASSERT(admitted <= exact + deskBurst / sharesPerTeam);
+        RC_ASSERT(admitted >= exact - deskBurst / sharesPerTeam);
+    });
+    CHECK(held);
+}
--- /dev/null
+++ b/Tests/Limit/rate_world.cpp
@@ -0,0 +1,185 @@
+#include "Limit/rate_world.h"
+
+#include "Base/overloaded.h"
+
+#include <algorithm>
+
+namespace sagesaddle::testing {
+
+namespace {
+
+constexpr milliseconds tickLength { 1 };
+constexpr milliseconds longestRequestWait = 2 * askTimeout;
+constexpr milliseconds housekeepInterval { 250 };
+constexpr std::uint64_t askIdsPerProcess = 1'000'000'000;
+
+} // namespace
+
+rate_world::rate_world(options settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
+{
+}
+
+bool rate_world::chance(double probability)
+{
+    return std::uniform_real_distribution<>(0, 1)(m_random) < probability;
+}
+
+void rate_world::startEntry(const std::string& name)
+{
+    m_entries.erase(name);
+    const auto offset
+        = std::chrono::microseconds(std::uniform_int_distribution<>(0, 1'000'000'000)(m_random));
+    process fresh { rate_member(name, askIdsPerProcess * m_nextProcess++, m_settings.division), offset, m_now,
+        m_now, m_now };
+    m_entries.emplace(name, std::move(fresh));
+    sync(name);
+}
+
+void rate_world::kill(const std::string& name)
+{
+    m_entries.erase(name);
+}
+
+void rate_world::freeze(const std::string& name)
+{
+    if (auto found = m_entries.find(name); found != m_entries.end())
+        found->second.frozen = true;
+}
+
+void rate_world::wake(const std::string& name)
+{
+    if (auto found = m_entries.find(name); found != m_entries.end())
+        found->second.frozen = false;
+}
+
+void rate_world::sync(const std::string& name)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end() || found->second.frozen)
+        return;
+    found->second.evidence = m_now;
+    found->second.member.update(m_records.state(), clockOf(found->second));
+}
+
+std::size_t rate_world::send(const std::string& entry, const std::string& team, token_count tokens)
+{
+    const std::size_t place = m_requests.size();
+    m_requests.push_back({ place, entry, team, tokens, m_now + longestRequestWait, false, {} });
+    m_waiting.push_back(place);
+    serve(m_requests.back());
+    return place;
+}
+
+void rate_world::serve(rate_request& request)
+{
+    const auto found = m_entries.find(request.entry);
+    if (found == m_entries.end() || found->second.frozen) {
+        request.ended = true;
+        return;
+    }
+    process& value = found->second;
+    const monotonic_time clock = clockOf(value);
+    const bool fresh = m_now - value.evidence <= freshnessLimit;
+    if (!fresh) {
+        request.decision = { false, "not_fresh", 0 };
+        request.ended = true;
+        return;
+    }
+    request.decision = value.member.admit(request.team, request.tokens, clock);
+    if (request.decision.admitted) {
+        m_charges.push_back({ request.team, m_now, request.tokens });
+        request.ended = true;
+        postAll(request.entry, value.member.followUp(request.team, clock));
+        return;
+    }
+    const auto asks = value.member.asksFor(request.team, request.tokens, clock);
+    postAll(request.entry, asks);
+    const bool waits = !asks.empty() || value.member.isAsking(request.team, clock);
+    request.ended = !waits || m_now >= request.until || request.decision.reason == "request_over_burst";
+}
+
+void rate_world::postAll(const std::string& from, const std::vector<addressed_ask>& asks)
+{
+    for (const addressed_ask& each : asks)
+        post(from, each.holder, each.ask);
+}
+
+void rate_world::post(
+    const std::string& from, const std::string& to, std::variant<credit_ask, credit_grant> value)
+{
+    ++m_messages;
+    const int copies = chance(m_settings.loss) ? 0 : chance(m_settings.doubling) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        std::uniform_int_distribution<milliseconds::rep> delay(
+            m_settings.leastDelay.count(), m_settings.mostDelay.count());
+        m_underWay.push({ m_now + milliseconds(delay(m_random)), m_messages, from, to, value });
+    }
+}
+
+void rate_world::deliver(const delivery& message)
+{
+    const auto found = m_entries.find(message.to);
+    if (found == m_entries.end())
+        return;
+    process& value = found->second;
+    std::visit(overloaded {
+                   [&](const credit_ask& ask) {
+                       post(message.to, message.from, value.member.answer(ask, clockOf(value)));
+                   },
+                   [&](const credit_grant& grant) { value.member.onGrant(grant, clockOf(value)); },
+               },
+        message.value);
+}
+
+void rate_world::deliverDue()
+{
+    std::vector<delivery> held;
+    while (!m_underWay.empty() && m_underWay.top().due <= m_now) {
+        const delivery message = m_underWay.top();
+        m_underWay.pop();
+        const auto found = m_entries.find(message.to);
+        if (found != m_entries.end() && found->second.frozen)
+            held.push_back(message);
+        else
+            deliver(message);
+    }
+    for (delivery& message : held) {
+        message.due = m_now + tickLength;
+        m_underWay.push(message);
+    }
+}
+
+void rate_world::tick(const std::string& name, process& value)
+{
+    if (value.frozen)
+        return;
+    if (m_logAway)
+        value.evidence = m_now;
+    else if (m_settings.syncEvery.count() > 0 && m_now >= value.nextSync) {
+        value.nextSync = m_now + m_settings.syncEvery;
+        sync(name);
+    }
+    if (m_now < value.nextHousekeeping)
+        return;
+    value.nextHousekeeping = m_now + housekeepInterval;
+    postAll(name, value.member.housekeep(clockOf(value)));
+}
+
+void rate_world::run(milliseconds span)
+{
+    const monotonic_time end = m_now + span;
+    while (m_now < end) {
+        m_now += tickLength;
+        deliverDue();
+        for (auto& [name, value] : m_entries)
+            tick(name, value);
+        for (std::size_t place : m_waiting)
+            if (!m_requests[place].ended)
+                serve(m_requests[place]);
+        std::erase_if(m_waiting, [this](std::size_t place) { return m_requests[place].ended; });
+    }
+}
+
+} // namespace sagesaddle::testing
