--- a/Tests/Fakes/fake_engine.cpp
+++ b/Tests/Fakes/fake_engine.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t defaultAnswerTokens = 16;
 constexpr seconds longestHold { 30 };
+constexpr std::size_t keptClasses = 100;
 
 std::string firstOf(const http_call& call, std::string_view name)
 {
@@ -145,6 +146,9 @@
         lock, [&] { return m_running < m_options.batch && (!batchPriority || m_waiting[false] == 0); });
     --m_waiting[batchPriority];
     ++m_running;
+    m_recentClasses.emplace_back(batchPriority ? "batch" : "interactive");
+    if (m_recentClasses.size() > keptClasses)
+        m_recentClasses.pop_front();
     m_changed.wait_for(lock, longestHold, [this] { return !m_faults.hold; });
 }
 
@@ -265,10 +269,10 @@
 {
     nlohmann::json document = m_memory.stats();
     const std::lock_guard lock(m_mutex);
-    document.update(
-        { { "by_team", m_byTeam }, { "by_request", m_byRequest }, { "by_model_and_team", m_byModelAndTeam },
-            { "tokens_by_team", m_tokensByTeam }, { "headers", m_headers.document() },
-            { "running", m_running }, { "completed", m_completed }, { "cancelled", m_cancelled } });
+    document.update({ { "by_team", m_byTeam }, { "by_request", m_byRequest },
+        { "by_model_and_team", m_byModelAndTeam }, { "tokens_by_team", m_tokensByTeam },
+        { "headers", m_headers.document() }, { "recent_classes", m_recentClasses }, { "running", m_running },
+        { "completed", m_completed }, { "cancelled", m_cancelled } });
     return document;
 }
 
--- a/Tests/Fakes/fake_engine.h
+++ b/Tests/Fakes/fake_engine.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -77,6 +78,8 @@
     std::uint32_t m_running { 0 };
     // Waiting requests by class: interactive, batch.
     std::array<std::uint32_t, 2> m_waiting { 0, 0 };
+    // Classes of the last requests in the order in which they got a place in the batch.
+    std::deque<std::string> m_recentClasses;
     std::uint64_t m_completed { 0 };
     std::uint64_t m_cancelled { 0 };
     std::map<std::string, std::uint64_t> m_byTeam;
