--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -82,6 +82,10 @@
             { "--memory-mb", std::to_string(m_plan.engineMemoryMb), "--check-fencing",
                 m_plan.checksFencing ? "yes" : "no" });
         engine.command.insert(engine.command.end(), m_plan.engineOptions.begin(), m_plan.engineOptions.end());
+        if (m_plan.optionsOfEngine) {
+            const auto own = m_plan.optionsOfEngine(i);
+            engine.command.insert(engine.command.end(), own.begin(), own.end());
+        }
         m_engineSides.push_back(makeSide(numbered("engine", i), engine.listen));
         m_engines.push_back(std::move(engine));
     }
@@ -130,7 +134,8 @@
     writeFile(settings,
         "[process]\nname = \"" + name + "\"\n[frames]\nlisten = \"" + formatAddress(member.listen)
             + "\"\n[target]\naddress = \"" + formatAddress(target) + "\"\n[admin]\nlisten = \""
-            + formatAddress(member.admin) + "\"\n[log]\naddress = \"" + formatAddress(m_log.listen) + "\"\n");
+            + formatAddress(member.admin) + "\"\n[log]\naddress = \"" + formatAddress(m_log.listen) + "\"\n"
+            + m_plan.sideSettings);
     member.command = { program("sagesaddle-side"), "--config", settings.string() };
     return member;
 }
@@ -159,6 +164,8 @@
     for (std::size_t i = 0; i < m_plan.entries; ++i)
         m_records.entries.push_back(
             { m_entries[i].name, "north", zoneOf(i), m_entryPeers[i], m_entries[i].admin });
+    if (m_plan.adjustRecords)
+        m_plan.adjustRecords(m_records);
 }
 
 void fleet::forEachMember(const std::function<void(fleet_member&)>& visit)
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -25,8 +25,14 @@
     double teamBurst { 1000000 };
     /// Added to the settings of every entry.
     std::string entrySettings;
+    /// Added to the settings of every side process.
+    std::string sideSettings;
     /// Options added to the command line of every stand-in engine.
     std::vector<std::string> engineOptions;
+    /// Options added to the command line of one stand-in engine, by its index.
+    std::function<std::vector<std::string>(std::size_t)> optionsOfEngine;
+    /// Changes the records before they are applied.
+    std::function<void(fleet_records&)> adjustRecords;
 };
 
 /// \brief What a run of the `sagesaddle` program gave.
--- /dev/null
+++ b/Utilities/measure.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Measures a policy on a deployment's sizes with the real daemons and stand-ins; prints one JSON line.
+# usage: Utilities/measure.sh --deployment consortium|kuusela --policy naive|current --seed N
+# The build folder is taken from SAGESADDLE_BUILD, or is ./build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${SAGESADDLE_BUILD:-build}
+if [ ! -x "$build/bin/sagesaddle-measure" ]; then
+    echo "measure.sh: $build/bin/sagesaddle-measure is not built; run Utilities/test.sh first" >&2
+    exit 1
+fi
+exec "$build/bin/sagesaddle-measure" "$@"
--- /dev/null
+++ b/Utilities/measure/measure_faults.cpp
@@ -0,0 +1,72 @@
+#include "measure_faults.h"
+
+#include "Support/calls.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sagesaddle::measure {
+
+namespace {
+
+constexpr milliseconds killAt { 16000 };
+constexpr milliseconds freezeAt { 22000 };
+constexpr milliseconds thawAt { 27000 };
+constexpr milliseconds logAwayAt { 30000 };
+constexpr milliseconds logBackAt { 36000 };
+constexpr milliseconds balancerDelay { 1000 };
+constexpr milliseconds aftermath { 3000 };
+constexpr std::size_t killedEngine = 3;
+constexpr std::size_t zones = 3;
+constexpr std::size_t cutZone = 1;
+
+} // namespace
+
+measure_faults::measure_faults(measure_fleet& target)
+    : m_target(target)
+{
+}
+
+std::vector<std::pair<milliseconds, milliseconds>> measure_faults::spans()
+{
+    return { { killAt, killAt + aftermath }, { freezeAt, thawAt + aftermath },
+        { logAwayAt, logBackAt + aftermath } };
+}
+
+void measure_faults::advance(milliseconds now)
+{
+    testing::fleet& fleet = m_target.processes();
+    if (now >= killAt && !std::exchange(m_killed, true)) {
+        fleet.engine(killedEngine).process->kill();
+        fleet.engineSide(killedEngine).process->kill();
+    }
+    if (now >= freezeAt && !std::exchange(m_frozen, true))
+        setZoneFrozen(true);
+    if (now >= thawAt && !std::exchange(m_thawed, true))
+        setZoneFrozen(false);
+    m_balancerNoticed = now >= freezeAt + balancerDelay && now < thawAt + balancerDelay;
+    if (now >= logAwayAt && !std::exchange(m_logAway, true))
+        testing::setFaults(fleet.log().listen, { { "away", true } });
+    if (now >= logBackAt && !std::exchange(m_logBack, true))
+        testing::setFaults(fleet.log().listen, { { "away", false } });
+}
+
+void measure_faults::setZoneFrozen(bool frozen)
+{
+    testing::fleet& fleet = m_target.processes();
+    const auto set = [frozen](testing::fleet_member& member) {
+        if (!member.process->isRunning())
+            return;
+        if (frozen)
+            member.process->freeze();
+        else
+            member.process->wake();
+    };
+    set(fleet.entry(cutEntry));
+    for (std::size_t i = cutZone; i < m_target.engineCount(); i += zones) {
+        set(fleet.engine(i));
+        set(fleet.engineSide(i));
+    }
+}
+
+} // namespace sagesaddle::measure
--- /dev/null
+++ b/Utilities/measure/measure_main.cpp
@@ -0,0 +1,54 @@
+#include "measure_faults.h"
+#include "measure_fleet.h"
+#include "measure_run.h"
+#include "measure_tally.h"
+#include "measure_trace.h"
+
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+namespace {
+
+constexpr const char* usage
+    = R"(Measures the decisions under load and faults with the real daemons and stand-ins.
+
+Usage:
+  sagesaddle-measure --deployment NAME --policy POLICY --seed N
+
+Options:
+  --deployment NAME  consortium or kuusela.
+  --policy POLICY    naive (the baselines) or current.
+  --seed N           Seed of the trace.
+)";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace sagesaddle::measure;
+    try {
+        const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
+        const deployment of = deploymentNamed(arguments.at("--deployment").asString());
+        const std::string policy = arguments.at("--policy").asString();
+        if (policy != "naive" && policy != "current")
+            throw std::invalid_argument("no policy '" + policy + "'; name naive or current");
+        const auto seed = std::stoull(arguments.at("--seed").asString());
+        const trace given = makeTrace(of, seed);
+        measure_fleet fleet(of, given, policy == "naive");
+        const auto before = fleet.counts();
+        const auto outcomes = runTrace(given, fleet);
+        fleet_counts counts = fleet.counts();
+        counts.moves -= before.moves;
+        nlohmann::ordered_json line { { "deployment", of.name }, { "policy", policy }, { "seed", seed } };
+        line.update(tally(of, given, outcomes, counts, measure_faults::spans()));
+        std::puts(line.dump().c_str());
+        return 0;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "sagesaddle-measure: %s\n", error.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/Utilities/measure/measure_run.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "measure_fleet.h"
+#include "measure_tally.h"
+#include "measure_trace.h"
+
+#include <vector>
+
+namespace sagesaddle::measure {
+
+/// Sends a trace to a fleet at its times while faults strike.
+/// \return the outcome of each request, in the order of the trace
+std::vector<traced_outcome> runTrace(const trace& given, measure_fleet& fleet);
+
+} // namespace sagesaddle::measure
