--- /dev/null
+++ b/Tests/Side/side_fixture.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "Fakes/fake_engine.h"
+#include "Fakes/fake_log.h"
+#include "Fakes/fake_service.h"
+#include "Record/side_view.h"
+#include "Serve/http_client.h"
+#include "Serve/http_server.h"
+#include "Side/side_process.h"
+#include "Support/free_port.h"
+#include "Wire/frame_link.h"
+#include "Wire/wire_pool.h"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sagesaddle::testing {
+
+inline constexpr std::chrono::seconds waitBound { 30 };
+
+/// \brief What came back for one request.
+struct seen_answer {
+    std::optional<answer_head> head;
+    std::string body;
+    std::uint32_t pieces { 0 };
+    std::optional<answer_end> end;
+    std::optional<refusal_message> refusal;
+
+    bool done() const { return end.has_value() || refusal.has_value(); }
+};
+
+/// \brief Plays an entry towards a side process.
+class entry_player {
+public:
+    explicit entry_player(const address& side)
+        : m_link(m_pool, side,
+            { .onMessage = [this](const message& value) { take(value); },
+                .onUp = [this] { note([&] { m_up = true; }); },
+                .onDown = [this] { note([&] { m_down = true; }); } })
+    {
+        wait([&] { return m_up; });
+    }
+
+    bool send(const message& value) { return m_link.send(value); }
+
+    /// Waits until the request has its answer or refusal.
+    seen_answer answerTo(std::uint64_t id)
+    {
+        wait([&] { return m_answers[id].done(); });
+        const std::scoped_lock lock(m_mutex);
+        return m_answers[id];
+    }
+
+    bool waitForBody(std::uint64_t id)
+    {
+        return wait([&] { return !m_answers[id].body.empty(); });
+    }
+
+    bool waitForDown()
+    {
+        return wait([&] { return m_down; });
+    }
+
+    /// Waits for a load report that the predicate likes; asks for one again and again.
+    bool waitForLoad(const std::function<bool(const load_report&)>& isGood)
+    {
+        const auto end = std::chrono::steady_clock::now() + waitBound;
+        while (std::chrono::steady_clock::now() < end) {
+            m_link.send(load_ask { 1 });
+            std::unique_lock lock(m_mutex);
+            m_changed.wait_for(lock, std::chrono::milliseconds(10));
+            if (m_load && isGood(*m_load))
+                return true;
+        }
+        return false;
+    }
+
+private:
+    void note(const std::function<void()>& change)
+    {
+        const std::scoped_lock lock(m_mutex);
+        change();
+        m_changed.notify_all();
+    }
+
+    bool wait(const std::function<bool()>& condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, waitBound, condition);
+    }
+
+    void take(const message& value)
+    {
+        note([&] {
+            if (const auto* head = std::get_if<answer_head>(&value))
+                m_answers[head->id].head = *head;
+            if (const auto* data = std::get_if<answer_data>(&value)) {
+                m_answers[data->id].body += data->bytes;
+                ++m_answers[data->id].pieces;
+            }
+            if (const auto* end = std::get_if<answer_end>(&value))
+                m_answers[end->id].end = *end;
+            if (const auto* refusal = std::get_if<refusal_message>(&value))
+                m_answers[refusal->id].refusal = *refusal;
+            if (const auto* load = std::get_if<load_answer>(&value))
+                m_load = load->load;
+        });
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::uint64_t, seen_answer> m_answers;
+    std::optional<load_report> m_load;
+    bool m_up { false };
+    bool m_down { false };
+    wire_pool m_pool { 1 };
+    frame_link m_link;
+};
+
+/// \brief A stand-in served on a free loopback port.
+template <typename Fake> class served {
+public:
+    template <typename... Arguments>
+    explicit served(Arguments&&... arguments)
+        : fake(std::forward<Arguments>(arguments)...)
+        , m_server({ .listen = at, .workers = 32 }, [this](http_call& call) { fake.handle(call); })
+    {
+    }
+
+    const address at { freeAddress() };
+    Fake fake;
+
+private:
+    http_server m_server;
+};
+
+/// Sends a JSON document to a stand-in.
+inline void post(const address& server, const std::string& target, const std::string& body)
+{
+    http_request request;
+    request.method = "POST";
+    request.server = server;
+    request.target = target;
+    request.body = body;
+    http_client().send(request);
+}
+
+inline nlohmann::json get(const address& server, const std::string& target)
+{
+    http_request request;
+    request.server = server;
+    request.target = target;
+    return nlohmann::json::parse(http_client().send(request).body);
+}
+
+inline side_settings sideSettings(const address& target)
+{
+    side_settings settings;
+    settings.name = "up-1";
+    settings.frames = freeAddress();
+    settings.target = target;
+    settings.admin = freeAddress();
+    settings.log = freeAddress();
+    settings.orderSettling = milliseconds(100);
+    settings.reportPeriod = milliseconds(20);
+    return settings;
+}
+
+inline side_view engineView(std::uint32_t slots = 8)
+{
+    side_view view;
+    view.offset = 1;
+    view.upstream.name = "up-1";
+    view.upstream.region = "r";
+    view.upstream.zone = "a";
+    view.upstream.side = { "127.0.0.1", 1 };
+    view.upstream.target = { "127.0.0.1", 2 };
+    view.upstream.memoryMb = 1000;
+    view.upstream.slots = slots;
+    for (const std::string name : { "small", "other", "third" })
+        view.models[name] = { name, 400, "" };
+    return view;
+}
+
+inline side_view serviceView()
+{
+    side_view view = engineView();
+    view.upstream.kind = upstream_kind::Service;
+    view.upstream.service = "ledger";
+    view.upstream.memoryMb = 0;
+    view.models.clear();
+    return view;
+}
+
+inline request_message chatRequest(std::uint64_t id, const std::string& model = "small", bool stream = false)
+{
+    request_message request;
+    request.id = id;
+    request.team = "one";
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = { { "Content-Type", "application/json" } };
+    request.body = nlohmann::json {
+        { "model", model }, { "stream", stream }, { "max_tokens", 4 },
+        { "messages", { { { "role", "user" }, { "content", "word " + std::to_string(id) } } } }
+    }.dump();
+    request.model = model;
+    request.deadlineMs = 20000;
+    request.stream = stream;
+    request.idempotent = true;
+    request.tokens = 8;
+    return request;
+}
+
+} // namespace sagesaddle::testing
