--- a/Source/Entry/chat_body.cpp
+++ b/Source/Entry/chat_body.cpp
@@ -125,8 +125,8 @@
     const std::uint32_t choices = countOf(document, "n", maxChoices).value_or(1);
     const double answerTokens = boundAnswer(document, limits);
     result.body = textOf(document);
-    const double promptTokens = static_cast<double>((result.body.size() + bytesPerToken - 1) / bytesPerToken);
-    result.tokens = promptTokens + answerTokens * choices;
+    const std::size_t promptTokens = (result.body.size() + bytesPerToken - 1) / bytesPerToken;
+    result.tokens = static_cast<double>(promptTokens) + answerTokens * choices;
     return result;
 }
 
--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -60,6 +60,7 @@
 std::vector<std::string> formatAddresses(const std::vector<address>& addresses)
 {
     std::vector<std::string> texts;
+    texts.reserve(addresses.size());
     for (const auto& value : addresses)
         texts.push_back(formatAddress(value));
     return texts;
--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -32,7 +32,7 @@
 
 std::string requestIdOf(const http_call& call, const trace_context& trace)
 {
-    const std::string given = firstOf(call, "X-Request-Id");
+    std::string given = firstOf(call, "X-Request-Id");
     const bool plain = std::all_of(given.begin(), given.end(),
         [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
     if (!given.empty() && given.size() <= maxRequestIdLength && plain)
@@ -127,7 +127,7 @@
 
 fleet_state_ptr request_handler::freshState() const
 {
-    const fleet_state_ptr state = m_services.state();
+    fleet_state_ptr state = m_services.state();
     if (state && m_services.freshnessAt(monotonicNow()).fresh)
         return state;
     throw request_refused({ .status = 503,
--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -146,9 +146,10 @@
     m_exchanges.lose(upstream);
 }
 
-void side_links::deliver(const std::string& upstream, std::uint64_t id, exchange_event event)
+template <typename Frame> void side_links::deliver(const std::string& upstream, Frame frame)
 {
-    if (!m_exchanges.deliver(upstream, id, std::move(event)))
+    const std::uint64_t id = frame.id;
+    if (!m_exchanges.deliver(upstream, id, std::move(frame)))
         m_handlers.onStrayFrame(upstream);
 }
 
@@ -169,15 +170,15 @@
         m_handlers.onLoad(load);
     };
     std::visit(overloaded {
-                   [&](answer_head& head) { deliver(upstream, head.id, std::move(head)); },
-                   [&](answer_data& data) { deliver(upstream, data.id, std::move(data)); },
+                   [&](answer_head& head) { deliver(upstream, std::move(head)); },
+                   [&](answer_data& data) { deliver(upstream, std::move(data)); },
                    [&](answer_end& end) {
                        report(end.load);
-                       deliver(upstream, end.id, std::move(end));
+                       deliver(upstream, std::move(end));
                    },
                    [&](refusal_message& refused) {
                        report(refused.load);
-                       deliver(upstream, refused.id, std::move(refused));
+                       deliver(upstream, std::move(refused));
                    },
                    [&](const load_answer& answer) { report(answer.load); },
                    [](const auto&) {},
--- a/Source/Entry/side_links.h
+++ b/Source/Entry/side_links.h
@@ -62,7 +62,7 @@
     void onMessage(const std::string& upstream, message value);
     void onUp(const std::string& upstream);
     void onDown(const std::string& upstream);
-    void deliver(const std::string& upstream, std::uint64_t id, exchange_event event);
+    template <typename Frame> void deliver(const std::string& upstream, Frame frame);
     void noteHeard(const std::string& upstream);
     void sendView(const std::string& upstream, bool evenIfUnchanged);
     link_list takeGoneLinks(const fleet_state& state);
