--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -104,6 +104,7 @@
     zone_distance distanceTo(const upstream& value) const;
 
     void updateUpstreams(const fleet_state& next);
+    void leaveService(upstream_id id);
     void setRecord(const std::string& name, const upstream* record);
     void updatePlacements(const fleet_state& next);
     void setResident(upstream_id id, const std::vector<std::string>& models);
@@ -148,16 +149,24 @@
     return value.zone == zone ? zone_distance::SameZone : zone_distance::SameRegion;
 }
 
+void router::impl::leaveService(upstream_id id)
+{
+    const candidate& value = upstreams[id];
+    if (!value.known || value.record.kind != upstream_kind::Service)
+        return;
+    copy_set& instances = services[value.record.service];
+    instances.placed.erase(id);
+    instances.stale = true;
+}
+
 void router::impl::setRecord(const std::string& name, const upstream* record)
 {
     const upstream_id id = idOf(name);
+    leaveService(id);
     candidate& value = upstreams[id];
-    if (value.known && value.record.kind == upstream_kind::Service)
-        services[value.record.service].placed.erase(id);
-    if (value.known)
-        services[value.record.service].stale = true;
-    const bool moved = record && (!value.known || value.record.zone != record->zone);
+    const bool moved = record && (value.record.region != record->region || value.record.zone != record->zone);
     value.known = record != nullptr;
+    value.leaving = value.leaving && record;
     if (!record)
         return;
     value.record = *record;
--- a/Tests/Limit/rate_world.cpp
+++ b/Tests/Limit/rate_world.cpp
@@ -72,6 +72,14 @@
     return place;
 }
 
+token_count rate_world::spendable(const std::string& team)
+{
+    token_count sum = 0;
+    for (auto& [name, value] : m_entries)
+        sum += value.member.spendable(team, clockOf(value));
+    return sum;
+}
+
 void rate_world::serve(rate_request& request)
 {
     const auto found = m_entries.find(request.entry);
--- a/Tests/Limit/rate_world.h
+++ b/Tests/Limit/rate_world.h
@@ -72,6 +72,9 @@
     std::size_t send(const std::string& entry, const std::string& team, token_count tokens);
     const std::vector<rate_request>& requests() const { return m_requests; }
 
+    /// \return tokens of a team that all entries together could charge without a message.
+    token_count spendable(const std::string& team);
+
     /// Lets time pass in steps of a millisecond.
     void run(milliseconds span);
 
--- /dev/null
+++ b/Tests/Route/fair_queue_properties.cpp
@@ -0,0 +1,202 @@
+#include "Route/fair_queue.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+const std::vector<std::string> teamNames { "t0", "t1", "t2" };
+
+/// \brief What became of the requests, kept without any order.
+struct naive_queue {
+    std::map<std::uint64_t, queued_request> waiting;
+    std::set<std::uint64_t> running;
+    std::set<std::uint64_t> ended;
+};
+
+queued_request anyRequest(std::uint64_t ticket, monotonic_time now)
+{
+    queued_request request;
+    request.ticket = ticket;
+    request.team = *rc::gen::elementOf(teamNames);
+    request.priority = *rc::gen::element(priority::Interactive, priority::Batch);
+    request.tokens = *rc::gen::inRange(1, 500);
+    request.arrived = now;
+    request.deadline = now + milliseconds(*rc::gen::inRange(1, 20000));
+    return request;
+}
+
+void startOne(fair_queue& queue, naive_queue& naive, std::uint32_t slots, monotonic_time now)
+{
+    const auto next = queue.start(now);
+    RC_ASSERT(next.has_value() == (naive.running.size() < slots && !naive.waiting.empty()));
+    if (!next)
+        return;
+    RC_ASSERT(naive.waiting.erase(next->ticket) == 1);
+    naive.running.insert(next->ticket);
+}
+
+void randomStep(
+    fair_queue& queue, naive_queue& naive, std::uint64_t ticket, std::uint32_t slots, monotonic_time now)
+{
+    switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+    case 1: {
+        const queued_request request = anyRequest(ticket, now);
+        if (queue.offer(request, now).accepted)
+            naive.waiting.emplace(ticket, request);
+        break;
+    }
+    case 2:
+    case 3:
+        startOne(queue, naive, slots, now);
+        break;
+    case 4:
+        if (!naive.running.empty()) {
+            const std::uint64_t first = *naive.running.begin();
+            queue.finish(first, now);
+            naive.running.erase(first);
+            naive.ended.insert(first);
+        }
+        break;
+    default:
+        if (!naive.waiting.empty() && *rc::gen::arbitrary<bool>()) {
+            const std::uint64_t first = naive.waiting.begin()->first;
+            queue.remove(first);
+            naive.waiting.erase(first);
+        }
+        for (const queued_request& expired : queue.takeExpired(now))
+            RC_ASSERT(naive.waiting.erase(expired.ticket) == 1);
+    }
+}
+
+} // namespace
+
+TEST_CASE("fair queue property: no request is lost, doubled or started after it left")
+{
+    const bool held = rc::check([] {
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 4);
+        fair_queue queue({ slots, 20, 0.1 });
+        naive_queue naive;
+        monotonic_time now = start;
+        const int steps = *rc::gen::inRange(0, 150);
+        for (int step = 0; step < steps; ++step) {
+            now += milliseconds(*rc::gen::inRange(0, 500));
+            randomStep(queue, naive, static_cast<std::uint64_t>(step) + 1, slots, now);
+            RC_ASSERT(queue.waiting() == naive.waiting.size());
+            RC_ASSERT(queue.running() == naive.running.size());
+        }
+        for (const queued_request& expired : queue.takeExpired(now + seconds(100)))
+            RC_ASSERT(naive.waiting.erase(expired.ticket) == 1);
+        RC_ASSERT(naive.waiting.empty());
+    });
+    CHECK(held);
+}
+
+TEST_CASE("fair queue property: while two teams wait, neither falls behind by more than its largest request "
+          "and the other's")
+{
+    const bool held = rc::check([] {
+        fair_queue queue({ 1, 10000, 0.1 });
+        std::uint64_t ticket = 0;
+        std::map<std::string, int> waiting;
+        for (const std::string& team : teamNames) {
+            const int count = *rc::gen::inRange(1, 60);
+            const int largest = *rc::gen::inRange(1, 500);
+            for (int request = 0; request < count; ++request) {
+                const double tokens = *rc::gen::inRange(1, largest + 1);
+                const queued_request value { ++ticket, team, priority::Interactive, tokens, start,
+                    start + seconds(60) };
+                RC_ASSERT(queue.offer(value, start).accepted);
+            }
+            waiting[team] = count;
+        }
+        std::map<std::string, double> served;
+        std::map<std::string, double> largest;
+        bool allWait = true;
+        while (allWait) {
+            const auto next = queue.start(start);
+            queue.finish(next->ticket, start);
+            served[next->team] += next->tokens;
+            largest[next->team] = std::max(largest[next->team], next->tokens);
+            allWait = --waiting[next->team] > 0;
+            for (const std::string& one : teamNames)
+                for (const std::string& other : teamNames)
+                    RC_ASSERT(served[one] - served[other] <= largest[one]);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("fair queue property: waiting batch requests get their share of any run of starts")
+{
+    const bool held = rc::check([] {
+        const double share = *rc::gen::inRange(5, 60) / 100.0;
+        fair_queue queue({ 1, 10000, share });
+        std::uint64_t ticket = 0;
+        for (int request = 0; request < 400; ++request)
+            queue.offer(
+                { ++ticket, *rc::gen::elementOf(teamNames),
+                    request % 2 ? priority::Batch : priority::Interactive, 10, start, start + seconds(60) },
+                start);
+        int batch = 0;
+        for (int starts = 1; starts <= 150; ++starts) {
+            const auto next = queue.start(start);
+            queue.finish(next->ticket, start);
+            batch += next->priority == priority::Batch ? 1 : 0;
+            RC_ASSERT(batch + 1 >= share * starts);
+            RC_ASSERT(batch <= share * starts + 1);
+        }
+    });
+    CHECK(held);
+}
+
+namespace {
+
+/// One slot, one second a request: a team that floods the queue and one that sends a request now and then.
+/// \return the longest wait of the second team
+milliseconds longestWaitOfSmallTeam(bool firstComeFirstServed)
+{
+    fair_queue queue({ 1, 10000, 0.1 });
+    std::map<std::uint64_t, monotonic_time> arrived;
+    std::uint64_t ticket = 0;
+    milliseconds longest { 0 };
+    monotonic_time now = start;
+    for (int second = 0; second < 100; ++second, now += seconds(1)) {
+        for (int request = 0; request < 3; ++request)
+            queue.offer({ ++ticket, firstComeFirstServed ? "all" : "flood", priority::Interactive, 100, now,
+                            now + seconds(9999) },
+                now);
+        if (second % 10 == 5) {
+            arrived[++ticket] = now;
+            queue.offer({ ticket, firstComeFirstServed ? "all" : "small", priority::Interactive, 100, now,
+                            now + seconds(9999) },
+                now);
+        }
+        const auto next = queue.start(now);
+        if (const auto small = arrived.find(next->ticket); small != arrived.end()) {
+            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - small->second));
+            arrived.erase(small);
+        }
+        queue.finish(next->ticket, now + seconds(1));
+    }
+    for (const auto& [waiting, since] : arrived)
+        longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - since));
+    return longest;
+}
+
+} // namespace
+
+TEST_CASE(
+    "fair queue property: a flood costs another team one request's wait, first come first served far more")
+{
+    CHECK(longestWaitOfSmallTeam(false) <= seconds(2));
+    CHECK(longestWaitOfSmallTeam(true) > seconds(30));
+}
--- /dev/null
+++ b/Tests/Route/router_properties.cpp
@@ -0,0 +1,298 @@
+#include "Route/router.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+const std::vector<std::string> modelNames { "m0", "m1", "m2", "a0", "a1" };
+constexpr int upstreamCount = 8;
+
+std::string upstreamName(int index)
+{
+    return "u" + std::to_string(index);
+}
+
+/// \brief Everything a router was told, kept as told.
+struct naive_router {
+    fleet_state state;
+    std::map<std::string, load_report> reports;
+    std::set<std::string> down;
+    std::set<std::string> leaving;
+
+    bool takesWork(const std::string& name, const route_request& request) const
+    {
+        const auto record = state.upstreams.find(name);
+        const auto report = reports.find(name);
+        return record != state.upstreams.end() && !record->second.leaving && !down.contains(name)
+            && !leaving.contains(name) && (report == reports.end() || !report->second.draining)
+            && !request.tried.contains(name);
+    }
+
+    bool isResident(const std::string& model, const std::string& name) const
+    {
+        const auto report = reports.find(name);
+        return report != reports.end() && std::ranges::count(report->second.residentModels, model) > 0;
+    }
+
+    std::set<std::string> ready(const std::string& model, const route_request& request) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, record] : state.upstreams) {
+            const bool mayBeLoaded = state.placements.contains({ model, name }) && !reports.contains(name);
+            if (takesWork(name, request) && (isResident(model, name) || mayBeLoaded))
+                names.insert(name);
+        }
+        return names;
+    }
+
+    std::set<std::string> placed(const std::string& model, const route_request& request) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, record] : state.upstreams)
+            if (takesWork(name, request) && state.placements.contains({ model, name }))
+                names.insert(name);
+        return names;
+    }
+
+    std::set<std::string> withRoom(std::uint64_t memoryMb, const route_request& request) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, report] : reports)
+            if (takesWork(name, request) && state.upstreams.at(name).kind == upstream_kind::Engine
+                && report.freeMemoryMb >= memoryMb)
+                names.insert(name);
+        return names;
+    }
+
+    /// \return the upstreams of the best kind that there is.
+    std::set<std::string> allowed(const route_request& request) const
+    {
+        const auto record = state.models.find(request.model);
+        if (record == state.models.end())
+            return {};
+        std::uint64_t memoryMb = record->second.memoryMb;
+        const auto base = state.models.find(record->second.base);
+        std::vector<std::set<std::string>> kinds { ready(request.model, request),
+            placed(request.model, request) };
+        if (base != state.models.end()) {
+            kinds.push_back(ready(base->first, request));
+            memoryMb += base->second.memoryMb;
+        }
+        kinds.push_back(withRoom(memoryMb, request));
+        const auto best = std::ranges::find_if(kinds, [](const auto& names) { return !names.empty(); });
+        return best == kinds.end() ? std::set<std::string> {} : *best;
+    }
+};
+
+load_report anyReport(const std::string& name)
+{
+    load_report report;
+    report.upstream = name;
+    report.queued = *rc::gen::inRange(0, 6);
+    report.running = *rc::gen::inRange(0, 4);
+    report.freeMemoryMb = *rc::gen::inRange<std::uint64_t>(0, 1000);
+    report.draining = *rc::gen::inRange(0, 8) == 0;
+    for (const std::string& model : modelNames)
+        if (*rc::gen::inRange(0, 3) == 0)
+            report.residentModels.push_back(model);
+    return report;
+}
+
+upstream anyUpstream(const std::string& name)
+{
+    upstream record;
+    record.name = name;
+    record.region = *rc::gen::element<std::string>("r1", "r2");
+    record.zone = *rc::gen::element<std::string>("z1", "z2");
+    record.slots = *rc::gen::inRange<std::uint32_t>(1, 5);
+    record.leaving = *rc::gen::inRange(0, 8) == 0;
+    return record;
+}
+
+void changeRecords(fleet_state& state, const std::string& name)
+{
+    const std::string model = *rc::gen::elementOf(modelNames);
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+        state.upstreams.erase(name);
+        break;
+    case 1:
+        state.placements[{ model, name }] = { model, name, false };
+        break;
+    case 2:
+        state.placements.erase({ model, name });
+        break;
+    case 3:
+        state.models[model]
+            = { model, *rc::gen::inRange<std::uint64_t>(1, 900), model[0] == 'a' ? "m0" : "" };
+        break;
+    default:
+        state.upstreams[name] = anyUpstream(name);
+    }
+}
+
+void randomEvent(router& chooser, naive_router& naive, monotonic_time now)
+{
+    const std::string name = upstreamName(*rc::gen::inRange(0, upstreamCount));
+    const bool known = naive.state.upstreams.contains(name);
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        if (known) {
+            naive.leaving.insert(name);
+            chooser.onLeaving(name);
+        }
+        break;
+    case 1: {
+        const bool up = *rc::gen::arbitrary<bool>();
+        up ? naive.down.erase(name) : naive.down.insert(name).second;
+        chooser.onLink(name, up, now);
+        break;
+    }
+    case 2:
+    case 3:
+        if (known) {
+            naive.reports[name] = anyReport(name);
+            chooser.onReport(naive.reports[name], now);
+        }
+        break;
+    default:
+        changeRecords(naive.state, name);
+        std::erase_if(naive.leaving, [&](const auto& left) { return !naive.state.upstreams.contains(left); });
+        chooser.update(std::make_shared<const fleet_state>(naive.state));
+    }
+}
+
+} // namespace
+
+TEST_CASE("router property: it chooses from the set that a naive full scan allows")
+{
+    const bool held = rc::check([] {
+        router chooser("r1", "z1", *rc::gen::arbitrary<std::uint64_t>());
+        naive_router naive;
+        monotonic_time now = start;
+        for (int step = *rc::gen::inRange(0, 80); step > 0; --step, now += milliseconds(10)) {
+            randomEvent(chooser, naive, now);
+            route_request request;
+            request.model = *rc::gen::elementOf(modelNames);
+            request.tokens = 100;
+            request.deadline = now + seconds(10);
+            request.tried = { upstreamName(*rc::gen::inRange(0, upstreamCount)) };
+            const route_choice choice = chooser.choose(request, now);
+            const std::set<std::string> allowed = naive.allowed(request);
+            if (!choice.upstream.empty())
+                RC_ASSERT(allowed.contains(choice.upstream));
+            else
+                RC_ASSERT(allowed.empty());
+            RC_ASSERT((choice.reason == "unknown_model") == !naive.state.models.contains(request.model));
+            if (!choice.upstream.empty())
+                chooser.onSent(choice.upstream, request.tokens, now);
+            if (!choice.upstream.empty() && *rc::gen::arbitrary<bool>())
+                chooser.onDone(choice.upstream, request.tokens, false, now);
+        }
+    });
+    CHECK(held);
+}
+
+namespace {
+
+/// A model with so many copies in one zone.
+fleet_state hotModel(int copies)
+{
+    fleet_state state;
+    state.models["m0"] = { "m0", 100, "" };
+    for (int index = 0; index < copies; ++index) {
+        upstream record;
+        record.name = upstreamName(index);
+        record.region = "r1";
+        record.zone = "z1";
+        record.slots = 8;
+        state.upstreams[record.name] = record;
+        state.placements[{ "m0", record.name }] = { "m0", record.name, false };
+    }
+    return state;
+}
+
+route_request requestAt(monotonic_time now)
+{
+    route_request request;
+    request.model = "m0";
+    request.tokens = 100;
+    request.deadline = now + seconds(10);
+    return request;
+}
+
+load_report reportOf(int index, int running)
+{
+    load_report report;
+    report.upstream = upstreamName(index);
+    report.running = static_cast<std::uint32_t>(running);
+    report.residentModels = { "m0" };
+    return report;
+}
+
+/// Sends a wave of requests from many entries between two reports.
+/// \return the most that any upstream got
+int mostAfterWave(bool byReportOnly)
+{
+    constexpr int entries = 20;
+    constexpr int copies = 8;
+    const auto state = std::make_shared<const fleet_state>(hotModel(copies));
+    std::map<std::string, int> got;
+    for (int entry = 0; entry < entries; ++entry) {
+        router chooser("r1", "z1", static_cast<std::uint64_t>(entry));
+        chooser.update(state);
+        for (int index = 0; index < copies; ++index)
+            chooser.onReport(reportOf(index, index == 3 ? 0 : 4), start);
+        for (int request = 0; request < 4; ++request) {
+            const std::string chosen
+                = byReportOnly ? upstreamName(3) : chooser.choose(requestAt(start), start).upstream;
+            chooser.onSent(chosen, 100, start);
+            ++got[chosen];
+        }
+    }
+    return std::ranges::max_element(got, {}, [](const auto& count) { return count.second; })->second;
+}
+
+} // namespace
+
+TEST_CASE("router property: entries do not herd onto the upstream that the last report showed idle")
+{
+    const int naive = mostAfterWave(true);
+    const int chosen = mostAfterWave(false);
+    MESSAGE(
+        "of 80 requests the most that one upstream got: " << chosen << ", by the report alone: " << naive);
+    CHECK(naive == 80);
+    CHECK(chosen <= 80 / 2);
+}
+
+TEST_CASE("router property: the subsets of many entries cover all copies evenly")
+{
+    constexpr int entries = 350;
+    constexpr int copies = 100;
+    const auto state = std::make_shared<const fleet_state>(hotModel(copies));
+    std::map<std::string, int> got;
+    for (int entry = 0; entry < entries; ++entry) {
+        router chooser("r1", "z1", static_cast<std::uint64_t>(entry) * 7919);
+        chooser.update(state);
+        for (int request = 0; request < 16; ++request) {
+            const std::string chosen = chooser.choose(requestAt(start), start).upstream;
+            chooser.onSent(chosen, 100, start);
+            ++got[chosen];
+        }
+    }
+    const double mean = 16.0 * entries / copies;
+    CHECK(got.size() == copies);
+    for (const auto& [name, count] : got) {
+        CHECK(count > mean / 3);
+        CHECK(count < mean * 2);
+    }
+}
