--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -146,7 +146,8 @@
     m_records.addTeam(probeTeam, 1000000, 1000000);
     for (const char* name : { "walkin", "dealer" })
         m_records.addTeam(name, m_plan.teamRate, m_plan.teamBurst);
-    m_records.models.push_back({ "shared", modelMemoryMb, "" });
+    if (m_plan.engines > 0)
+        m_records.models.push_back({ "shared", modelMemoryMb, "" });
     for (std::size_t i = 0; i < m_plan.engines; ++i) {
         const std::string name = m_engineSides[i].name;
         m_records.upstreams.push_back(
@@ -159,8 +160,10 @@
     for (std::size_t i = 0; i < m_plan.services; ++i)
         m_records.upstreams.push_back({ m_serviceSides[i].name, upstream_kind::Service, "north", zoneOf(i),
             m_serviceSides[i].listen, m_services[i].listen, "ledger", 0, upstreamSlots, false, false });
-    m_records.routes.push_back({ "/orders", "ledger", false, false });
-    m_records.routes.push_back({ "/stock", "ledger", false, true });
+    if (m_plan.services > 0) {
+        m_records.routes.push_back({ "/orders", "ledger", false, false });
+        m_records.routes.push_back({ "/stock", "ledger", false, true });
+    }
     for (std::size_t i = 0; i < m_plan.entries; ++i)
         m_records.entries.push_back(
             { m_entries[i].name, "north", zoneOf(i), m_entryPeers[i], m_entries[i].admin });
