--- a/Source/Side/engine_control.h
+++ b/Source/Side/engine_control.h
@@ -48,6 +48,8 @@
 public:
     struct options {
         std::string upstream;
+        /// Starts the ids of the orders; unique to this process's run.
+        std::string run;
         address target;
         milliseconds reportPeriod { 250 };
         milliseconds orderSettling { 10000 };
@@ -67,18 +69,20 @@
 
     void setView(const side_view& view);
 
-    /// Asks for a model on behalf of a request; one that is not loaded is ordered where it fits.
+    /// Asks for a model on behalf of a request; one that is not loaded is ordered where it fits. Where it is
+    /// Ready or Loading it counts as used until endUse, and is not evicted meanwhile.
     model_readiness request(const std::string& model, monotonic_time now);
 
+    /// \return whether a model that a request waits for can be used by now.
+    model_readiness readiness(const std::string& model) const;
+
     /// \return the expected time until a model that is being loaded is ready.
-    milliseconds expectedLoad(const std::string& model) const;
+    milliseconds expectedLoad() const;
 
-    /// A request for the model waits or runs until endUse: the model is not evicted meanwhile.
-    void beginUse(const std::string& model);
     void endUse(const std::string& model, monotonic_time now);
 
     /// The engine said that it does not hold the model, whatever its last report said.
-    void noteNotLoaded(const std::string& model);
+    void noteNotLoaded(const std::string& model, monotonic_time now);
 
     engine_status status(monotonic_time now) const;
 
--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -1,9 +1,9 @@
 #include "Side/request_dispatcher.h"
 
 #include "Base/scope_guard.h"
+#include "Route/fair_queue.h"
 #include "Serve/http_client.h"
 #include "Side/engine_control.h"
-#include "Side/fifo_queue.h"
 #include "Side/header_rules.h"
 #include "Side/request_job.h"
 #include "Side/upstream_exchange.h"
@@ -144,7 +144,6 @@
         const std::string& name = job->request.model;
         switch (engine->request(name, job->arrived)) {
         case model_readiness::Ready:
-            engine->beginUse(name);
             modelUsers.insert(job->ticket);
             return offer(job);
         case model_readiness::Loading:
@@ -165,13 +164,12 @@
 
     std::optional<refusal_cause> waitForModel(const job_ptr& job)
     {
-        const milliseconds expected = engine->expectedLoad(job->request.model);
+        modelUsers.insert(job->ticket);
+        const milliseconds expected = engine->expectedLoad();
         if (job->arrived + expected > job->deadline) {
             return refusal_cause { verdict::NotRun, "model_loading",
                 "the model \"" + job->request.model + "\" is being loaded and will be late", expected };
         }
-        engine->beginUse(job->request.model);
-        modelUsers.insert(job->ticket);
         parked.insert(job->ticket);
         return std::nullopt;
     }
@@ -200,7 +198,7 @@
 
     void retryParked(const job_ptr& job, std::vector<pending_refusal>& refusals)
     {
-        const model_readiness readiness = engine->request(job->request.model, steadyNow());
+        const model_readiness readiness = engine->readiness(job->request.model);
         if (readiness == model_readiness::Loading)
             return;
         parked.erase(job->ticket);
@@ -310,7 +308,7 @@
                 dropLocked(job,
                     { verdict::NotRun, "model_loading",
                         "the model \"" + job->request.model + "\" was not loaded in time",
-                        engine->expectedLoad(job->request.model) },
+                        engine->expectedLoad() },
                     refusals);
             }
         }
@@ -341,7 +339,7 @@
             lock.lock();
             queue.finish(job->ticket, steadyNow());
             if (outcome.reason == "model_not_loaded" && engine)
-                engine->noteNotLoaded(job->request.model);
+                engine->noteNotLoaded(job->request.model, steadyNow());
             lock.unlock();
             report(*job, outcome);
             lock.lock();
@@ -472,7 +470,7 @@
     engine_control* engine { nullptr };
     claim_hooks claims;
     std::uint32_t slots { 0 };
-    fifo_queue queue;
+    fair_queue queue;
     std::map<std::uint64_t, job_ptr> jobs;
     std::map<job_key, std::uint64_t> keys;
     std::map<std::uint64_t, job_ptr> running;
--- a/Source/Side/side_process.cpp
+++ b/Source/Side/side_process.cpp
@@ -1,6 +1,9 @@
 #include "Side/side_process.h"
 
+#include "Agree/log_client.h"
 #include "Base/overloaded.h"
+#include "Once/claim_gate.h"
+#include "Record/log_record.h"
 #include "Record/record_error.h"
 #include "Record/side_view.h"
 #include "Serve/http_server.h"
@@ -26,6 +29,8 @@
 // Long enough for the entries to hear that this process is stopping.
 constexpr milliseconds shortestDrain { 500 };
 constexpr milliseconds closeLimit { 2000 };
+constexpr milliseconds logTimeout { 2000 };
+constexpr const char* configStream = "config";
 
 span_exporter::options spanOptions(const side_settings& settings)
 {
@@ -50,6 +55,7 @@
         : settings(given)
         , spans(spanOptions(given))
         , pool(wireThreads)
+        , log(given.log, logTimeout)
         , dispatcher(
               dispatcherOptions(given),
               [this](connection_id id, const message& value) { return sendFrame(id, value); }, metrics, spans)
@@ -145,7 +151,27 @@
                 startEngineControl();
             engine->setView(next);
         }
-        dispatcher.setView(next, engine.get(), claim_hooks {});
+        dispatcher.setView(next, engine.get(), claimHooks(next));
+    }
+
+    claim_hooks claimHooks(const side_view& next)
+    {
+        if (next.upstream.kind != upstream_kind::Service)
+            return {};
+        if (!claims)
+            claims = std::make_unique<claim_gate>(log, next.upstream.service, settings.name + "/" + run);
+        return { [this](const std::string& team, const std::string& key, monotonic_time deadline) {
+                    return claims->claim(team, key, deadline);
+                },
+            [this](const claim_result& granted) { claims->release(granted); } };
+    }
+
+    // The offset of the record is the fencing number: a later process always has a higher one.
+    std::uint64_t acquireFence()
+    {
+        const log_record record { makeRecordId(), newestSchema,
+            lease_record { "side/" + settings.name, settings.name, 0 } };
+        return log.append(configStream, { formatRecord(record) }).first;
     }
 
     void startEngineControl()
@@ -155,6 +181,8 @@
         options.target = settings.target;
         options.reportPeriod = settings.reportPeriod;
         options.orderSettling = settings.orderSettling;
+        options.run = settings.name + "/" + run;
+        options.acquireFence = [this] { return acquireFence(); };
         engine = std::make_unique<engine_control>(options, metrics, [this] { dispatcher.onModelsChanged(); });
     }
 
@@ -188,6 +216,10 @@
     metric_registry metrics;
     span_exporter spans;
     wire_pool pool;
+    // Unique to this process's run.
+    const std::string run { makeRecordId() };
+    log_client log;
+    std::unique_ptr<claim_gate> claims;
     std::unique_ptr<engine_control> engine;
     request_dispatcher dispatcher;
     std::mutex framesMutex;
--- /dev/null
+++ b/Tests/Place/memory_ledger_tests.cpp
@@ -0,0 +1,141 @@
+#include "Place/memory_ledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr milliseconds settling { 1000 };
+const monotonic_time start {};
+
+engine_report reportOf(std::uint64_t sequence, std::map<std::string, resident_model> models = {},
+    std::map<std::string, order_outcome> orders = {})
+{
+    engine_report report { sequence, milliseconds(0), 1000, 0, std::move(models), std::move(orders) };
+    for (const auto& [name, model] : report.models)
+        report.usedMb += model.memoryMb;
+    return report;
+}
+
+memory_ledger openLedger()
+{
+    memory_ledger ledger({ false, settling, "run" }, start);
+    ledger.onReport(reportOf(0), start + settling);
+    REQUIRE(ledger.phase() == ledger_phase::Open);
+    return ledger;
+}
+
+} // namespace
+
+TEST_CASE("memory ledger: nothing is ordered on an engine without fencing until old orders have settled")
+{
+    memory_ledger ledger({ false, settling, "run" }, start);
+    ledger.onReport(reportOf(5), start + settling - milliseconds(1));
+    CHECK(ledger.phase() == ledger_phase::Settling);
+    CHECK_FALSE(ledger.reserveLoad("a", 1));
+    engine_report late = reportOf(5);
+    late.age = milliseconds(10);
+    ledger.onReport(late, start + settling + milliseconds(5));
+    CHECK(ledger.phase() == ledger_phase::Settling);
+    ledger.onReport(reportOf(5), start + settling + milliseconds(5));
+    CHECK(ledger.phase() == ledger_phase::Open);
+    CHECK(ledger.freeMb() == 1000);
+}
+
+TEST_CASE("memory ledger: an engine that checks fencing must take the number before anything is ordered")
+{
+    memory_ledger ledger({ true, settling, "run" }, start);
+    ledger.onReport(reportOf(5), start + settling * 2);
+    CHECK(ledger.phase() == ledger_phase::NoFence);
+    ledger.setFence(17);
+    const auto orders = ledger.takeOrdersToSend(start);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].fence == 17);
+    CHECK(orders[0].action == order_action::Unload);
+    ledger.onReply(orders[0].id, order_reply::Accepted, 6);
+    CHECK(ledger.phase() == ledger_phase::Settling);
+    ledger.onReport(reportOf(6, {}, { { "an earlier process's", order_outcome::Running } }), start);
+    CHECK(ledger.phase() == ledger_phase::Settling);
+    ledger.onReport(reportOf(7), start);
+    CHECK(ledger.phase() == ledger_phase::Open);
+}
+
+TEST_CASE("memory ledger: a reservation holds until a newer report shows the order settled")
+{
+    memory_ledger ledger = openLedger();
+    const auto order = ledger.reserveLoad("a", 600);
+    REQUIRE(order);
+    CHECK(ledger.freeMb() == 400);
+    CHECK_FALSE(ledger.reserveLoad("b", 401));
+    ledger.onReply(order->id, order_reply::Accepted, 3);
+    ledger.onReport(reportOf(2), start + settling);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(
+        reportOf(3, { { "a", { 600, resident_state::Loading } } }, { { order->id, order_outcome::Running } }),
+        start + settling);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(4, {}, { { order->id, order_outcome::Settled } }), start + settling);
+    CHECK(ledger.freeMb() == 1000);
+}
+
+TEST_CASE("memory ledger: an order whose reply was lost is sent again under its id and stays reserved")
+{
+    memory_ledger ledger = openLedger();
+    const auto order = ledger.reserveLoad("a", 600);
+    REQUIRE(ledger.takeOrdersToSend(start).size() == 1);
+    ledger.onReply(order->id, order_reply::Lost, 0);
+    const auto again = ledger.takeOrdersToSend(start + seconds(1));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0] == *order);
+    ledger.onReply(order->id, order_reply::NoMemory, 0);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(9), start + settling);
+    CHECK(ledger.freeMb() == 400);
+}
+
+TEST_CASE("memory ledger: a refusal of the only copy gives the memory back at once")
+{
+    memory_ledger ledger = openLedger();
+    const auto order = ledger.reserveLoad("a", 600);
+    ledger.takeOrdersToSend(start);
+    ledger.onReply(order->id, order_reply::NoMemory, 0);
+    CHECK(ledger.freeMb() == 1000);
+}
+
+TEST_CASE("memory ledger: an unload gives memory back only when the report shows the model gone")
+{
+    memory_ledger ledger = openLedger();
+    ledger.onReport(reportOf(1, { { "a", { 600, resident_state::Loaded } } }), start + settling);
+    const auto order = ledger.orderUnload("a");
+    REQUIRE(order);
+    CHECK_FALSE(ledger.isUsable("a"));
+    ledger.onReply(order->id, order_reply::Accepted, 2);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(2, { { "a", { 600, resident_state::Unloading } } },
+                        { { order->id, order_outcome::Running } }),
+        start + settling);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(3, {}, { { order->id, order_outcome::Settled } }), start + settling);
+    CHECK(ledger.freeMb() == 1000);
+}
+
+TEST_CASE("memory ledger: a process that is fenced off orders nothing any more")
+{
+    memory_ledger ledger = openLedger();
+    const auto order = ledger.reserveLoad("a", 600);
+    ledger.onReply(order->id, order_reply::Fenced, 0);
+    CHECK(ledger.phase() == ledger_phase::FencedOff);
+    CHECK_FALSE(ledger.reserveLoad("a", 1));
+    CHECK(ledger.takeOrdersToSend(start + seconds(9)).empty());
+}
+
+TEST_CASE("memory ledger: an older report is ignored, a restarted engine's is taken after the settling time")
+{
+    memory_ledger ledger = openLedger();
+    ledger.onReport(reportOf(9, { { "a", { 600, resident_state::Loaded } } }), start + settling);
+    ledger.onReport(reportOf(1), start + settling);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(1), start + settling * 2);
+    CHECK(ledger.freeMb() == 1000);
+}
