--- a/Source/Place/memory_ledger.cpp
+++ b/Source/Place/memory_ledger.cpp
@@ -45,7 +45,7 @@
 {
     if (m_isFencedOff)
         return ledger_phase::FencedOff;
-    if (m_options.checksFencing && m_fence == 0)
+    if (m_options.checksFencing && !m_fence)
         return ledger_phase::NoFence;
     return m_isOpen ? ledger_phase::Open : ledger_phase::Settling;
 }
@@ -54,7 +54,7 @@
 {
     const std::string id = m_options.run + "-" + std::to_string(m_nextOrder++);
     outstanding_order& entry = m_orders[id];
-    entry.order = { id, m_fence, action, model, memoryMb };
+    entry.order = { id, m_fence.value_or(0), action, model, memoryMb };
     return entry.order;
 }
 
@@ -213,7 +213,7 @@
 std::uint64_t memory_ledger::freeMb() const
 {
     const std::uint64_t committed = committedMb();
-    if (!m_isOpen || committed >= totalMb())
+    if (phase() != ledger_phase::Open || committed >= totalMb())
         return 0;
     return totalMb() - committed;
 }
--- a/Source/Place/memory_ledger.h
+++ b/Source/Place/memory_ledger.h
@@ -48,7 +48,7 @@
 
     /// Takes this process's fencing number; orders that wait carry it from now on.
     void setFence(std::uint64_t fence);
-    std::uint64_t fence() const { return m_fence; }
+    std::optional<std::uint64_t> fence() const { return m_fence; }
 
     ledger_phase phase() const;
 
@@ -111,7 +111,8 @@
     options m_options;
     monotonic_time m_started;
     std::uint64_t m_recordedTotalMb { 0 };
-    std::uint64_t m_fence { 0 };
+    /// A log offset; the first record of a log has the offset 0.
+    std::optional<std::uint64_t> m_fence;
     std::uint64_t m_nextOrder { 1 };
     bool m_isOpen { false };
     bool m_isFencedOff { false };
--- a/Source/Side/engine_control.cpp
+++ b/Source/Side/engine_control.cpp
@@ -66,7 +66,6 @@
     void run()
     {
         while (!isStopping()) {
-            acquireFence();
             readReport();
             readCacheEvents();
             for (const engine_order& order : decide())
@@ -83,21 +82,30 @@
     }
 
     // A process without a fencing number serves what is loaded; orders wait for the log.
-    void acquireFence()
+    void runFenceAsking()
     {
-        {
-            const std::scoped_lock lock(mutex);
-            if (!ledger || ledger->fence() != 0 || !settings.acquireFence || steadyNow() < nextFenceTry)
-                return;
-            nextFenceTry = steadyNow() + fenceRetryDelay;
+        std::unique_lock lock(mutex);
+        while (!stopping && (!ledger || !ledger->fence())) {
+            if (ledger && settings.acquireFence) {
+                lock.unlock();
+                const std::optional<std::uint64_t> fence = tryAcquireFence();
+                lock.lock();
+                if (fence)
+                    ledger->setFence(*fence);
+            }
+            fenceWake.wait_for(lock, fenceRetryDelay, [this] { return stopping || ledger->fence(); });
         }
+    }
+
+    std::optional<std::uint64_t> tryAcquireFence()
+    {
         try {
             const std::uint64_t fence = settings.acquireFence();
-            const std::scoped_lock lock(mutex);
-            ledger->setFence(fence);
             writeLog(log_level::Info, "fencing number taken", { { "fence", fence } });
+            return fence;
         } catch (const std::exception& error) {
             writeLog(log_level::Warning, "no fencing number from the log yet", { { "error", error.what() } });
+            return std::nullopt;
         }
     }
 
@@ -251,11 +259,11 @@
 
     mutable std::mutex mutex;
     std::condition_variable wake;
+    std::condition_variable fenceWake;
     const monotonic_time started;
     side_view view;
     std::optional<memory_ledger> ledger;
     demand_table demand;
-    monotonic_time nextFenceTry;
     // When the engine denied a model that its report listed.
     std::map<std::string, monotonic_time> deniedAt;
     std::map<std::string, monotonic_time> loadsBegun;
@@ -266,6 +274,7 @@
     bool wanted { false };
     bool stopping { false };
     std::thread thread;
+    std::thread fenceThread;
 };
 
 engine_control::engine_control(options settings, metric_registry& metrics, std::function<void()> onChange)
@@ -286,8 +295,11 @@
         m_impl->stopping = true;
     }
     m_impl->wake.notify_all();
-    if (m_impl->thread.joinable())
-        m_impl->thread.join();
+    m_impl->fenceWake.notify_all();
+    for (std::thread* thread : { &m_impl->thread, &m_impl->fenceThread }) {
+        if (thread->joinable())
+            thread->join();
+    }
 }
 
 void engine_control::setView(const side_view& view)
@@ -297,6 +309,7 @@
         m_impl->view = view;
         // Whether the engine checks fencing numbers is fixed for this process's life.
         if (!m_impl->ledger) {
+            m_impl->fenceThread = std::thread([this] { m_impl->runFenceAsking(); });
             m_impl->ledger.emplace(memory_ledger::options { view.upstream.checksFencing,
                                        m_impl->settings.orderSettling, m_impl->settings.run },
                 m_impl->started);
@@ -364,7 +377,7 @@
     result.reportAge
         = std::chrono::duration_cast<milliseconds>(now - ledger.reportMade().value_or(m_impl->started));
     result.orders = nameOf(ledger.phase());
-    result.fence = ledger.fence();
+    result.fence = ledger.fence().value_or(0);
     result.ordersOutstanding = ledger.ordersOutstanding();
     return result;
 }
--- a/Tests/Place/memory_ledger_differential.cpp
+++ b/Tests/Place/memory_ledger_differential.cpp
@@ -225,8 +225,7 @@
         const auto& history = m_engine.history();
         const std::size_t newest = history.size() - 1;
         const bool isLagged = m_checksFencing && (pick(0, 2) == 1);
-        const std::size_t index
-            = isLagged ? pick(std::min(m_seenReport, newest), newest + 1) : newest;
+        const std::size_t index = isLagged ? pick(std::min(m_seenReport, newest), newest + 1) : newest;
         m_seenReport = index;
         m_ledger->onReport(history[index], m_now);
     }
--- a/Tests/Place/memory_ledger_tests.cpp
+++ b/Tests/Place/memory_ledger_tests.cpp
@@ -139,3 +139,14 @@
     ledger.onReport(reportOf(1), start + settling * 2);
     CHECK(ledger.freeMb() == 1000);
 }
+
+TEST_CASE("memory ledger: the log's first offset is a fencing number like any other")
+{
+    memory_ledger ledger({ true, settling, "run" }, start);
+    ledger.setFence(0);
+    const auto orders = ledger.takeOrdersToSend(start);
+    REQUIRE(orders.size() == 1);
+    ledger.onReply(orders[0].id, order_reply::Accepted, 1);
+    ledger.onReport(reportOf(1), start);
+    CHECK(ledger.phase() == ledger_phase::Open);
+}
--- a/Tests/Side/side_fixture.h
+++ b/Tests/Side/side_fixture.h
@@ -140,6 +140,13 @@
     http_server m_server;
 };
 
+/// \brief The log's stand-in, whose handler asks which of its addresses was called.
+struct fake_log_at {
+    void handle(http_call& call) { log.handle(call, {}); }
+
+    fake_log log;
+};
+
 /// Sends a JSON document to a stand-in.
 inline void post(const address& server, const std::string& target, const std::string& body)
 {
--- a/Tests/Side/side_process_tests.cpp
+++ b/Tests/Side/side_process_tests.cpp
@@ -196,3 +196,29 @@
     CHECK(answer.refusal->verdict == verdict::NotRun);
     CHECK(get(service.at, "/admin/executions")["total"] == 0);
 }
+
+TEST_CASE("side: a call that may run once runs once, however often it is sent")
+{
+    served<fake_log_at> log;
+    served<fake_service> service("ledger");
+    side_settings settings = sideSettings(service.at);
+    settings.log = log.at;
+    side_process side(settings);
+    entry_player entry(settings.frames);
+    entry.send(side_view_message { 1, formatSideView(serviceView()) });
+    const std::string key = "deposit-1";
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        request_message request = chatRequest(id);
+        request.path = "/deposits";
+        request.idempotent = false;
+        request.idempotencyKey = key;
+        entry.send(request);
+        const seen_answer answer = entry.answerTo(id);
+        CHECK(answer.end.has_value() == (id == 1));
+        if (answer.refusal) {
+            CHECK(answer.refusal->reason == "already_claimed");
+            CHECK(answer.refusal->verdict == verdict::MayHaveRun);
+        }
+    }
+    CHECK(get(service.at, "/admin/executions")["total"] == 1);
+}
