--- a/Source/Entry/dispatcher.cpp
+++ b/Source/Entry/dispatcher.cpp
@@ -91,35 +91,35 @@
     , m_send(std::move(send))
     , m_metrics(metrics)
     , m_spans(spans)
-    , m_router(settings.region, settings.zone, settings.seed)
+    , m_router(std::in_place_type<router>, settings.region, settings.zone, settings.seed)
     , m_retries(settings.retriesPerRequest, settings.retryReserve)
 {
+    if (settings.roundRobin)
+        m_router.emplace<round_robin_router>();
 }
 
 void dispatcher::update(const fleet_state_ptr& state)
 {
+    withRouter([&](auto& chooser) { chooser.update(state); });
     const std::lock_guard lock(m_mutex);
-    m_router.update(state);
     std::erase_if(m_loads, [&](const auto& item) { return !state->upstreams.contains(item.first); });
 }
 
 void dispatcher::onLoad(const load_report& report)
 {
+    withRouter([&](auto& chooser) { chooser.onReport(report, monotonicNow()); });
     const std::lock_guard lock(m_mutex);
-    m_router.onReport(report, monotonicNow());
     m_loads[report.upstream] = report;
 }
 
 void dispatcher::onLink(const std::string& upstream, bool up)
 {
-    const std::lock_guard lock(m_mutex);
-    m_router.onLink(upstream, up, monotonicNow());
+    withRouter([&](auto& chooser) { chooser.onLink(upstream, up, monotonicNow()); });
 }
 
 void dispatcher::onLeaving(const std::string& upstream)
 {
-    const std::lock_guard lock(m_mutex);
-    m_router.onLeaving(upstream);
+    withRouter([&](auto& chooser) { chooser.onLeaving(upstream); });
 }
 
 std::map<std::string, load_report> dispatcher::loads() const
@@ -130,8 +130,7 @@
 
 route_choice dispatcher::choose(const route_request& wanted)
 {
-    const std::lock_guard lock(m_mutex);
-    return m_router.choose(wanted, monotonicNow());
+    return withRouter([&](auto& chooser) { return chooser.choose(wanted, monotonicNow()); });
 }
 
 std::optional<refusal> dispatcher::check(const caller_request& request, monotonic_time deadline)
@@ -144,8 +143,7 @@
 
 void dispatcher::noteDone(const std::string& upstream, double tokens, bool failed)
 {
-    const std::lock_guard lock(m_mutex);
-    m_router.onDone(upstream, tokens, failed, monotonicNow());
+    withRouter([&](auto& chooser) { chooser.onDone(upstream, tokens, failed, monotonicNow()); });
 }
 
 bool dispatcher::mayTryAgain(const dispatch_context& context, const refusal& why, verdict attemptVerdict)
@@ -203,10 +201,7 @@
     hop.name = "dispatch";
     hop.kind = span_kind::Client;
     hop.start = std::chrono::system_clock::now();
-    {
-        const std::lock_guard lock(m_mutex);
-        m_router.onSent(upstream, context.request.tokens, monotonicNow());
-    }
+    withRouter([&](auto& chooser) { chooser.onSent(upstream, context.request.tokens, monotonicNow()); });
     dispatch_outcome outcome = answered {};
     context.verdicts.beginAttempt();
     if (m_send(upstream, messageOf(context, current.way->id(), hop.context)))
--- a/Source/Entry/dispatcher.h
+++ b/Source/Entry/dispatcher.h
@@ -7,6 +7,7 @@
 #include "Entry/refusal.h"
 #include "Entry/verdict_tracker.h"
 #include "Route/retry_budget.h"
+#include "Route/round_robin_router.h"
 #include "Route/router.h"
 #include "Watch/trace_context.h"
 
@@ -54,6 +55,8 @@
         std::uint64_t seed { 0 };
         double retriesPerRequest { 0.1 };
         double retryReserve { 10 };
+        /// Decides by the baseline instead of the router; for measurements.
+        bool roundRobin { false };
     };
     /// Sends a message to an upstream's side process; false where nothing was sent.
     using send_to_side = std::function<bool(const std::string& upstream, const message& value)>;
@@ -78,6 +81,13 @@
 private:
     struct attempt;
 
+    /// Calls the router in use, under the lock.
+    template <typename Call> auto withRouter(const Call& call)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::visit(call, m_router);
+    }
+
     route_choice choose(const route_request& wanted);
     dispatch_outcome tryUpstream(dispatch_context& context, const std::string& upstream);
     dispatch_outcome relay(dispatch_context& context, attempt& current);
@@ -89,7 +99,7 @@
     metric_registry& m_metrics;
     span_exporter& m_spans;
     mutable std::mutex m_mutex;
-    router m_router;
+    std::variant<router, round_robin_router> m_router;
     retry_budget m_retries;
     std::map<std::string, load_report> m_loads;
 };
--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -41,7 +41,7 @@
 dispatcher::options dispatcherOptions(const entry_settings& settings)
 {
     return { settings.region, settings.zone, std::random_device {}(), settings.retriesPerRequest,
-        settings.retryReserve };
+        settings.retryReserve, settings.roundRobin };
 }
 
 span_exporter::options spanOptions(const entry_settings& settings)
@@ -74,8 +74,10 @@
         : settings(given)
         , spans(spanOptions(settings))
         , peers(pool, settings.name, settings.peerSeeds)
-        , gate(settings.name,
-              [this](const std::string& entry, const message& value) { return peers.send(entry, value); })
+        , gate(
+              settings.name,
+              [this](const std::string& entry, const message& value) { return peers.send(entry, value); },
+              settings.staticRates ? rate_sharing::Static : rate_sharing::Asked)
         , routes(
               dispatcherOptions(settings), exchanges,
               [this](
--- a/Source/Entry/entry_settings.cpp
+++ b/Source/Entry/entry_settings.cpp
@@ -43,6 +43,13 @@
     return limits;
 }
 
+void readBaseline(settings_reader& reader, entry_settings& settings)
+{
+    settings.staticRates = reader.choice("baseline", "rates", "shared", { "shared", "static" }) == "static";
+    settings.roundRobin
+        = reader.choice("baseline", "routing", "loads", { "loads", "round_robin" }) == "round_robin";
+}
+
 } // namespace
 
 entry_settings parseEntrySettings(settings_reader& reader)
@@ -66,6 +73,7 @@
     settings.logging.file = reader.text("logging", "file", "");
     settings.retriesPerRequest = reader.number("requests", "retries_per_request", 0.1, 0, 1);
     settings.retryReserve = reader.number("requests", "retry_reserve", 10, 0, 1000);
+    readBaseline(reader, settings);
     reader.finish();
     return settings;
 }
--- a/Source/Entry/entry_settings.h
+++ b/Source/Entry/entry_settings.h
@@ -60,6 +60,9 @@
     milliseconds freshFor { 2000 };
     double retriesPerRequest { 0.1 };
     double retryReserve { 10 };
+    /// Baselines that the decisions are measured against.
+    bool staticRates { false };
+    bool roundRobin { false };
 };
 
 /// Reads the settings of an entry.
--- a/Source/Limit/rate_gate.cpp
+++ b/Source/Limit/rate_gate.cpp
@@ -25,6 +25,13 @@
     return (((high << 32) | device()) >> 2) + 1;
 }
 
+rate_member::division divisionOf(rate_sharing sharing)
+{
+    rate_member::division divided;
+    divided.asks = sharing == rate_sharing::Asked;
+    return divided;
+}
+
 monotonic_time readClock()
 {
     return std::chrono::steady_clock::now();
@@ -41,9 +48,9 @@
     std::condition_variable_any granted;
     std::jthread housekeeper;
 
-    impl(std::string self, send_to_peer sender)
+    impl(std::string self, send_to_peer sender, rate_member::division divided)
         : send(std::move(sender))
-        , member(std::move(self), drawFirstAskId())
+        , member(std::move(self), drawFirstAskId(), divided)
     {
     }
 
@@ -72,8 +79,8 @@
     }
 };
 
-rate_gate::rate_gate(std::string self, send_to_peer send)
-    : m_impl(std::make_unique<impl>(std::move(self), std::move(send)))
+rate_gate::rate_gate(std::string self, send_to_peer send, rate_sharing sharing)
+    : m_impl(std::make_unique<impl>(std::move(self), std::move(send), divisionOf(sharing)))
 {
     m_impl->housekeeper = std::jthread([this](const std::stop_token& stop) { m_impl->housekeep(stop); });
 }
--- a/Source/Limit/rate_gate.h
+++ b/Source/Limit/rate_gate.h
@@ -21,6 +21,14 @@
     auto operator<=>(const rate_decision&) const = default;
 };
 
+/// \brief What an entry does when its own part of a team's rate is spent.
+enum class rate_sharing {
+    /// It asks the other holders for credit.
+    Asked,
+    /// It refuses: each entry has a fixed part.
+    Static,
+};
+
 /// \brief Holds every team to its rate and burst over all entries together; safe from any thread.
 ///
 /// The entries of the membership epoch each hold a part of a team's rate; a request is admitted on
@@ -31,7 +39,8 @@
     using send_to_peer = std::function<bool(const std::string& entry, const message& value)>;
 
     /// \param self name of this entry in the records
-    rate_gate(std::string self, send_to_peer send);
+    /// \param sharing products ask; the other is the baseline that they are measured against
+    rate_gate(std::string self, send_to_peer send, rate_sharing sharing = rate_sharing::Asked);
     ~rate_gate();
 
     rate_gate(const rate_gate&) = delete;
