Side: Refuse a call that may run once at once while the log is away

With the log away a deposit was held until its deadline: the caller of the failure test got nothing for 30 s (curl: timeout was reached). A claim is now given up on after 2 s, which voids it, and the refusal says not run.

--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -31,6 +31,8 @@
 
 constexpr milliseconds expiryPeriod { 20 };
 constexpr milliseconds sendRetryDelay { 5 };
+// A log that takes longer counts as away: the call is refused rather than held back.
+constexpr milliseconds longestClaim { 2000 };
 constexpr milliseconds drainRetryAfter { 100 };
 constexpr milliseconds memoryRetryAfter { 1000 };
 
@@ -364,7 +366,8 @@
             return refused("no_idempotency_key", "a call that may run once needs an Idempotency-Key");
         if (!claims.claim)
             return refused("log_unavailable", "calls that may run once cannot be claimed");
-        const claim_result claimed = claims.claim(job.request.team, job.request.idempotencyKey, job.deadline);
+        const auto giveUp = std::min(job.deadline, std::chrono::steady_clock::now() + longestClaim);
+        const claim_result claimed = claims.claim(job.request.team, job.request.idempotencyKey, giveUp);
         switch (claimed.outcome) {
         case claim_outcome::Taken:
             return refused(
