Place: Tell a restarted engine from a lagging report by the age of its content

The ledger took reports of a lower sequence for those of a restarted engine once they had come for the settling time. An engine whose reports lag longer was then believed on old content, and memory that was in use counted as free: the differential test with lagging reports fails on the ledger as it was and holds with the check by content age.

--- a/Source/Place/memory_ledger.cpp
+++ b/Source/Place/memory_ledger.cpp
@@ -130,18 +130,14 @@
     checkOpening();
 }
 
-// An older report is of no use, unless the engine itself began again.
+// An older report is of no use. One whose content is surely younger and whose sequence is lower comes from an
+// engine that began again.
 bool memory_ledger::isStale(const engine_report& report, monotonic_time received)
 {
-    if (report.sequence >= m_report.sequence) {
-        m_lowerSequenceSince.reset();
+    if (!m_reportMade || report.sequence >= m_report.sequence)
         return false;
-    }
-    if (!m_lowerSequenceSince)
-        m_lowerSequenceSince = received;
-    if (received - *m_lowerSequenceSince < m_options.settling)
+    if (received - report.age < *m_reportMade + m_options.settling)
         return true;
-    m_lowerSequenceSince.reset();
     for (auto& [id, entry] : m_orders) {
         entry.acceptedAt.reset();
         entry.isInDoubt = true;
--- a/Source/Place/memory_ledger.h
+++ b/Source/Place/memory_ledger.h
@@ -122,7 +122,6 @@
     std::map<std::string, outstanding_order> m_orders;
     engine_report m_report;
     std::optional<monotonic_time> m_reportMade;
-    std::optional<monotonic_time> m_lowerSequenceSince;
 };
 
 } // namespace sagesaddle
--- a/Tests/Place/memory_ledger_differential.cpp
+++ b/Tests/Place/memory_ledger_differential.cpp
@@ -10,8 +10,9 @@
 
 constexpr std::uint64_t totalMb = 1000;
 constexpr milliseconds settling { 1000 };
-constexpr milliseconds tick { 200 };
-constexpr int stepsOfHistory = 200;
+constexpr milliseconds tick { 60 };
+constexpr std::size_t mostLag = 6;
+constexpr int stepsOfHistory = 400;
 
 // Every value of the range is as likely in a short history as in a long one.
 template <typename Number> Number pick(Number least, Number end)
@@ -33,13 +34,15 @@
         std::uint64_t sequence;
     };
 
-    answer accept(const engine_order& order)
+    answer accept(const engine_order& order, bool refuses)
     {
         if (const auto known = m_known.find(order.id); known != m_known.end())
             return { order_reply::Accepted, known->second };
         if (m_checksFencing && order.fence < m_highestFence)
             return { order_reply::Fenced, 0 };
         m_highestFence = std::max(m_highestFence, order.fence);
+        if (refuses)
+            return { order_reply::NoMemory, 0 };
         m_known[order.id] = ++m_sequence;
         m_outcomes[order.id] = order_outcome::Running;
         m_running.push_back(order);
@@ -69,7 +72,18 @@
         publish();
     }
 
-    const std::vector<engine_report>& history() const { return m_history; }
+    // The report that shows the state after the change of that index.
+    engine_report report(std::size_t index, monotonic_time now) const
+    {
+        engine_report result = m_history[index].report;
+        if (index + 1 < m_history.size())
+            result.age = std::chrono::duration_cast<milliseconds>(now - m_history[index].made);
+        return result;
+    }
+
+    std::size_t changes() const { return m_history.size(); }
+
+    void setTime(monotonic_time now) { m_now = now; }
 
     std::uint64_t usedMb() const
     {
@@ -96,6 +110,11 @@
     }
 
 private:
+    struct change {
+        engine_report report;
+        monotonic_time made;
+    };
+
     void publish()
     {
         m_history.push_back({ m_sequence, milliseconds(0), totalMb, usedMb(), m_models, m_outcomes });
@@ -108,7 +127,8 @@
     std::map<std::string, order_outcome> m_outcomes;
     std::vector<engine_order> m_running;
     std::map<std::string, resident_model> m_models;
-    std::vector<engine_report> m_history;
+    std::vector<change> m_history;
+    monotonic_time m_now;
 };
 
 // Side processes one after the other before one engine, with a network that loses, delays and doubles.
@@ -124,6 +144,7 @@
     void step()
     {
         m_now += tick;
+        m_engine.setTime(m_now);
         dropLapsed();
         switch (pick(0, 12)) {
         case 0:
@@ -177,7 +198,6 @@
         m_ledger.emplace(memory_ledger::options { m_checksFencing, settling, run }, m_now);
         m_ledger->setTotal(totalMb);
         m_ledger->setFence(m_fence);
-        m_seenReport = 0;
     }
 
     void send()
@@ -189,15 +209,15 @@
                 m_ledger->onReply(order.id, order_reply::Lost, 0);
                 break;
             case 1: // done, its answer lost
-                m_engine.accept(order);
+                m_engine.accept(order, refuses());
                 m_ledger->onReply(order.id, order_reply::Lost, 0);
                 break;
-            case 2: // doubled
-                m_late.push_back({ order, m_now });
-                [[fallthrough]];
             default: {
-                const true_engine::answer answer = m_engine.accept(order);
+                const true_engine::answer answer = m_engine.accept(order, refuses());
                 m_ledger->onReply(order.id, answer.reply, answer.sequence);
+                // An order that was done may come once more; one that was refused went out once.
+                if (answer.reply == order_reply::Accepted && pick(0, 2) == 1)
+                    m_late.push_back({ order, m_now });
             }
             }
         }
@@ -208,9 +228,8 @@
         if (m_late.empty())
             return;
         const std::size_t index = pick<std::size_t>(0, m_late.size());
-        m_engine.accept(m_late[index].order);
-        if ((pick(0, 2) == 1))
-            m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(index));
+        m_engine.accept(m_late[index].order, refuses());
+        m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(index));
     }
 
     // An engine without fencing is only safe where an order settles within the stated time.
@@ -222,20 +241,19 @@
 
     void report()
     {
-        const auto& history = m_engine.history();
-        const std::size_t newest = history.size() - 1;
-        const bool isLagged = m_checksFencing && (pick(0, 2) == 1);
-        const std::size_t index = isLagged ? pick(std::min(m_seenReport, newest), newest + 1) : newest;
-        m_seenReport = index;
-        m_ledger->onReport(history[index], m_now);
+        const std::size_t newest = m_engine.changes() - 1;
+        const std::size_t oldest = newest - std::min(newest, mostLag);
+        const std::size_t index = pick(0, 2) == 1 ? pick<std::size_t>(oldest, newest + 1) : newest;
+        m_ledger->onReport(m_engine.report(index, m_now), m_now);
     }
 
+    static bool refuses() { return pick(0, 6) == 0; }
+
     bool m_checksFencing;
     true_engine m_engine;
     std::uint64_t m_fence { 0 };
     std::optional<memory_ledger> m_ledger;
     std::vector<late_copy> m_late;
-    std::size_t m_seenReport { 0 };
     monotonic_time m_now;
     bool m_reserved { false };
 };
