Side: Split claims, audit and jobs from the dispatcher, and never wait on a thread that reads frames

A refusal was sent patiently from the thread that had read the request: with a full send queue that thread waited for its own writes up to the request's deadline. Refusals that find the queue full are now kept and sent by the expiry thread. Workers take a copy of the claims and the kind under the lock; a newer view replaced them under their hands.

--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -1,15 +1,13 @@
 #include "Side/request_dispatcher.h"
 
-#include "Base/scope_guard.h"
 #include "Route/fair_queue.h"
 #include "Serve/http_client.h"
 #include "Side/engine_control.h"
 #include "Side/header_rules.h"
+#include "Side/request_audit.h"
 #include "Side/request_job.h"
 #include "Side/upstream_exchange.h"
 #include "Watch/log.h"
-#include "Watch/metric_registry.h"
-#include "Watch/span_exporter.h"
 
 #include <algorithm>
 #include <atomic>
@@ -34,20 +32,18 @@
 constexpr milliseconds drainRetryAfter { 100 };
 constexpr milliseconds memoryRetryAfter { 1000 };
 
-// Why a request is not run.
-struct refusal_cause {
-    verdict ran { verdict::NotRun };
-    std::string reason;
-    std::string detail;
-    milliseconds retryAfter { 0 };
-};
-
 // A refusal that is sent once the lock is given back.
 struct pending_refusal {
     job_ptr job;
     refusal_cause cause;
 };
 
+// A refusal that a full connection did not take.
+struct unsent_refusal {
+    job_ptr job;
+    refusal_message frame;
+};
+
 monotonic_time steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -64,27 +60,13 @@
     return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(value.count(), 0, UINT32_MAX));
 }
 
-job_ptr makeJob(connection_id connection, request_message request)
-{
-    auto job = std::make_shared<request_job>();
-    job->connection = connection;
-    job->arrived = steadyNow();
-    job->deadline = job->arrived + milliseconds(request.deadlineMs);
-    job->arrivedWall = std::chrono::system_clock::now();
-    job->parent = parseTraceparent(request.traceparent).value_or(startTrace());
-    job->span = childOf(job->parent);
-    job->request = std::move(request);
-    return job;
-}
-
 } // namespace
 
 struct request_dispatcher::impl {
     impl(options given, send_frame sender, metric_registry& registry, span_exporter& exporter)
         : settings(std::move(given))
         , send(std::move(sender))
-        , metrics(registry)
-        , spans(exporter)
+        , audit(settings.upstream, registry, exporter)
         , queue({ .slots = 1, .maxWaiting = settings.maxWaiting })
     {
         expiry = std::thread([this] { runExpiry(); });
@@ -94,7 +76,7 @@
 
     void onRequest(connection_id connection, request_message request)
     {
-        const job_ptr job = makeJob(connection, std::move(request));
+        const job_ptr job = makeRequestJob(connection, std::move(request));
         std::vector<pending_refusal> refusals;
         {
             const std::scoped_lock lock(mutex);
@@ -230,6 +212,8 @@
             job->disconnected = true;
             cancelLocked(job);
         }
+        std::erase_if(
+            unsent, [&](const unsent_refusal& refusal) { return refusal.job->connection == connection; });
     }
 
     // A call that may run once goes on once it was started: cutting it off would not undo it.
@@ -256,27 +240,45 @@
         parked.erase(job->ticket);
         keys.erase({ job->connection, job->request.id });
         jobs.erase(job->ticket);
-        if (jobs.empty())
+        if (isIdleLocked())
             becameIdle.notify_all();
     }
 
+    // Never waits: it is called on the threads that read frames and watch the engine.
     void refuse(const std::vector<pending_refusal>& refusals)
     {
-        for (const pending_refusal& refusal : refusals)
-            sendRefusal(*refusal.job, refusal.cause);
+        for (const pending_refusal& refusal : refusals) {
+            const refusal_message frame = noteRefusal(*refusal.job, refusal.cause);
+            if (!send(refusal.job->connection, frame))
+                keepUnsent({ refusal.job, frame });
+        }
+    }
+
+    void keepUnsent(unsent_refusal refusal)
+    {
+        const std::scoped_lock lock(mutex);
+        unsent.push_back(std::move(refusal));
     }
 
-    void sendRefusal(const request_job& job, const refusal_cause& cause)
+    // A connection whose queue was full may have room by now.
+    void sendUnsentLocked()
     {
-        metrics.add("sagesaddle_side_refusals_total", "Requests refused, by reason and verdict.",
-            { { "reason", cause.reason }, { "verdict", std::string(nameOf(cause.ran)) } });
-        writeLog(log_level::Info, "request refused",
-            { { "trace_id", job.span.traceId }, { "team", job.request.team }, { "model", job.request.model },
-                { "reason", cause.reason }, { "verdict", nameOf(cause.ran) } });
-        refusal_message refusal { job.request.id, cause.ran, cause.reason, cause.detail,
-            millisecondsOf(cause.retryAfter), load() };
-        sendPatiently(job, refusal);
-        recordSpan(job, cause.reason, cause.ran, 0);
+        const monotonic_time now = steadyNow();
+        std::erase_if(unsent, [&](const unsent_refusal& refusal) {
+            return refusal.job->disconnected || refusal.job->deadline <= now
+                || send(refusal.job->connection, refusal.frame);
+        });
+        if (isIdleLocked())
+            becameIdle.notify_all();
+    }
+
+    bool isIdleLocked() const { return jobs.empty() && unsent.empty(); }
+
+    refusal_message noteRefusal(const request_job& job, const refusal_cause& cause)
+    {
+        audit.refused(job, cause);
+        return { job.request.id, cause.ran, cause.reason, cause.detail, millisecondsOf(cause.retryAfter),
+            load() };
     }
 
     // Drops what can no longer make its deadline.
@@ -286,6 +288,7 @@
         while (!stopping) {
             expiryStop.wait_for(lock, expiryPeriod);
             std::vector<pending_refusal> refusals;
+            sendUnsentLocked();
             collectExpired(refusals);
             lock.unlock();
             refuse(refusals);
@@ -334,8 +337,9 @@
             }
             const job_ptr job = jobs.at(next->ticket);
             running.emplace(job->ticket, job);
+            const run_terms terms = termsLocked(*job);
             lock.unlock();
-            const exchange_outcome outcome = runJob(client, *job);
+            const exchange_outcome outcome = runJob(client, *job, terms);
             lock.lock();
             queue.finish(job->ticket, steadyNow());
             if (outcome.reason == "model_not_loaded" && engine)
@@ -348,48 +352,27 @@
         }
     }
 
-    exchange_outcome runJob(http_client& client, request_job& job)
-    {
-        exchange_hooks hooks;
-        hooks.send = [&](const message& value) { return sendPatiently(job, value); };
-        hooks.isCancelled = [&] { return job.cancelled.load(); };
-        if (kind == upstream_kind::Service && !job.request.idempotent)
-            return runOnce(client, job, hooks);
-        return runExchange(client, settings.target, kind, job.request, job.span, job.deadline, hooks);
-    }
+    // What a worker needs of the state that a newer view may replace.
+    struct run_terms {
+        upstream_kind kind { upstream_kind::Engine };
+        claim_hooks claims;
+    };
 
-    exchange_outcome runOnce(http_client& client, request_job& job, const exchange_hooks& hooks)
+    run_terms termsLocked(const request_job& job) const
     {
-        if (job.request.idempotencyKey.empty())
-            return refused("no_idempotency_key", "a call that may run once needs an Idempotency-Key");
-        if (!claims.claim)
-            return refused("log_unavailable", "calls that may run once cannot be claimed");
-        const claim_result claimed = claims.claim(job.request.team, job.request.idempotencyKey, job.deadline);
-        switch (claimed.outcome) {
-        case claim_outcome::Taken:
-            return refused(
-                "already_claimed", "an earlier call with this key may have run", verdict::MayHaveRun);
-        case claim_outcome::TooOld:
-            return refused("key_too_old", "the key is older than what is remembered", verdict::MayHaveRun);
-        case claim_outcome::Unavailable:
-            return refused("log_unavailable", "the claim could not be settled in the log");
-        case claim_outcome::Granted:
-            break;
-        }
-        exchange_outcome outcome
-            = runExchange(client, settings.target, kind, job.request, job.span, job.deadline, hooks);
-        if (outcome.ran == verdict::NotRun && claims.release)
-            claims.release(claimed);
-        return outcome;
+        const bool isOnce = kind == upstream_kind::Service && !job.request.idempotent;
+        return { kind, isOnce ? claims : claim_hooks {} };
     }
 
-    static exchange_outcome refused(std::string reason, std::string detail, verdict ran = verdict::NotRun)
+    exchange_outcome runJob(http_client& client, request_job& job, const run_terms& terms)
     {
-        exchange_outcome outcome;
-        outcome.ran = ran;
-        outcome.reason = std::move(reason);
-        outcome.detail = std::move(detail);
-        return outcome;
+        exchange_hooks hooks;
+        hooks.send = [&](const message& value) { return sendPatiently(job, value); };
+        hooks.isCancelled = [&] { return job.cancelled.load(); };
+        const exchange_terms exchange { settings.target, terms.kind, job.span, job.deadline };
+        if (terms.kind == upstream_kind::Service && !job.request.idempotent)
+            return runClaimedExchange(client, exchange, job.request, hooks, terms.claims);
+        return runExchange(client, exchange, job.request, hooks);
     }
 
     // Waits while the connection's queue is full, so that a slow entry slows the upstream down.
@@ -407,32 +390,13 @@
 
     void report(const request_job& job, const exchange_outcome& outcome)
     {
-        if (outcome.ran != verdict::Answered)
-            return sendRefusal(job, { outcome.ran, outcome.reason, outcome.detail, {} });
+        if (outcome.ran != verdict::Answered) {
+            sendPatiently(job, noteRefusal(job, { outcome.ran, outcome.reason, outcome.detail, {} }));
+            return;
+        }
         sendPatiently(
             job, answer_end { job.request.id, outcome.frames, outcome.bytes, outcome.tokensUsed, load() });
-        const std::chrono::duration<double> took = steadyNow() - job.arrived;
-        metrics.add("sagesaddle_side_answers_total", "Whole answers passed on.");
-        metrics.observeSeconds("sagesaddle_side_answer_seconds",
-            "Time from a request's arrival to its answer's end.", took.count());
-        recordSpan(job, "", verdict::Answered, outcome.status);
-    }
-
-    void recordSpan(const request_job& job, const std::string& reason, verdict ran, std::uint16_t status)
-    {
-        if (!job.span.sampled)
-            return;
-        span value;
-        value.context = job.span;
-        value.parentSpanId = job.parent.spanId;
-        value.name = "side request";
-        value.start = job.arrivedWall;
-        value.end = std::chrono::system_clock::now();
-        value.failed = ran != verdict::Answered;
-        value.attributes = { { "upstream", settings.upstream }, { "team", job.request.team },
-            { "model", job.request.model }, { "verdict", nameOf(ran) }, { "status", status },
-            { "reason", reason } };
-        spans.record(std::move(value));
+        audit.answered(job, outcome);
     }
 
     load_report load() const
@@ -457,8 +421,7 @@
 
     options settings;
     send_frame send;
-    metric_registry& metrics;
-    span_exporter& spans;
+    request_audit audit;
 
     mutable std::mutex mutex;
     // A request may be startable, or the workers stop.
@@ -478,6 +441,7 @@
     std::set<std::uint64_t> parked;
     // Hold their model on the engine.
     std::set<std::uint64_t> modelUsers;
+    std::vector<unsent_refusal> unsent;
     std::uint64_t nextTicket { 1 };
     bool draining { false };
     std::atomic<bool> stopping { false };
@@ -556,13 +520,13 @@
 bool request_dispatcher::isIdle() const
 {
     const std::scoped_lock lock(m_impl->mutex);
-    return m_impl->jobs.empty();
+    return m_impl->isIdleLocked();
 }
 
 void request_dispatcher::waitIdle()
 {
     std::unique_lock lock(m_impl->mutex);
-    m_impl->becameIdle.wait(lock, [this] { return m_impl->jobs.empty(); });
+    m_impl->becameIdle.wait(lock, [this] { return m_impl->isIdleLocked(); });
 }
 
 load_report request_dispatcher::load() const
--- a/Source/Side/request_dispatcher.h
+++ b/Source/Side/request_dispatcher.h
@@ -2,8 +2,8 @@
 
 #include "Base/address.h"
 #include "Base/clock.h"
-#include "Once/claim_gate.h"
 #include "Record/side_view.h"
+#include "Side/claimed_exchange.h"
 #include "Wire/frame_server.h"
 #include "Wire/messages.h"
 
@@ -18,13 +18,6 @@
 class metric_registry;
 class span_exporter;
 
-/// \brief How calls that may run once are claimed; where empty no such call runs.
-struct claim_hooks {
-    std::function<claim_result(const std::string& team, const std::string& key, monotonic_time deadline)>
-        claim;
-    std::function<void(const claim_result& granted)> release;
-};
-
 /// \brief Queues requests before the upstream and runs them on a pool of workers.
 ///
 /// Lock order: the dispatcher's own, then the engine control's; frames are sent with none held.
--- a/Source/Side/request_job.h
+++ b/Source/Side/request_job.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 
 namespace sagesaddle {
 
@@ -28,4 +29,7 @@
     std::atomic<bool> disconnected { false };
 };
 
+/// \return a job for a request that came now; its ticket is yet to be given.
+std::shared_ptr<request_job> makeRequestJob(connection_id connection, request_message request);
+
 } // namespace sagesaddle
--- a/Source/Side/upstream_exchange.cpp
+++ b/Source/Side/upstream_exchange.cpp
@@ -104,17 +104,17 @@
     exchange_outcome m_outcome;
 };
 
-http_request makeHttpRequest(
-    const address& target, const request_message& request, const trace_context& span, monotonic_time deadline)
+http_request makeHttpRequest(const exchange_terms& terms, const request_message& request)
 {
     http_request result;
     result.method = request.method;
-    result.server = target;
+    result.server = terms.target;
     result.target = request.path;
-    result.headers = upstreamHeaders(request, span);
+    result.headers = upstreamHeaders(request, terms.span);
     result.body = request.body;
     result.idempotent = request.idempotent;
-    const auto left = std::chrono::duration_cast<milliseconds>(deadline - std::chrono::steady_clock::now());
+    const auto left
+        = std::chrono::duration_cast<milliseconds>(terms.deadline - std::chrono::steady_clock::now());
     result.timeout = std::max(left, milliseconds(1));
     result.connectTimeout = std::min(result.connectTimeout, result.timeout);
     return result;
@@ -140,26 +140,25 @@
 
 } // namespace
 
-exchange_outcome runExchange(http_client& client, const address& target, upstream_kind kind,
-    const request_message& request, const trace_context& span, monotonic_time deadline,
+exchange_outcome runExchange(http_client& client, const exchange_terms& terms, const request_message& request,
     const exchange_hooks& hooks)
 {
     if (hooks.isCancelled())
         return failed(verdict::NotRun, "cancelled", "the caller left before the request was sent");
-    if (std::chrono::steady_clock::now() >= deadline)
+    if (std::chrono::steady_clock::now() >= terms.deadline)
         return failed(verdict::NotRun, "deadline", "no time was left to send the request");
-    answer_relay relay(request, kind, hooks);
+    answer_relay relay(request, terms.kind, hooks);
     http_sink sink;
     sink.onHead = [&](std::uint16_t status, const header_list& headers) { relay.onHead(status, headers); };
     sink.onData = [&](std::string_view bytes) { relay.onData(bytes); };
     sink.isCancelled = hooks.isCancelled;
     try {
-        client.stream(makeHttpRequest(target, request, span, deadline), sink);
+        client.stream(makeHttpRequest(terms, request), sink);
         return relay.finish();
     } catch (const exchange_stopped& stopped) {
         return failed(stopped.ran(), stopped.reason(), stopped.what());
     } catch (const http_error& error) {
-        return failed(error.ran(), reasonOf(error, deadline, hooks), error.what());
+        return failed(error.ran(), reasonOf(error, terms.deadline, hooks), error.what());
     } catch (const std::exception& error) {
         return failed(verdict::MayHaveRun, "upstream_broken", error.what());
     }
--- a/Source/Side/upstream_exchange.h
+++ b/Source/Side/upstream_exchange.h
@@ -37,12 +37,20 @@
     std::function<bool()> isCancelled;
 };
 
+/// \brief Where, as what and until when a request runs.
+struct exchange_terms {
+    address target;
+    upstream_kind kind { upstream_kind::Engine };
+    /// The hop to the upstream.
+    trace_context span;
+    monotonic_time deadline;
+
+    auto operator<=>(const exchange_terms&) const = default;
+};
+
 /// Runs a request on the upstream and passes its answer on piece by piece.
 /// \param client kept by the calling thread for its connections
-/// \param span the hop to the upstream
-/// \param deadline when to give up
-exchange_outcome runExchange(http_client& client, const address& target, upstream_kind kind,
-    const request_message& request, const trace_context& span, monotonic_time deadline,
+exchange_outcome runExchange(http_client& client, const exchange_terms& terms, const request_message& request,
     const exchange_hooks& hooks);
 
 } // namespace sagesaddle
