Serve: End TLS in front of CivetWeb

Debian 12's CivetWeb 1.15 looks up SSL_get_peer_certificate in OpenSSL 3, which no longer has it, and calls the null pointer on the first TLS connection: a program of ten lines crashes there too (seen in the debugger). No setting avoids the call, so asio's TLS stream ends the connection and passes the bytes to a plain listener on loopback.

--- a/Source/Serve/http_server.cpp
+++ b/Source/Serve/http_server.cpp
@@ -1,5 +1,7 @@
 #include "Serve/http_server.h"
 
+#include "Serve/tls_front.h"
+
 #include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
@@ -9,6 +11,7 @@
 #include <mutex>
 #include <stdexcept>
 #include <strings.h>
+#include <system_error>
 #include <thread>
 
 namespace sagesaddle {
@@ -24,7 +27,7 @@
 void initialiseCivetwebOnce()
 {
     static std::once_flag once;
-    std::call_once(once, [] { mg_init_library(MG_FEATURES_TLS); });
+    std::call_once(once, [] { mg_init_library(0); });
 }
 
 // CivetWeb looks at its stop flag only when a connection comes, or every two seconds.
@@ -36,6 +39,13 @@
     socket.connect({ asio::ip::make_address(listen.ip), listen.port }, ignored);
 }
 
+std::uint16_t portOf(mg_context* context)
+{
+    mg_server_port port {};
+    mg_get_server_ports(context, 1, &port);
+    return static_cast<std::uint16_t>(port.port);
+}
+
 std::string headText(
     std::uint16_t status, const http_call::header_list& headers, const http_call::header_list& extra)
 {
@@ -161,9 +171,48 @@
 }
 
 struct http_server::impl {
+    impl(options chosen, handler answer)
+        : settings(std::move(chosen))
+        , onCall(std::move(answer))
+    {
+    }
+
+    ~impl() { stop(); }
+
+    void startFront()
+    {
+        try {
+            front = std::make_unique<tls_front>(settings.listen, settings.certificateFile, plain);
+        } catch (const std::system_error& error) {
+            throw std::runtime_error("cannot serve TLS on " + formatAddress(settings.listen)
+                + " with the certificate file " + settings.certificateFile + ": " + error.what()
+                + "; check that the port is free and the file has a certificate and its key in PEM form");
+        }
+    }
+
+    void stop()
+    {
+        if (!context)
+            return;
+        std::atomic<bool> stopped { false };
+        std::thread stopping([&] {
+            mg_stop(context);
+            stopped = true;
+        });
+        while (!stopped) {
+            wakeAcceptor(plain);
+            std::this_thread::sleep_for(wakePeriod);
+        }
+        stopping.join();
+        context = nullptr;
+    }
+
     options settings;
     handler onCall;
     mg_context* context { nullptr };
+    /// Where CivetWeb listens: as set, or behind the TLS front on a port of this host.
+    address plain;
+    std::unique_ptr<tls_front> front;
 
     static int onRequest(mg_connection* connection, void* user)
     {
@@ -175,12 +224,12 @@
 };
 
 http_server::http_server(options settings, handler onCall)
-    : m_impl(std::make_unique<impl>(impl { std::move(settings), std::move(onCall) }))
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(onCall)))
 {
     initialiseCivetwebOnce();
     const auto& chosen = m_impl->settings;
     const bool tls = !chosen.certificateFile.empty();
-    const std::string port = formatAddress(chosen.listen) + (tls ? "s" : "");
+    const std::string port = tls ? "127.0.0.1:0" : formatAddress(chosen.listen);
     const std::string workers = std::to_string(chosen.workers);
     const std::string requestTimeout = std::to_string(chosen.requestTimeout.count());
     const std::string keepAliveTimeout = std::to_string(chosen.keepAliveTimeout.count());
@@ -189,31 +238,19 @@
         "request_timeout_ms", requestTimeout.c_str(), "keep_alive_timeout_ms", keepAliveTimeout.c_str(),
         "enable_keep_alive", "yes", "tcp_nodelay", "1", "max_request_size", maxHeader.c_str(), "decode_url",
         "no" };
-    if (tls)
-        list.insert(list.end(), { "ssl_certificate", chosen.certificateFile.c_str() });
     list.push_back(nullptr);
 
     const mg_callbacks callbacks {};
     m_impl->context = mg_start(&callbacks, nullptr, list.data());
     if (!m_impl->context)
         throw std::runtime_error("cannot listen for HTTP on " + port
-            + (tls ? " with the certificate file " + chosen.certificateFile : std::string())
-            + "; check that the address is this host's, the port is free and the file is readable");
+            + "; check that the address is this host's and the port is free");
+    m_impl->plain = tls ? address { "127.0.0.1", portOf(m_impl->context) } : chosen.listen;
     mg_set_request_handler(m_impl->context, "/", &impl::onRequest, m_impl.get());
+    if (tls)
+        m_impl->startFront();
 }
 
-http_server::~http_server()
-{
-    std::atomic<bool> stopped { false };
-    std::thread stopping([&] {
-        mg_stop(m_impl->context);
-        stopped = true;
-    });
-    while (!stopped) {
-        wakeAcceptor(m_impl->settings.listen);
-        std::this_thread::sleep_for(wakePeriod);
-    }
-    stopping.join();
-}
+http_server::~http_server() = default;
 
 } // namespace sagesaddle
--- /dev/null
+++ b/Source/Serve/tls_front.cpp
@@ -0,0 +1,199 @@
+#include "Serve/tls_front.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ssl.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr std::size_t relayThreads = 2;
+constexpr std::size_t relayBytes = 16 * 1024;
+constexpr std::chrono::seconds handshakeTimeout { 5 };
+constexpr std::chrono::seconds closeTimeout { 2 };
+constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
+
+using tcp = asio::ip::tcp;
+
+tcp::endpoint endpointOf(const address& value)
+{
+    return { asio::ip::make_address(value.ip), value.port };
+}
+
+asio::ssl::context makeTlsContext(const std::string& certificateFile)
+{
+    asio::ssl::context tls(asio::ssl::context::tls_server);
+    tls.set_options(asio::ssl::context::default_workarounds | asio::ssl::context::no_sslv2
+        | asio::ssl::context::no_sslv3 | asio::ssl::context::no_tlsv1 | asio::ssl::context::no_tlsv1_1);
+    tls.use_certificate_chain_file(certificateFile);
+    tls.use_private_key_file(certificateFile, asio::ssl::context::pem);
+    return tls;
+}
+
+// One caller's connection; all of it runs on the strand of its socket.
+class relay : public std::enable_shared_from_this<relay> {
+public:
+    relay(tcp::socket socket, asio::ssl::context& tls, tcp::endpoint target)
+        : m_outer(std::move(socket), tls)
+        , m_inner(m_outer.get_executor())
+        , m_timer(m_outer.get_executor())
+        , m_target(std::move(target))
+    {
+    }
+
+    void start()
+    {
+        closeAfter(handshakeTimeout);
+        m_outer.async_handshake(
+            asio::ssl::stream_base::server, [self = shared_from_this()](std::error_code error) {
+                if (error)
+                    self->close();
+                else
+                    self->connect();
+            });
+    }
+
+private:
+    void connect()
+    {
+        m_inner.async_connect(m_target, [self = shared_from_this()](std::error_code error) {
+            if (error)
+                return self->close();
+            std::error_code ignored;
+            self->m_timer.cancel();
+            self->m_outer.lowest_layer().set_option(tcp::no_delay(true), ignored);
+            self->m_inner.set_option(tcp::no_delay(true), ignored);
+            self->passInwards();
+            self->passOutwards();
+        });
+    }
+
+    void passInwards()
+    {
+        m_outer.async_read_some(
+            asio::buffer(m_inwards), [self = shared_from_this()](std::error_code error, std::size_t size) {
+                std::error_code ignored;
+                if (error) {
+                    self->m_inner.shutdown(tcp::socket::shutdown_send, ignored);
+                    return;
+                }
+                asio::async_write(self->m_inner, asio::buffer(self->m_inwards, size),
+                    [self](std::error_code failure, std::size_t) {
+                        if (!failure)
+                            self->passInwards();
+                    });
+            });
+    }
+
+    void passOutwards()
+    {
+        m_inner.async_read_some(
+            asio::buffer(m_outwards), [self = shared_from_this()](std::error_code error, std::size_t size) {
+                if (error)
+                    return self->endOuter();
+                asio::async_write(self->m_outer, asio::buffer(self->m_outwards, size),
+                    [self](std::error_code failure, std::size_t) {
+                        if (failure)
+                            self->close();
+                        else
+                            self->passOutwards();
+                    });
+            });
+    }
+
+    void endOuter()
+    {
+        closeAfter(closeTimeout);
+        m_outer.async_shutdown([self = shared_from_this()](std::error_code) { self->close(); });
+    }
+
+    void closeAfter(std::chrono::seconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+            if (!error)
+                self->close();
+        });
+    }
+
+    void close()
+    {
+        std::error_code ignored;
+        m_timer.cancel();
+        m_inner.close(ignored);
+        m_outer.lowest_layer().close(ignored);
+    }
+
+    asio::ssl::stream<tcp::socket> m_outer;
+    tcp::socket m_inner;
+    asio::steady_timer m_timer;
+    tcp::endpoint m_target;
+    std::array<char, relayBytes> m_inwards {};
+    std::array<char, relayBytes> m_outwards {};
+};
+
+} // namespace
+
+struct tls_front::impl {
+    impl(const address& listen, const std::string& certificateFile, const address& plain)
+        : tls(makeTlsContext(certificateFile))
+        , acceptor(context, endpointOf(listen))
+        , retryTimer(context)
+        , target(endpointOf(plain))
+    {
+        accept();
+        for (std::size_t i = 0; i < relayThreads; ++i)
+            threads.emplace_back([this] { context.run(); });
+    }
+
+    ~impl()
+    {
+        context.stop();
+        for (auto& thread : threads)
+            thread.join();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(asio::make_strand(context), [this](std::error_code error, tcp::socket socket) {
+            if (error)
+                return acceptLater();
+            std::make_shared<relay>(std::move(socket), tls, target)->start();
+            accept();
+        });
+    }
+
+    // Too many open files, for one, may pass.
+    void acceptLater()
+    {
+        retryTimer.expires_after(acceptRetryDelay);
+        retryTimer.async_wait([this](std::error_code error) {
+            if (!error)
+                accept();
+        });
+    }
+
+    asio::io_context context;
+    asio::ssl::context tls;
+    tcp::acceptor acceptor;
+    asio::steady_timer retryTimer;
+    tcp::endpoint target;
+    std::vector<std::thread> threads;
+};
+
+tls_front::tls_front(const address& listen, const std::string& certificateFile, const address& target)
+    : m_impl(std::make_unique<impl>(listen, certificateFile, target))
+{
+}
+
+tls_front::~tls_front() = default;
+
+} // namespace sagesaddle
