--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -124,7 +124,7 @@
     , current(replica.state())
     , judge(settings.self, settings.freshFor)
     , snapshots(settings.self)
-    , membership({ .self = settings.self }, currentTime())
+    , membership({ .self = settings.self, .missedFor = settings.missedFor }, currentTime())
 {
     threads.emplace_back([this] { readLoop(); });
     threads.emplace_back([this] { peerLoop(); });
--- a/Source/Agree/fleet_follower.h
+++ b/Source/Agree/fleet_follower.h
@@ -30,6 +30,8 @@
         std::vector<std::string> startPeers;
         /// Whether this process appends snapshots and epochs; false for a mere reader.
         bool writes { true };
+        /// How long a member of the epoch must be missed before it is left out.
+        milliseconds missedFor { 10000 };
     };
 
     /// Sends a message to another entry; false where it could not be sent.
--- a/Source/Agree/membership_watch.cpp
+++ b/Source/Agree/membership_watch.cpp
@@ -1,5 +1,7 @@
 #include "Agree/membership_watch.h"
 
+#include "Agree/peer_rotation.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,10 +14,19 @@
 {
 }
 
-bool membership_watch::hears(monotonic_time now, const heard_times& heard, const std::string& entry) const
+// With many entries each is heard of seldom, so that a miss takes longer to show.
+milliseconds membership_watch::missedFor(const fleet_state& state) const
+{
+    constexpr int missedAnswers = 3;
+    return std::max(
+        m_settings.missedFor, missedAnswers * peer_rotation::interval(state.entries.size(), false));
+}
+
+bool membership_watch::hears(
+    monotonic_time now, const fleet_state& state, const heard_times& heard, const std::string& entry) const
 {
     const auto found = heard.find(entry);
-    return entry == m_settings.self || (found != heard.end() && now - found->second < m_settings.missedFor);
+    return entry == m_settings.self || (found != heard.end() && now - found->second < missedFor(state));
 }
 
 std::vector<std::string> membership_watch::wantedMembers(
@@ -24,8 +35,8 @@
     std::vector<std::string> members;
     for (const auto& [name, entry] : state.entries) {
         const bool isMember = std::ranges::binary_search(state.epoch.members, name);
-        const bool isAwaited = isMember && now - m_startedAt < m_settings.missedFor;
-        if (hears(now, heard, name) || isAwaited)
+        const bool isAwaited = isMember && now - m_startedAt < missedFor(state);
+        if (hears(now, state, heard, name) || isAwaited)
             members.push_back(name);
     }
     return members;
@@ -45,8 +56,8 @@
         m_wanted = wanted;
         m_wantedSince = now;
     }
-    const auto seen = static_cast<std::size_t>(
-        std::ranges::count_if(wanted, [&](const std::string& name) { return hears(now, heard, name); }));
+    const auto seen = static_cast<std::size_t>(std::ranges::count_if(
+        wanted, [&](const std::string& name) { return hears(now, state, heard, name); }));
     const bool isMajority = 2 * seen > state.entries.size() && state.entries.contains(m_settings.self);
     if (!isMajority || wanted == state.epoch.members) {
         m_wantedSince = now;
--- a/Source/Agree/membership_watch.h
+++ b/Source/Agree/membership_watch.h
@@ -36,7 +36,9 @@
         monotonic_time now, const fleet_state& state, const heard_times& heard);
 
 private:
-    bool hears(monotonic_time now, const heard_times& heard, const std::string& entry) const;
+    milliseconds missedFor(const fleet_state& state) const;
+    bool hears(monotonic_time now, const fleet_state& state, const heard_times& heard,
+        const std::string& entry) const;
     std::vector<std::string> wantedMembers(
         monotonic_time now, const fleet_state& state, const heard_times& heard) const;
     milliseconds turnOf(const std::vector<std::string>& members) const;
--- /dev/null
+++ b/Tests/Agree/log_client_tests.cpp
@@ -0,0 +1,90 @@
+#include "Agree/running_log.h"
+#include "Support/free_port.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace sagesaddle;
+using namespace sagesaddle::testing;
+
+namespace {
+
+// The error that a call ends with.
+template <typename Call> log_error errorOf(Call call)
+{
+    try {
+        call();
+    } catch (const log_error& error) {
+        return error;
+    }
+    FAIL("the call did not fail");
+    throw std::logic_error("not reached");
+}
+
+} // namespace
+
+TEST_CASE("log client: reads what was appended")
+{
+    running_log log;
+    log_client client(log.first(), seconds(2));
+    CHECK(client.append("s", { "a", "b" }) == log_range { 0, 2 });
+    CHECK(client.append("s", { "c" }) == log_range { 2, 3 });
+    CHECK(client.read("s", 1, 10, milliseconds(0)) == log_batch { 1, 3, 3, 0, { "b", "c" } });
+}
+
+TEST_CASE("log client: a lost answer may have taken effect, a refused append has not")
+{
+    running_log log;
+    log_client client(log.first(), seconds(2));
+    log.setFaults(R"({"lose_answers":1})");
+    CHECK(errorOf([&] { client.append("s", { "a" }); }).ran() == verdict::MayHaveRun);
+    log.setFaults(R"({"away":true})");
+    const log_error away = errorOf([&] { client.append("s", { "b" }); });
+    CHECK(away.failure() == log_failure::Away);
+    CHECK(away.ran() == verdict::NotRun);
+    log.setFaults(R"({"away":false})");
+    CHECK(client.read("s", 0, 10, milliseconds(0)).records == std::vector<std::string> { "a" });
+}
+
+TEST_CASE("log client: nobody there is away and not run")
+{
+    log_client client(freeAddress(), milliseconds(500));
+    const log_error error = errorOf([&] { client.append("s", { "a" }); });
+    CHECK(error.failure() == log_failure::Away);
+    CHECK(error.ran() == verdict::NotRun);
+}
+
+TEST_CASE("log client: lapsed records name the first offset left")
+{
+    running_log log;
+    log_client client(log.first(), seconds(2));
+    log.setFaults(R"({"retain":2})");
+    client.append("s", { "a", "b", "c" });
+    const log_error error = errorOf([&] { client.read("s", 0, 10, milliseconds(0)); });
+    CHECK(error.failure() == log_failure::Lapsed);
+    CHECK(error.earliest() == 1);
+}
+
+TEST_CASE("log client: may be used from several threads")
+{
+    running_log log;
+    log_client client(log.first(), seconds(5));
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 4; ++thread)
+        threads.emplace_back([&] {
+            for (int count = 0; count < 10; ++count)
+                client.append("s", { "x" });
+        });
+    for (std::thread& thread : threads)
+        thread.join();
+    CHECK(client.read("s", 0, 100, milliseconds(0)).end == 40);
+}
+
+TEST_CASE("log client: stopping ends a waiting read")
+{
+    running_log log;
+    log_client client(log.first(), seconds(2));
+    std::thread reader([&] { CHECK_THROWS_AS(client.read("s", 0, 10, seconds(60)), log_error); });
+    client.stop();
+    reader.join();
+}
--- /dev/null
+++ b/Tests/Agree/membership_watch_tests.cpp
@@ -0,0 +1,81 @@
+#include "Agree/membership_watch.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+using names = std::vector<std::string>;
+
+monotonic_time at(std::int64_t ms)
+{
+    return monotonic_time {} + milliseconds(100000 + ms);
+}
+
+fleet_state fleet(const names& members)
+{
+    fleet_state state;
+    for (const char* name : { "a", "b", "c" })
+        state.entries[name].name = name;
+    state.epoch.members = members;
+    return state;
+}
+
+// Asks every 100 ms while the peers are heard all the time; when the first proposal comes, or -1.
+std::int64_t firstProposal(
+    const std::string& self, const fleet_state& state, const names& heard, names& members)
+{
+    membership_watch watch({ .self = self }, at(0));
+    for (std::int64_t ms = 0; ms <= 60000; ms += 100) {
+        membership_watch::heard_times times;
+        for (const std::string& name : heard)
+            times[name] = at(ms);
+        if (const auto proposal = watch.proposal(at(ms), state, times)) {
+            members = *proposal;
+            return ms;
+        }
+    }
+    return -1;
+}
+
+} // namespace
+
+TEST_CASE("membership: the first epoch holds who is heard, as soon as that has settled")
+{
+    names members;
+    CHECK(firstProposal("a", fleet({}), { "b", "c" }, members) == 1000);
+    CHECK(members == names { "a", "b", "c" });
+}
+
+TEST_CASE("membership: a missed member is left out only after a while")
+{
+    names members;
+    CHECK(firstProposal("a", fleet({ "a", "b", "c" }), { "c" }, members) >= 10000);
+    CHECK(members == names { "a", "c" });
+}
+
+TEST_CASE("membership: who sees no majority proposes nothing")
+{
+    names members;
+    CHECK(firstProposal("a", fleet({ "a", "b", "c" }), {}, members) == -1);
+}
+
+TEST_CASE("membership: an entry that is not listed proposes nothing")
+{
+    names members;
+    CHECK(firstProposal("x", fleet({ "a", "b" }), { "a", "b", "c" }, members) == -1);
+}
+
+TEST_CASE("membership: proposers take turns in the order of their names")
+{
+    names members;
+    CHECK(firstProposal("b", fleet({}), { "a", "c" }, members) == 3000);
+    CHECK(firstProposal("c", fleet({}), { "a", "b" }, members) == 5000);
+}
+
+TEST_CASE("membership: what the epoch says already is not proposed")
+{
+    names members;
+    CHECK(firstProposal("a", fleet({ "a", "b", "c" }), { "b", "c" }, members) == -1);
+}
--- /dev/null
+++ b/Tests/Agree/state_replica_tests.cpp
@@ -0,0 +1,80 @@
+#include "Agree/running_log.h"
+#include "Agree/state_replica.h"
+#include "Record/log_record.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+using namespace sagesaddle::testing;
+
+namespace {
+
+// Three changes, the second one followed by a snapshot of what is below it.
+std::vector<std::string> makeRecords()
+{
+    std::vector<std::string> texts { makeChangeText("a", 0, { "gold" }), makeChangeText("b", 1, { "tin" }) };
+    state_replica replica;
+    replica.takeRecords(0, texts);
+    texts.push_back(formatRecord({ "s", 2, snapshot_record { replica.state() } }));
+    texts.push_back(makeChangeText("c", 2, { "iron" }));
+    return texts;
+}
+
+} // namespace
+
+TEST_CASE("state replica: records that are held already change nothing, and none is skipped")
+{
+    const std::vector<std::string> texts = makeRecords();
+    state_replica replica;
+    CHECK(replica.takeRecords(0, texts));
+    const fleet_state_ptr state = replica.state();
+    CHECK_FALSE(replica.takeRecords(0, { texts[0] }));
+    CHECK_FALSE(replica.takeRecords(9, { texts[0] }));
+    CHECK(replica.state() == state);
+    CHECK(replica.snapshotOffset() == 2);
+}
+
+TEST_CASE("state replica: an older snapshot never replaces a newer state")
+{
+    const std::vector<std::string> texts = makeRecords();
+    state_replica older;
+    older.takeRecords(0, { texts[0] });
+    state_replica replica;
+    replica.takeRecords(0, texts);
+    CHECK_FALSE(replica.adopt(older.state()));
+    CHECK(replica.state()->nextOffset == 4);
+}
+
+TEST_CASE("state replica: goes on from a snapshot where records have lapsed")
+{
+    const std::vector<std::string> texts = makeRecords();
+    state_replica whole;
+    whole.takeRecords(0, texts);
+
+    state_replica late;
+    late.startSearch(2);
+    CHECK(late.isSearching());
+    CHECK(late.readFrom() == 2);
+    CHECK(late.takeRecords(2, { texts[2], texts[3] }));
+    CHECK_FALSE(late.isSearching());
+    CHECK(*late.state() == *whole.state());
+}
+
+TEST_CASE("state replica: a snapshot of a prefix whose tail has lapsed is not used")
+{
+    const std::vector<std::string> texts = makeRecords();
+    state_replica late;
+    late.startSearch(3);
+    CHECK_FALSE(late.takeRecords(3, { texts[3], texts[2] }));
+    CHECK(late.isSearching());
+}
+
+TEST_CASE("state replica: hands out the records that it holds")
+{
+    const std::vector<std::string> texts = makeRecords();
+    state_replica replica;
+    replica.takeRecords(0, texts);
+    CHECK(replica.holdsFrom(0));
+    CHECK(replica.recordsFrom(2, 1 << 20) == std::vector<std::string> { texts[2], texts[3] });
+    CHECK(replica.recordsFrom(0, texts[0].size()).size() == 1);
+}
