--- a/Source/Command/command_line.cpp
+++ b/Source/Command/command_line.cpp
@@ -88,7 +88,7 @@
     if (options.at("status").asBool())
         return status_request { entriesOption(options) };
     if (options.at("explain").asBool())
-        return explain_request { textOf(options, "TRACE_ID"), entriesOption(options) };
+        return explain_request { textOf(options, "TRACE"), entriesOption(options) };
     return parseKeysRequest(options);
 }
 
@@ -104,7 +104,7 @@
   sagesaddle diff DIR --log=ADDR [--json]
   sagesaddle apply DIR --log=ADDR --operator=NAME [--revision=N] [--entry=ADDR]... [--json]
   sagesaddle status (--entry=ADDR)... [--json]
-  sagesaddle explain TRACE_ID (--entry=ADDR)... [--json]
+  sagesaddle explain TRACE (--entry=ADDR)... [--json]
   sagesaddle keys new --team=NAME [--id=ID] [--json]
   sagesaddle keys withdraw ID --log=ADDR --operator=NAME [--entry=ADDR]... [--json]
   sagesaddle keys list --log=ADDR [--json]
--- a/Source/Command/status_commands.cpp
+++ b/Source/Command/status_commands.cpp
@@ -10,7 +10,11 @@
 
 namespace {
 
+using nlohmann::json;
+
 constexpr std::size_t traceIdDigits = 32;
+constexpr std::uint16_t statusOk = 200;
+constexpr std::uint16_t statusNotFound = 404;
 constexpr milliseconds explainTimeout { 2000 };
 
 std::string formatStatusLine(const entry_status& status)
@@ -20,7 +24,7 @@
         return at + ": cannot be asked: " + status.failure + "\n";
     std::string line = at + ":";
     for (const char* key : { "name", "offset", "revision", "ready", "fresh", "log_away", "overload" })
-        line += std::string(" ") + key + "=" + status.document.value(key, nlohmann::json()).dump();
+        line += std::string(" ") + key + "=" + status.document.value(key, json()).dump();
     return line + "\n";
 }
 
@@ -29,16 +33,67 @@
     const bool fits = text.size() == traceIdDigits
         && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
     if (!fits)
-        throw std::invalid_argument("TRACE_ID is \"" + text
+        throw std::invalid_argument("TRACE is \"" + text
             + "\"; allowed: 32 hexadecimal digits, as answers carry them in traceparent");
 }
 
+// What an entry remembers of a trace.
+struct explanation {
+    json decisions = json::array();
+    // Why it could not be asked.
+    std::string failure;
+};
+
+explanation askExplanation(const address& admin, const std::string& traceId)
+{
+    http_request ask;
+    ask.server = admin;
+    ask.target = "/admin/explain?trace=" + traceId;
+    ask.timeout = explainTimeout;
+    explanation result;
+    try {
+        const http_response response = http_client().send(ask);
+        const json document = json::parse(response.body, nullptr, false);
+        if (response.status == statusOk && document.is_object() && document.contains("decisions"))
+            result.decisions = document.at("decisions");
+        else if (response.status != statusNotFound)
+            result.failure = "status " + std::to_string(response.status) + " without decisions";
+    } catch (const http_error& error) {
+        result.failure = error.what();
+    }
+    return result;
+}
+
+std::string formatDecision(const json& decision)
+{
+    std::string text;
+    for (const auto& [key, value] : decision.items())
+        if (key != "steps")
+            text += "  " + key + ": " + value.dump() + "\n";
+    for (const json& step : decision.value("steps", json::array()))
+        text += "  - " + (step.is_string() ? step.get<std::string>() : step.dump()) + "\n";
+    return text;
+}
+
+std::string formatExplanation(const address& admin, const explanation& found)
+{
+    const std::string at = formatAddress(admin) + ": ";
+    if (!found.failure.empty())
+        return at + "cannot be asked: " + found.failure + "\n";
+    if (found.decisions.empty())
+        return at + "knows nothing of this trace\n";
+    std::string text = at + "\n";
+    for (const json& decision : found.decisions)
+        text += formatDecision(decision);
+    return text;
+}
+
 } // namespace
 
 command_report run(const status_request& request)
 {
     command_report report;
-    report.document["entries"] = nlohmann::json::array();
+    report.document["entries"] = json::array();
     for (const address& admin : request.entries) {
         const entry_status status = askStatus(admin);
         report.text += formatStatusLine(status);
@@ -55,23 +110,14 @@
     checkTraceId(request.traceId);
     command_report report;
     report.code = exit_code::NotFound;
-    report.document["entries"] = nlohmann::json::array();
+    report.document["entries"] = json::array();
     for (const address& admin : request.entries) {
-        http_request ask;
-        ask.server = admin;
-        ask.target = "/admin/explain?trace=" + request.traceId;
-        ask.timeout = explainTimeout;
-        std::string said;
-        try {
-            const http_response response = http_client().send(ask);
-            if (response.status == 200)
-                report.code = exit_code::Done;
-            said = response.status == 200 ? response.body : "knows nothing of this trace";
-        } catch (const http_error& error) {
-            said = std::string("cannot be asked: ") + error.what();
-        }
-        report.text += formatAddress(admin) + ": " + said + "\n";
-        report.document["entries"].push_back({ { "admin", formatAddress(admin) }, { "explanation", said } });
+        const explanation found = askExplanation(admin, request.traceId);
+        if (!found.decisions.empty())
+            report.code = exit_code::Done;
+        report.text += formatExplanation(admin, found);
+        report.document["entries"].push_back({ { "admin", formatAddress(admin) },
+            { "decisions", found.decisions }, { "failure", found.failure } });
     }
     return report;
 }
--- /dev/null
+++ b/Tests/Command/entry_command_tests.cpp
@@ -0,0 +1,82 @@
+#include "Agree/running_log.h"
+#include "Command/record_fixture.h"
+#include "Command/run_command.h"
+#include "Support/free_port.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+using namespace sagesaddle::testing;
+
+namespace {
+
+// The admin side of an entry that has reached a revision.
+class admin_stand_in {
+public:
+    explicit admin_stand_in(std::uint64_t revision)
+        : m_revision(revision)
+        , m_listen(freeAddress())
+        , m_server({ .listen = m_listen }, [this](http_call& call) { answer(call); })
+    {
+    }
+
+    const address& listen() const { return m_listen; }
+
+private:
+    void answer(http_call& call)
+    {
+        const bool isKnown = call.query() == "trace=" + std::string(32, '1');
+        if (call.path() == "/admin/explain")
+            return call.respond(
+                200, {}, isKnown ? R"({"decisions":[{"steps":["routed to u"]}]})" : R"({"decisions":[]})");
+        const nlohmann::json status { { "name", "entry-a" }, { "revision", m_revision }, { "fresh", true } };
+        call.respond(200, {}, status.dump());
+    }
+
+    std::uint64_t m_revision;
+    address m_listen;
+    http_server m_server;
+};
+
+} // namespace
+
+TEST_CASE("apply: confirms the entries where the change is in force and names those where it could not")
+{
+    running_log log;
+    const record_fixture records;
+    records.write(teamFile("gold"));
+    const admin_stand_in current(1);
+    const admin_stand_in behind(0);
+    apply_request request = records.applyTo(log.first(), "ann");
+    request.entries = { current.listen() };
+    const command_report confirmed = runCommand(request);
+    CHECK(confirmed.code == exit_code::Done);
+    CHECK(confirmed.document.at("in_force").size() == 1);
+    request.entries = { current.listen(), behind.listen(), freeAddress() };
+    const command_report report = runCommand(request);
+    CHECK(report.code == exit_code::Unconfirmed);
+    CHECK(report.document.at("in_force").size() == 1);
+    CHECK(report.document.at("unconfirmed").size() == 2);
+}
+
+TEST_CASE("status: shows each entry, and one that does not answer")
+{
+    const admin_stand_in entry(7);
+    const command_report report = runCommand(status_request { { entry.listen(), freeAddress() } });
+    CHECK(report.code == exit_code::Unconfirmed);
+    CHECK(report.text.find("name=\"entry-a\"") != std::string::npos);
+    CHECK(report.text.find("cannot be asked") != std::string::npos);
+    CHECK(report.document.at("entries").at(0).at("status").at("revision") == 7);
+}
+
+TEST_CASE("explain: finds the entry that knows the trace")
+{
+    const admin_stand_in entry(7);
+    const command_report found = runCommand(explain_request { std::string(32, '1'), { entry.listen() } });
+    CHECK(found.code == exit_code::Done);
+    CHECK(found.text.find("- routed to u") != std::string::npos);
+    CHECK(
+        runCommand(explain_request { std::string(32, '2'), { entry.listen() } }).code == exit_code::NotFound);
+    CHECK(runCommand(explain_request { "short", { entry.listen() } }).code == exit_code::Failed);
+}
