--- a/Source/Record/change_check.cpp
+++ b/Source/Record/change_check.cpp
@@ -17,21 +17,21 @@
         : m_state(state)
     {
         for (const declared_object& object : change.put)
-            m_put.emplace(refOf(object.value), &object);
+            m_put.emplace(refOf(object.value), &object.value);
         m_removed.insert(change.remove.begin(), change.remove.end());
+        for (const auto& [ref, object] : m_put)
+            m_touched[ref.kind].insert(ref.name);
+        for (const object_ref& ref : m_removed)
+            m_touched[ref.kind].insert(ref.name);
     }
 
-    bool isTouched(const object_ref& ref) const { return m_put.contains(ref) || m_removed.contains(ref); }
+    const fleet_state& state() const { return m_state; }
 
-    template <typename Object, typename Table>
-    const Object* find(object_kind kind, const Table& table, const std::string& name) const
+    // Whether an object is put or removed.
+    bool isTouched(object_kind kind, const std::string& name) const
     {
-        const object_ref ref { kind, name };
-        const auto put = m_put.find(ref);
-        if (put != m_put.end())
-            return &std::get<Object>(put->second->value);
-        const auto kept = table.find(name);
-        return m_removed.contains(ref) || kept == table.end() ? nullptr : &kept->second;
+        const auto names = m_touched.find(kind);
+        return names != m_touched.end() && names->second.contains(name);
     }
 
     const team* findTeam(const std::string& name) const
@@ -47,30 +47,44 @@
         return find<upstream>(object_kind::Upstream, m_state.upstreams, name);
     }
 
-    // Calls `use` with each object of a type that stands after the change, new ones first.
-    template <typename Object, typename Table, typename Use> void forEach(const Table& table, Use use) const
+    // Calls `use` with each object of a type that is put.
+    template <typename Object, typename Use> void forEachPut(Use use) const
     {
         for (const auto& [ref, object] : m_put)
-            if (const auto* value = std::get_if<Object>(&object->value))
+            if (const auto* value = std::get_if<Object>(object))
                 use(*value);
-        for (const auto& item : table)
-            if (!isTouched(refOf(item.second)))
-                use(item.second);
     }
 
-    std::set<std::string> services() const
+    // Calls `use` with each object that is put, and each that stays and of which `isConcerned` holds.
+    template <typename Object, typename Table, typename IsConcerned, typename Use>
+    void forEach(const Table& table, IsConcerned isConcerned, Use use) const
     {
-        std::set<std::string> names;
-        forEach<upstream>(m_state.upstreams, [&](const upstream& value) { names.insert(value.service); });
-        return names;
+        forEachPut<Object>(use);
+        for (const auto& [key, value] : table) {
+            if (!isConcerned(value))
+                continue;
+            const object_ref ref = refOf(value);
+            if (!isTouched(ref.kind, ref.name))
+                use(value);
+        }
     }
 
-    const fleet_state& state() const { return m_state; }
-
 private:
+    template <typename Object, typename Table>
+    const Object* find(object_kind kind, const Table& table, const std::string& name) const
+    {
+        if (isTouched(kind, name)) {
+            const auto put = m_put.find({ kind, name });
+            return put == m_put.end() ? nullptr : &std::get<Object>(*put->second);
+        }
+        const auto kept = table.find(name);
+        return kept == table.end() ? nullptr : &kept->second;
+    }
+
     const fleet_state& m_state;
-    std::map<object_ref, const declared_object*> m_put;
+    std::map<object_ref, const fleet_object*> m_put;
     std::set<object_ref> m_removed;
+    std::map<object_kind, std::set<std::string>> m_touched;
 };
 
 std::string missing(const fleet_object& object, const object_ref& needed, const std::string& what)
@@ -109,77 +123,119 @@
     return {};
 }
 
-std::string firstOf(const std::string& first, const std::string& second)
-{
-    return first.empty() ? second : first;
-}
-
-// Which kinds of objects a change may have broken.
-struct suspects {
-    bool keys { false };
-    bool models { false };
-    bool placements { false };
-    bool routes { false };
-    bool memory { false };
-};
-
-void suspectPut(const fleet_object& object, suspects& result)
+// Runs `check` on each object that is put, and on each that stays and is concerned; the first reason found.
+template <typename Object, typename Table, typename IsConcerned, typename Check>
+std::string firstFailure(
+    const changed_objects& objects, const Table& table, IsConcerned isConcerned, Check check)
 {
-    std::visit(overloaded {
-                   [&](const api_key&) { result.keys = true; },
-                   [&](const model&) { result.models = result.memory = true; },
-                   [&](const upstream&) { result.placements = result.routes = result.memory = true; },
-                   [&](const route&) { result.routes = true; },
-                   [&](const placement&) { result.placements = result.memory = true; },
-                   [](const auto&) {},
-               },
-        object);
+    std::string reason;
+    objects.forEach<Object>(table, isConcerned, [&](const Object& value) {
+        if (reason.empty())
+            reason = check(objects, value);
+    });
+    return reason;
 }
 
-suspects suspectsOf(const change_record& change)
+std::string checkKeys(const changed_objects& objects)
 {
-    suspects result;
-    for (const declared_object& object : change.put)
-        suspectPut(object.value, result);
-    for (const object_ref& ref : change.remove) {
-        result.keys |= ref.kind == object_kind::Team;
-        result.models |= ref.kind == object_kind::Model;
-        result.placements |= ref.kind == object_kind::Model || ref.kind == object_kind::Upstream;
-        result.routes |= ref.kind == object_kind::Upstream;
-    }
-    return result;
+    const auto isOfTouchedTeam
+        = [&](const api_key& value) { return objects.isTouched(object_kind::Team, value.team); };
+    return firstFailure<api_key>(objects, objects.state().keys, isOfTouchedTeam, checkKey);
 }
 
-std::string checkKeys(const changed_objects& objects)
+std::string checkSecrets(const changed_objects& objects)
 {
     std::string reason;
     std::map<std::string_view, std::string_view> idsByHash;
-    objects.forEach<api_key>(objects.state().keys, [&](const api_key& value) {
-        reason = firstOf(reason, checkKey(objects, value));
-        const auto [place, added] = idsByHash.emplace(value.secretSha256, value.id);
-        if (!added && reason.empty())
-            reason = "key \"" + value.id + "\" and key \"" + std::string(place->second)
+    const auto use = [&](std::string_view hash, std::string_view id) {
+        const auto [place, added] = idsByHash.emplace(hash, id);
+        if (!added)
+            reason = "key \"" + std::string(id) + "\" and key \"" + std::string(place->second)
                 + "\" have the same secret; give each its own";
+    };
+    objects.forEachPut<api_key>([&](const api_key& value) {
+        use(value.secretSha256, value.id);
+        const auto held = objects.state().keys.find(value.secretSha256);
+        if (held != objects.state().keys.end() && !objects.isTouched(object_kind::Key, held->second.id))
+            use(held->first, held->second.id);
     });
     return reason;
 }
 
-std::string checkRoutes(const changed_objects& objects)
+std::string checkModels(const changed_objects& objects)
 {
-    std::string reason;
-    const std::set<std::string> services = objects.services();
-    objects.forEach<route>(objects.state().routes, [&](const route& value) {
-        if (reason.empty() && !services.contains(value.service))
-            reason = "route \"" + value.pathPrefix + "\" needs service \"" + value.service
-                + "\", which no upstream offers";
-    });
-    return reason;
+    const auto hasTouchedBase
+        = [&](const model& value) { return objects.isTouched(object_kind::Model, value.base); };
+    return firstFailure<model>(objects, objects.state().models, hasTouchedBase, checkModel);
+}
+
+bool isOfTouched(const changed_objects& objects, const placement& value)
+{
+    return objects.isTouched(object_kind::Model, value.model)
+        || objects.isTouched(object_kind::Upstream, value.upstream);
+}
+
+std::string checkPlacements(const changed_objects& objects)
+{
+    const auto isConcerned = [&](const placement& value) { return isOfTouched(objects, value); };
+    return firstFailure<placement>(objects, objects.state().placements, isConcerned, checkPlacement);
+}
+
+// Whether a change may have taken the last upstream away from a service, or leads a route to one.
+bool concernsRoutes(const changed_objects& objects, const change_record& change)
+{
+    bool concerned = false;
+    objects.forEachPut<route>([&](const route&) { concerned = true; });
+    const auto check = [&](const object_ref& ref) {
+        if (ref.kind != object_kind::Upstream)
+            return;
+        const auto held = objects.state().upstreams.find(ref.name);
+        concerned |= held != objects.state().upstreams.end() && !held->second.service.empty();
+    };
+    for (const declared_object& object : change.put)
+        check(refOf(object.value));
+    for (const object_ref& ref : change.remove)
+        check(ref);
+    return concerned;
+}
+
+std::string checkRoutes(const changed_objects& objects, const change_record& change)
+{
+    if (!concernsRoutes(objects, change))
+        return {};
+    const auto isService = [](const upstream& value) { return !value.service.empty(); };
+    std::set<std::string> services;
+    objects.forEach<upstream>(
+        objects.state().upstreams, isService, [&](const upstream& value) { services.insert(value.service); });
+    const auto check = [&](const changed_objects&, const route& value) {
+        return services.contains(value.service) ? std::string()
+                                                : "route \"" + value.pathPrefix + "\" needs service \""
+                + value.service + "\", which no upstream offers";
+    };
+    return firstFailure<route>(
+        objects, objects.state().routes, [](const route&) { return true; }, check);
+}
+
+// The upstreams whose placed models may need more than they have.
+std::set<std::string> upstreamsToSum(const changed_objects& objects)
+{
+    std::set<std::string> names;
+    objects.forEachPut<upstream>([&](const upstream& value) { names.insert(value.name); });
+    const auto isOfTouchedModel
+        = [&](const placement& value) { return objects.isTouched(object_kind::Model, value.model); };
+    objects.forEach<placement>(objects.state().placements, isOfTouchedModel,
+        [&](const placement& value) { names.insert(value.upstream); });
+    return names;
 }
 
 std::string checkMemory(const changed_objects& objects)
 {
+    const std::set<std::string> concerned = upstreamsToSum(objects);
+    if (concerned.empty())
+        return {};
     std::map<std::string_view, std::uint64_t> placedMb;
-    objects.forEach<placement>(objects.state().placements, [&](const placement& value) {
+    const auto isConcerned = [&](const placement& value) { return concerned.contains(value.upstream); };
+    objects.forEach<placement>(objects.state().placements, isConcerned, [&](const placement& value) {
         if (const model* placed = objects.findModel(value.model))
             placedMb[value.upstream] += placed->memoryMb;
     });
@@ -192,31 +248,19 @@
     return {};
 }
 
-template <typename Object, typename Table, typename Check>
-std::string checkEach(const changed_objects& objects, const Table& table, Check check)
+std::string checkObjects(const changed_objects& objects, const change_record& change)
 {
-    std::string reason;
-    objects.forEach<Object>(table, [&](const Object& value) {
-        if (reason.empty())
-            reason = check(objects, value);
-    });
-    return reason;
-}
-
-std::string checkObjects(const changed_objects& objects, const suspects& broken)
-{
-    const fleet_state& state = objects.state();
-    std::string reason;
-    if (broken.keys)
-        reason = checkKeys(objects);
-    if (broken.models)
-        reason = firstOf(reason, checkEach<model>(objects, state.models, checkModel));
-    if (broken.placements)
-        reason = firstOf(reason, checkEach<placement>(objects, state.placements, checkPlacement));
-    if (broken.routes)
-        reason = firstOf(reason, checkRoutes(objects));
-    if (broken.memory)
-        reason = firstOf(reason, checkMemory(objects));
+    std::string reason = checkKeys(objects);
+    if (reason.empty())
+        reason = checkSecrets(objects);
+    if (reason.empty())
+        reason = checkModels(objects);
+    if (reason.empty())
+        reason = checkPlacements(objects);
+    if (reason.empty())
+        reason = checkRoutes(objects, change);
+    if (reason.empty())
+        reason = checkMemory(objects);
     return reason;
 }
 
@@ -264,7 +308,7 @@
     if (reason.empty())
         reason = checkWithdrawals(state, change);
     if (reason.empty())
-        reason = checkObjects(changed_objects(state, change), suspectsOf(change));
+        reason = checkObjects(changed_objects(state, change), change);
     return reason;
 }
 
