Entry: Send a side its view only when what concerns it changed

Before, each change of the configuration formatted the view of every upstream; now the placements are indexed once and only upstreams whose record, models or placements differ are told. Answers carry traceparent, which explain asks for.

--- a/Source/Entry/caller_answer.cpp
+++ b/Source/Entry/caller_answer.cpp
@@ -10,8 +10,9 @@
 
 constexpr std::size_t maxEventBytes = std::size_t { 4 } << 20U;
 
-constexpr std::array<std::string_view, 9> heldBackAnswerHeaders { "connection", "keep-alive",
-    "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer", "te", "date" };
+constexpr std::array<std::string_view, 10> heldBackAnswerHeaders { "connection", "keep-alive",
+    "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer", "te", "date",
+    "traceparent" };
 
 std::string lowered(std::string_view text)
 {
@@ -28,11 +29,17 @@
         == heldBackAnswerHeaders.end();
 }
 
+void addTrace(http_call::header_list& headers, const trace_context& trace)
+{
+    headers.emplace_back("X-Trace-Id", trace.traceId);
+    headers.emplace_back("traceparent", formatTraceparent(trace));
+}
+
 } // namespace
 
-caller_answer::caller_answer(http_call& call, std::string traceId, std::size_t maxHeldBytes)
+caller_answer::caller_answer(http_call& call, const trace_context& trace, std::size_t maxHeldBytes)
     : m_call(call)
-    , m_traceId(std::move(traceId))
+    , m_trace(trace)
     , m_maxHeldBytes(maxHeldBytes)
 {
 }
@@ -47,7 +54,7 @@
         if (isPassedOn(key))
             m_headers.emplace_back(name, value);
     }
-    m_headers.emplace_back("X-Trace-Id", m_traceId);
+    addTrace(m_headers, m_trace);
 }
 
 bool caller_answer::start()
@@ -108,7 +115,7 @@
 
 void caller_answer::refuse(const refusal& why)
 {
-    const std::string problem = formatProblem(why, m_traceId);
+    const std::string problem = formatProblem(why, m_trace.traceId);
     if (m_started) {
         if (m_isEventStream)
             m_call.sendPiece("event: error\ndata: " + problem + "\n\n");
@@ -117,8 +124,8 @@
     }
     m_started = true;
     m_status = why.status;
-    http_call::header_list headers { { "Content-Type", "application/problem+json" },
-        { "X-Trace-Id", m_traceId } };
+    http_call::header_list headers { { "Content-Type", "application/problem+json" } };
+    addTrace(headers, m_trace);
     if (why.retryAfterMs > 0)
         headers.emplace_back("Retry-After", std::to_string(retryAfterSeconds(why.retryAfterMs)));
     if (why.status == 401)
--- a/Source/Entry/caller_answer.h
+++ b/Source/Entry/caller_answer.h
@@ -3,6 +3,7 @@
 #include "Entry/refusal.h"
 #include "Entry/sse_splitter.h"
 #include "Serve/http_server.h"
+#include "Watch/trace_context.h"
 #include "Wire/messages.h"
 
 #include <cstddef>
@@ -19,7 +20,7 @@
 class caller_answer {
 public:
     /// \param maxHeldBytes most of a plain answer that is held
-    caller_answer(http_call& call, std::string traceId, std::size_t maxHeldBytes);
+    caller_answer(http_call& call, const trace_context& trace, std::size_t maxHeldBytes);
 
     void onHead(const answer_head& head);
 
@@ -47,7 +48,7 @@
     bool sendEvents(const std::string& events);
 
     http_call& m_call;
-    const std::string m_traceId;
+    const trace_context m_trace;
     const std::size_t m_maxHeldBytes;
     std::uint16_t m_headStatus { 0 };
     http_call::header_list m_headers;
--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -76,7 +76,7 @@
         : call(incoming)
         , caller(parseTraceparent(firstOf(incoming, "traceparent")))
         , trace(caller ? childOf(*caller) : startTrace())
-        , answer(incoming, trace.traceId, maxHeldBytes)
+        , answer(incoming, trace, maxHeldBytes)
         , began(monotonicNow())
     {
         record.traceId = trace.traceId;
--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace sagesaddle {
@@ -17,6 +18,33 @@
 /// Sides asked at a time, so that control traffic stays small however many there are.
 constexpr std::size_t asksAtOnce = 8;
 
+using placement_index = std::map<std::string, std::vector<placement>>;
+
+placement_index byUpstream(const fleet_state& state)
+{
+    placement_index index;
+    for (const auto& [key, value] : state.placements)
+        index[value.upstream].push_back(value);
+    return index;
+}
+
+// Upstreams whose side processes are told something else by the newer state.
+std::set<std::string> changedViews(const fleet_state* before, const fleet_state& after)
+{
+    const bool sameModels = before && before->models == after.models;
+    placement_index oldPlacements = before ? byUpstream(*before) : placement_index {};
+    placement_index newPlacements = byUpstream(after);
+    std::set<std::string> changed;
+    for (const auto& [name, record] : after.upstreams) {
+        const bool modelsMatter = record.kind == upstream_kind::Engine && !sameModels;
+        const auto old = before ? before->upstreams.find(name) : after.upstreams.end();
+        const bool known = before && old != before->upstreams.end() && old->second == record;
+        if (modelsMatter || !known || oldPlacements[name] != newPlacements[name])
+            changed.insert(name);
+    }
+    return changed;
+}
+
 } // namespace
 
 side_links::side_links(wire_pool& pool, exchange_table& exchanges, handlers callbacks)
@@ -60,38 +88,35 @@
 void side_links::update(const fleet_state_ptr& state)
 {
     link_list gone;
-    std::vector<std::string> names;
+    std::vector<std::string> due;
     {
         const std::lock_guard lock(m_mutex);
+        const std::set<std::string> changed = changedViews(m_state.get(), *state);
         m_state = state;
         gone = takeGoneLinks(*state);
         for (const auto& [name, record] : state->upstreams) {
-            if (!m_sides.contains(name))
-                m_sides[name] = { record.side, openLink(name, record.side), {}, {} };
-            names.push_back(name);
+            const auto [found, added] = m_sides.try_emplace(name);
+            if (added)
+                found->second = { record.side, openLink(name, record.side), false, {} };
+            if (found->second.viewDue || changed.contains(name))
+                due.push_back(name);
         }
     }
     gone.clear();
-    for (const auto& name : names)
-        sendView(name, false);
+    for (const auto& name : due)
+        sendView(name);
 }
 
-void side_links::sendView(const std::string& upstream, bool evenIfUnchanged)
+void side_links::sendView(const std::string& upstream)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_sides.find(upstream);
     if (found == m_sides.end() || !m_state)
         return;
-    auto view = makeSideView(*m_state, upstream);
-    if (!view)
-        return;
-    const std::uint64_t offset = std::exchange(view->offset, 0);
-    const std::string content = formatSideView(*view);
-    if (!evenIfUnchanged && content == found->second.sentView)
-        return;
-    view->offset = offset;
-    if (found->second.link->send(side_view_message { offset, formatSideView(*view) }))
-        found->second.sentView = content;
+    const auto view = makeSideView(*m_state, upstream);
+    if (view)
+        found->second.viewDue
+            = !found->second.link->send(side_view_message { view->offset, formatSideView(*view) });
 }
 
 bool side_links::send(const std::string& upstream, const message& value)
@@ -135,7 +160,7 @@
 
 void side_links::onUp(const std::string& upstream)
 {
-    sendView(upstream, true);
+    sendView(upstream);
     m_handlers.onLink(upstream, true);
     send(upstream, load_ask {});
 }
--- a/Source/Entry/side_links.h
+++ b/Source/Entry/side_links.h
@@ -52,8 +52,8 @@
     struct side {
         address at;
         std::shared_ptr<frame_link> link;
-        /// The view that was last sent, without its offset.
-        std::string sentView;
+        /// The newest view did not go out yet.
+        bool viewDue { false };
         monotonic_time heard {};
     };
     using link_list = std::vector<std::shared_ptr<frame_link>>;
@@ -64,7 +64,7 @@
     void onDown(const std::string& upstream);
     template <typename Frame> void deliver(const std::string& upstream, Frame frame);
     void noteHeard(const std::string& upstream);
-    void sendView(const std::string& upstream, bool evenIfUnchanged);
+    void sendView(const std::string& upstream);
     link_list takeGoneLinks(const fleet_state& state);
 
     wire_pool& m_pool;
