Entry: Vary the waits between reads of the host list

Two entries that read in step could see a list that repeats older states only in its older state, each time: a leaving upstream got 7 of 60 requests after 4 s. With waits that vary by a quarter it got none; the failure test for a leaving upstream failed before and passes now.

--- a/Source/Entry/housekeeper.cpp
+++ b/Source/Entry/housekeeper.cpp
@@ -19,10 +19,18 @@
     m_thread.join();
 }
 
+milliseconds housekeeper::nextWait()
+{
+    const auto quarter = m_period.count() / 4;
+    std::uniform_int_distribution<milliseconds::rep> spread(
+        m_period.count() - quarter, m_period.count() + quarter);
+    return milliseconds(spread(m_random));
+}
+
 void housekeeper::run()
 {
     std::unique_lock lock(m_mutex);
-    while (!m_stopped.wait_for(lock, m_period, [this] { return m_stopping; })) {
+    while (!m_stopped.wait_for(lock, nextWait(), [this] { return m_stopping; })) {
         lock.unlock();
         m_action();
         lock.lock();
--- a/Source/Entry/housekeeper.h
+++ b/Source/Entry/housekeeper.h
@@ -5,11 +5,14 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <random>
 #include <thread>
 
 namespace sagesaddle {
 
 /// \brief Runs an action again and again on a thread of its own.
+///
+/// The waits vary by a quarter, so that processes that started together do not stay in step.
 class housekeeper {
 public:
     housekeeper(milliseconds period, std::function<void()> action);
@@ -20,12 +23,14 @@
 
 private:
     void run();
+    milliseconds nextWait();
 
     const milliseconds m_period;
     const std::function<void()> m_action;
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_stopping { false };
+    std::minstd_rand m_random { std::random_device {}() };
     std::thread m_thread;
 };
 
