Entry: Be ready only once the rates can be charged

Before the first membership epoch every charge was refused as rate_holder_away although /readyz said 200: five of the tests of calls that run once failed on it and pass now.

--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -57,6 +57,12 @@
         .certificateFile = settings.certificateFile };
 }
 
+// Before the first epoch nobody holds a part of the teams' rates, and every charge would be refused.
+bool canCharge(const fleet_state& state)
+{
+    return state.teams.empty() || !state.epoch.members.empty();
+}
+
 std::vector<std::string> formatAddresses(const std::vector<address>& addresses)
 {
     std::vector<std::string> texts;
@@ -123,7 +129,8 @@
 
     bool isReady() const
     {
-        return !draining && follower.state() && follower.freshnessAt(monotonicNow()).fresh;
+        const fleet_state_ptr state = follower.state();
+        return !draining && state && canCharge(*state) && follower.freshnessAt(monotonicNow()).fresh;
     }
 
     void onState(const fleet_state_ptr& state)
