Tests: Let random histories use the whole range of choices from the first test on

The choices grew with rapidcheck's size, so that a missing guard was found only after some 70 of 100 tests; now after 14 to 52. Trials with a guard taken out (age of a peer's read, records held, majority, references of untouched keys, memory, repeated ids) each failed.

--- a/Tests/Agree/freshness_differential_tests.cpp
+++ b/Tests/Agree/freshness_differential_tests.cpp
@@ -129,8 +129,8 @@
     CHECK(rc::check("fresh means held or away from a majority", [] {
         simulated_fleet fleet(*rc::gen::inRange<std::size_t>(1, 6));
         std::size_t fresh = 0;
-        const auto choices
-            = *rc::gen::container<std::vector<std::uint8_t>>(400, rc::gen::arbitrary<std::uint8_t>());
+        const auto choices = *rc::gen::container<std::vector<std::uint8_t>>(
+            400, rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint8_t>()));
         for (std::size_t index = 0; index + 3 < choices.size(); index += 4) {
             fleet.step(choices[index], choices[index + 1], choices[index + 2], choices[index + 3]);
             RC_ASSERT(fleet.isSafe());
--- a/Tests/Record/fold_differential_tests.cpp
+++ b/Tests/Record/fold_differential_tests.cpp
@@ -12,7 +12,8 @@
 
 std::vector<std::string> anyHistory()
 {
-    const auto step = rc::gen::container<history_step>(choicesPerStep, rc::gen::arbitrary<std::uint8_t>());
+    const auto step = rc::gen::container<history_step>(
+        choicesPerStep, rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint8_t>()));
     const auto length = *rc::gen::inRange<std::size_t>(0, 80);
     return makeHistory(*rc::gen::container<std::vector<history_step>>(length, step));
 }
--- a/Tests/Record/record_fuzz_tests.cpp
+++ b/Tests/Record/record_fuzz_tests.cpp
@@ -16,7 +16,8 @@
 // A record of a history with some of its bytes replaced, cut off or doubled.
 std::string damagedRecord()
 {
-    const auto step = rc::gen::container<history_step>(choicesPerStep, rc::gen::arbitrary<std::uint8_t>());
+    const auto step = rc::gen::container<history_step>(
+        choicesPerStep, rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint8_t>()));
     std::string text = makeHistory(*rc::gen::container<std::vector<history_step>>(4, step)).back();
     const auto edits = *rc::gen::inRange(0, 4);
     for (int edit = 0; edit < edits && !text.empty(); ++edit) {
