--- a/Tests/Limit/rate_history_properties.cpp
+++ b/Tests/Limit/rate_history_properties.cpp
@@ -144,6 +144,61 @@
     CHECK(held);
 }
 
+namespace {
+
+/// Lets every entry but one spend all it can, again and again.
+void drainAll(rate_world& world, milliseconds span, const std::string& idle = "")
+{
+    constexpr milliseconds pause { 100 };
+    for (milliseconds spent { 0 }; spent < span; spent += pause) {
+        for (const std::string& entry : allEntries)
+            for (token_count tokens : { 200, 200, 100, 50, 20, 20, 5, 5, 5 })
+                if (entry != idle)
+                    world.send(entry, "desk", tokens);
+        world.run(pause);
+    }
+}
+
+/// One entry is frozen, restarted or left alone, then the members change; all spend what they can.
+void epochRound(rate_world& world)
+{
+    const std::string victim = *rc::gen::elementOf(allEntries);
+    const int fault = *rc::gen::inRange(0, 4);
+    if (fault == 1)
+        world.freeze(victim);
+    if (fault == 2)
+        world.startEntry(victim);
+    if (fault == 3) {
+        world.run(milliseconds(*rc::gen::inRange(0, 1000)));
+        world.send(victim, "desk", deskBurst);
+        world.run(milliseconds(20));
+    }
+    for (int epochs = *rc::gen::inRange(1, 3); epochs > 0; --epochs) {
+        world.records().withEpoch(membersOf(*rc::gen::inRange(1, 32)));
+        drainAll(world, milliseconds(*rc::gen::inRange(0, 2500)), fault == 3 ? victim : "");
+    }
+    drainAll(world, milliseconds(*rc::gen::inRange(0, 6000)));
+    world.wake(victim);
+}
+
+} // namespace
+
+TEST_CASE("rate history: every window stays within the bound while the members change under full load")
+{
+    const bool held = rc::check([] {
+        rate_world::options settings;
+        settings.syncEvery = milliseconds(*rc::gen::inRange(50, 1950));
+        const token_count rate = *rc::gen::elementOf(deskRates);
+        rate_world world = startedWorld(settings, rate, *rc::gen::inRange<std::uint64_t>(0, 1'000'000));
+        const monotonic_time start = world.now();
+        drainAll(world, milliseconds(200));
+        for (int rounds = *rc::gen::inRange(1, 4); rounds > 0; --rounds)
+            epochRound(world);
+        RC_ASSERT(staysWithinBound(world, rate, start));
+    });
+    CHECK(held);
+}
+
 TEST_CASE("rate history: with a good network the fleet admits what one exact bucket admits or still has it, "
           "but for a share")
 {
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -183,3 +183,33 @@
     entries.learn(fleet, start);
     CHECK_FALSE(entries.admit("b", 100, start).admitted);
 }
+
+TEST_CASE("rate member: an entry that missed the epoch in which a share was elsewhere drops its credit")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    rate_member& asker = entries.entries.at("a");
+    entries.deliver("a", asker.asksFor("desk", 2000, start), start);
+    CHECK(asker.spendable("desk", start) == 2000);
+    fleet.withEpoch({ "a" }).withEpoch({ "a", "b", "c" });
+    asker.update(fleet.state(), start);
+    CHECK(asker.spendable("desk", start) == 1000);
+}
+
+TEST_CASE("rate member: credit of an entry that left counts as outstanding until it cannot be spent")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    rate_member& asker = entries.entries.at("a");
+    entries.deliver("a", asker.asksFor("desk", 3000, start), start);
+    CHECK(asker.spendable("desk", start) == 3000);
+    fleet.withEpoch({ "b", "c" });
+    rate_member& holder = entries.entries.at("b");
+    holder.update(fleet.state(), start);
+    CHECK_FALSE(holder.admit("desk", 1, start + milliseconds(500)).admitted);
+    CHECK(holder.spendable("desk", start + tenureGrace - milliseconds(1)) == 0);
+    const monotonic_time later = start + tenureGrace + seconds(1);
+    holder.admit("desk", 1, start + tenureGrace);
+    CHECK(holder.spendable("desk", later) >= 100);
+    CHECK(holder.spendable("desk", later) <= 200);
+}
--- /dev/null
+++ b/Utilities/bench/bench_decisions.cpp
@@ -0,0 +1,232 @@
+// Cost of the decisions on the path of a request, and memory, at parts of the size aimed at (in percent).
+
+#include "Limit/rate_member.h"
+#include "Route/fair_queue.h"
+#include "Route/router.h"
+#include "bench_fleet.h"
+
+#include <benchmark/benchmark.h>
+#include <random>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+constexpr double requestTokens = 300;
+
+/// \brief A router that knows a fleet's records and reports.
+struct routed_fleet {
+    fleet_state_ptr state;
+    router chooser { "region-10000", "zone-10000", 7 };
+    std::size_t bytes { 0 };
+
+    explicit routed_fleet(int percent)
+        : state(std::make_shared<const fleet_state>(bench::makeFleet(bench::sizeOf(percent))))
+    {
+        const std::vector<load_report> reports = bench::makeReports(*state);
+        const std::size_t before = bench::heapBytes();
+        chooser.update(state);
+        for (const load_report& report : reports)
+            chooser.onReport(report, start);
+        for (const auto& [name, model] : state->models)
+            chooser.choose(requestFor(name), start);
+        bytes = bench::heapBytes() - before;
+    }
+
+    static route_request requestFor(const std::string& model)
+    {
+        route_request request;
+        request.model = model;
+        request.prefixes = { 1, 2, 3, 4, 5, 6, 7, 8 };
+        request.tokens = requestTokens;
+        request.deadline = start + seconds(3600);
+        return request;
+    }
+};
+
+void routeRequest(benchmark::State& run)
+{
+    routed_fleet fleet(static_cast<int>(run.range(0)));
+    std::vector<route_request> requests;
+    for (const auto& [name, model] : fleet.state->models)
+        requests.push_back(routed_fleet::requestFor(name));
+    std::size_t next = 0;
+    monotonic_time now = start;
+    for (auto _ : run) {
+        now += std::chrono::microseconds(1);
+        const route_choice choice = fleet.chooser.choose(requests[next], now);
+        fleet.chooser.onSent(choice.upstream, requestTokens, now);
+        fleet.chooser.onDone(choice.upstream, requestTokens, false, now);
+        next = (next + 1) % requests.size();
+    }
+    run.counters["router_bytes"] = static_cast<double>(fleet.bytes);
+}
+
+void takeReport(benchmark::State& run)
+{
+    routed_fleet fleet(static_cast<int>(run.range(0)));
+    std::vector<load_report> reports = bench::makeReports(*fleet.state);
+    std::size_t next = 0;
+    monotonic_time now = start;
+    for (auto _ : run) {
+        now += std::chrono::microseconds(1);
+        reports[next].running = (reports[next].running + 1) % 8;
+        fleet.chooser.onReport(reports[next], now);
+        next = (next + 1) % reports.size();
+    }
+}
+
+void updateRouter(benchmark::State& run)
+{
+    routed_fleet fleet(static_cast<int>(run.range(0)));
+    fleet_state changed = *fleet.state;
+    changed.placements.erase(changed.placements.begin());
+    const auto other = std::make_shared<const fleet_state>(changed);
+    bool flip = false;
+    for (auto _ : run) {
+        fleet.chooser.update(flip ? fleet.state : other);
+        flip = !flip;
+    }
+}
+
+/// \brief An entry that holds its shares of a fleet's teams.
+struct limited_fleet {
+    fleet_state_ptr before;
+    fleet_state_ptr state;
+    rate_member member { bench::entryName(0), 1000 };
+    std::size_t bytes { 0 };
+
+    explicit limited_fleet(int percent)
+    {
+        const bench::fleet_size size = bench::sizeOf(percent);
+        fleet_state records = bench::makeFleet(size);
+        before = std::make_shared<const fleet_state>(records);
+        records.pastEpochs = { records.epoch };
+        records.epoch.number = 1;
+        for (int entry = 0; entry < size.entries; ++entry)
+            records.epoch.members.push_back(bench::entryName(entry));
+        records.nextOffset = 2;
+        state = std::make_shared<const fleet_state>(records);
+        const std::size_t heapBefore = bench::heapBytes();
+        member.update(before, start);
+        member.update(state, start);
+        bytes = bench::heapBytes() - heapBefore;
+    }
+};
+
+/// Grants the entry all that it asks for, as holders with full shares would.
+void grantAll(
+    rate_member& member, const std::vector<addressed_ask>& asks, double& granted, monotonic_time now)
+{
+    for (const addressed_ask& each : asks) {
+        granted += each.ask.tokens;
+        credit_grant grant;
+        grant.id = each.ask.id;
+        grant.team = each.ask.team;
+        grant.holder = each.holder;
+        grant.epoch = each.ask.epoch;
+        grant.tokens = each.ask.tokens;
+        grant.grantedTotal = granted;
+        grant.share = each.ask.share;
+        member.onGrant(grant, now);
+    }
+}
+
+void checkRate(benchmark::State& run)
+{
+    limited_fleet fleet(static_cast<int>(run.range(0)));
+    std::vector<std::string> teams;
+    for (const auto& [name, record] : fleet.state->teams)
+        teams.push_back(name);
+    std::vector<double> granted(teams.size(), 0);
+    std::size_t next = 0;
+    std::uint64_t admitted = 0;
+    monotonic_time now = start;
+    for (auto _ : run) {
+        now += std::chrono::microseconds(100);
+        const std::string& team = teams[next];
+        if (fleet.member.admit(team, 300, now).admitted)
+            ++admitted;
+        else
+            grantAll(fleet.member, fleet.member.asksFor(team, 300, now), granted[next], now);
+        grantAll(fleet.member, fleet.member.followUp(team, now), granted[next], now);
+        next = (next + 1) % teams.size();
+    }
+    run.counters["gate_bytes"] = static_cast<double>(fleet.bytes);
+    run.counters["admitted_share"] = static_cast<double>(admitted) / static_cast<double>(run.iterations());
+}
+
+void answerAsk(benchmark::State& run)
+{
+    limited_fleet fleet(static_cast<int>(run.range(0)));
+    const bench::fleet_size size = bench::sizeOf(static_cast<int>(run.range(0)));
+    std::string team;
+    for (const auto& [name, record] : fleet.state->teams)
+        for (const team_share& share : sharesOf(name, fleet.state->epoch.members))
+            if (share.holder == bench::entryName(0))
+                team = name;
+    if (team.empty()) {
+        run.SkipWithError("the entry holds no share");
+        return;
+    }
+    std::uint64_t id = 10;
+    int asker = 0;
+    monotonic_time now = start;
+    for (auto _ : run) {
+        now += std::chrono::microseconds(100);
+        asker = (asker + 1) % size.entries;
+        const credit_ask ask { ++id, team, bench::entryName(asker) + "/1", 1, 3, 0, 1, 0, 0 };
+        benchmark::DoNotOptimize(fleet.member.answer(ask, now));
+    }
+}
+
+void updateGate(benchmark::State& run)
+{
+    for (auto _ : run) {
+        run.PauseTiming();
+        limited_fleet fleet(static_cast<int>(run.range(0)));
+        fleet_state next = *fleet.state;
+        next.pastEpochs.push_back(next.epoch);
+        next.epoch.number = next.nextOffset++;
+        next.epoch.members.pop_back();
+        const auto changed = std::make_shared<const fleet_state>(next);
+        run.ResumeTiming();
+        fleet.member.update(changed, start + seconds(1));
+    }
+}
+
+/// A queue that holds so many requests: one comes, one starts, one ends.
+void queueRequest(benchmark::State& run)
+{
+    fair_queue queue({ 16, 100000, 0.1 });
+    const auto waiting = static_cast<std::uint64_t>(run.range(0));
+    std::uint64_t ticket = 0;
+    const auto request = [&](monotonic_time now) {
+        ++ticket;
+        return queued_request { ticket, bench::teamName(static_cast<int>(ticket % 200)),
+            ticket % 5 ? priority::Interactive : priority::Batch, requestTokens, now, now + seconds(36000) };
+    };
+    while (queue.waiting() < waiting)
+        queue.offer(request(start), start);
+    monotonic_time now = start;
+    for (auto _ : run) {
+        now += std::chrono::microseconds(10);
+        queue.offer(request(now), now);
+        queue.takeExpired(now);
+        const auto next = queue.start(now);
+        queue.finish(next->ticket, now);
+    }
+}
+
+BENCHMARK(routeRequest)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(takeReport)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(updateRouter)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
+BENCHMARK(checkRate)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(answerAsk)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(updateGate)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond)->Iterations(20);
+BENCHMARK(queueRequest)->Arg(10)->Arg(100)->Arg(1000);
+
+} // namespace
+
+BENCHMARK_MAIN();
