--- a/Tests/Limit/fleet_of.h
+++ b/Tests/Limit/fleet_of.h
@@ -3,6 +3,7 @@
 #include "Limit/share_tenure.h"
 #include "Record/fleet_state.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -30,6 +31,7 @@
     /// Writes a membership epoch as the next record.
     fleet_of& withEpoch(std::vector<std::string> members)
     {
+        std::sort(members.begin(), members.end());
         m_state.pastEpochs.push_back(m_state.epoch);
         if (m_state.pastEpochs.size() > maxPastEpochs)
             m_state.pastEpochs.erase(m_state.pastEpochs.begin());
