--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t noUpstreamRetryMs = 1000;
 /// Copies of a model that one entry routes to while they have room.
 constexpr std::size_t subsetSize = 8;
+/// Copies beyond the subset that are looked at while it is full.
+constexpr std::size_t widerSize = 16;
 /// Share of the slots that batch requests fill before they look further.
 constexpr double batchFullShare = 0.8;
 /// An answer time this many times the best one's marks an upstream as slow.
@@ -117,6 +119,8 @@
         double bestSeconds, monotonic_time now) const;
     best_candidate pick(const id_list& from, std::size_t first, std::size_t last,
         const route_request& request, monotonic_time now);
+    best_candidate pickBeyond(
+        const id_list& from, std::size_t near, const route_request& request, monotonic_time now);
     best_candidate pickReady(const id_list& from, const route_request& request, monotonic_time now);
     const candidate* pickEased(const id_list& from, const route_request& request) const;
     best_candidate pickCold(std::uint64_t memoryMb, const route_request& request, monotonic_time now);
@@ -308,13 +312,29 @@
     return best;
 }
 
+/// Looks at some of the copies beyond the subset, and at all of them where none of those takes work.
+best_candidate router::impl::pickBeyond(
+    const id_list& from, std::size_t near, const route_request& request, monotonic_time now)
+{
+    const std::size_t beyond = from.size() - near;
+    if (beyond > widerSize) {
+        const std::size_t first = std::uniform_int_distribution<std::size_t>(0, beyond - 1)(random);
+        id_list some;
+        for (std::size_t step = 0; step < widerSize; ++step)
+            some.push_back(from[near + (first + step) % beyond]);
+        if (best_candidate best = pick(some, 0, widerSize, request, now); best.value)
+            return best;
+    }
+    return pick(from, near, from.size(), request, now);
+}
+
 best_candidate router::impl::pickReady(const id_list& from, const route_request& request, monotonic_time now)
 {
     const std::size_t near = std::min(from.size(), subsetSize);
     best_candidate best = pick(from, 0, near, request, now);
     if (near == from.size() || (best.value && !isFull(*best.value, request, now)))
         return best;
-    const best_candidate wider = pick(from, near, from.size(), request, now);
+    const best_candidate wider = pickBeyond(from, near, request, now);
     return !best.value || (wider.value && wider.cost < best.cost) ? wider : best;
 }
 
--- a/Tests/Route/router_properties.cpp
+++ b/Tests/Route/router_properties.cpp
@@ -14,7 +14,7 @@
 
 const monotonic_time start = monotonic_time {} + seconds(1000);
 const std::vector<std::string> modelNames { "m0", "m1", "m2", "a0", "a1" };
-constexpr int upstreamCount = 8;
+constexpr int upstreamCount = 60;
 
 std::string upstreamName(int index)
 {
@@ -144,9 +144,9 @@
 {
     const std::string name = upstreamName(*rc::gen::inRange(0, upstreamCount));
     const bool known = naive.state.upstreams.contains(name);
-    switch (*rc::gen::inRange(0, 8)) {
+    switch (*rc::gen::inRange(0, 12)) {
     case 0:
-        if (known) {
+        if (known && *rc::gen::inRange(0, 4) == 0) {
             naive.leaving.insert(name);
             chooser.onLeaving(name);
         }
@@ -179,13 +179,14 @@
         router chooser("r1", "z1", *rc::gen::arbitrary<std::uint64_t>());
         naive_router naive;
         monotonic_time now = start;
-        for (int step = *rc::gen::inRange(0, 80); step > 0; --step, now += milliseconds(10)) {
+        for (int step = *rc::gen::inRange(0, 400); step > 0; --step, now += milliseconds(10)) {
             randomEvent(chooser, naive, now);
             route_request request;
             request.model = *rc::gen::elementOf(modelNames);
             request.tokens = 100;
             request.deadline = now + seconds(10);
-            request.tried = { upstreamName(*rc::gen::inRange(0, upstreamCount)) };
+            for (int tried = *rc::gen::inRange(0, 3); tried > 0; --tried)
+                request.tried.insert(upstreamName(*rc::gen::inRange(0, upstreamCount)));
             const route_choice choice = chooser.choose(request, now);
             const std::set<std::string> allowed = naive.allowed(request);
             if (!choice.upstream.empty())
--- a/Utilities/bench/bench_decisions.cpp
+++ b/Utilities/bench/bench_decisions.cpp
@@ -63,6 +63,19 @@
     run.counters["router_bytes"] = static_cast<double>(fleet.bytes);
 }
 
+/// A model with many copies, all of them full: the router looks beyond its subset.
+void routeToFullCopies(benchmark::State& run)
+{
+    routed_fleet fleet(static_cast<int>(run.range(0)));
+    for (load_report& report : bench::makeReports(*fleet.state)) {
+        report.running = 2 * report.slots;
+        fleet.chooser.onReport(report, start);
+    }
+    const route_request request = routed_fleet::requestFor(bench::modelName(0));
+    for (auto _ : run)
+        benchmark::DoNotOptimize(fleet.chooser.choose(request, start));
+}
+
 void takeReport(benchmark::State& run)
 {
     routed_fleet fleet(static_cast<int>(run.range(0)));
@@ -220,6 +233,7 @@
 }
 
 BENCHMARK(routeRequest)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(routeToFullCopies)->Arg(10)->Arg(50)->Arg(100);
 BENCHMARK(takeReport)->Arg(10)->Arg(50)->Arg(100);
 BENCHMARK(updateRouter)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
 BENCHMARK(checkRate)->Arg(10)->Arg(50)->Arg(100);
