--- a/Tests/Fakes/fake_engine.h
+++ b/Tests/Fakes/fake_engine.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -77,11 +78,14 @@
     std::uint32_t m_running { 0 };
     // Waiting requests by class: interactive, batch.
     std::array<std::uint32_t, 2> m_waiting { 0, 0 };
+    // Classes of the last requests in the order in which they got a place in the batch.
+    std::deque<std::string> m_recentClasses;
     std::uint64_t m_completed { 0 };
     std::uint64_t m_cancelled { 0 };
     std::map<std::string, std::uint64_t> m_byTeam;
     std::map<std::string, std::uint64_t> m_byRequest;
     std::map<std::string, std::map<std::string, std::uint64_t>> m_byModelAndTeam;
+    std::map<std::string, std::uint64_t> m_tokensByTeam;
     seen_headers m_headers;
 };
 
