Serve: Keep idle connections from taking all workers, and refuse at once when hardly one is left

Cause: a kept connection holds its worker, so 320 callers that keep theirs left new ones waiting in silence. Connections are now closed after their answer while more than half of the workers are taken, calls are refused with entry_overloaded when 15 of 16 are, and an entry has 512 workers unless set otherwise.

--- a/Source/Entry/entry_settings.cpp
+++ b/Source/Entry/entry_settings.cpp
@@ -13,7 +13,7 @@
 void readCallers(settings_reader& reader, entry_settings& settings)
 {
     settings.callers = reader.requiredAddress("callers", "listen");
-    settings.workers = static_cast<std::uint32_t>(reader.integer("callers", "workers", 64, { 2, 2048 }));
+    settings.workers = static_cast<std::uint32_t>(reader.integer("callers", "workers", 512, { 2, 2048 }));
     settings.certificateFile = reader.text("callers", "certificate_file", "");
     settings.bodyTimeout
         = reader.duration("callers", "body_timeout_ms", settings.bodyTimeout, { 100, 600000 });
--- a/Source/Entry/entry_settings.h
+++ b/Source/Entry/entry_settings.h
@@ -38,7 +38,7 @@
     std::string zone;
 
     address callers;
-    std::uint32_t workers { 64 };
+    std::uint32_t workers { 512 };
     std::string certificateFile;
     request_limits limits;
     /// Time in which a request's body must have come.
--- a/Source/Entry/refusal.cpp
+++ b/Source/Entry/refusal.cpp
@@ -26,8 +26,8 @@
     { "upstream_failed", 502 },
 } };
 
-constexpr std::array<std::string_view, 7> overloadReasons { "deadline", "queue_full", "no_upstream",
-    "no_memory", "model_not_loaded", "model_loading", "rate_holder_away" };
+constexpr std::array<std::string_view, 8> overloadReasons { "deadline", "entry_overloaded", "queue_full",
+    "no_upstream", "no_memory", "model_not_loaded", "model_loading", "rate_holder_away" };
 
 std::string titleOf(std::uint16_t status)
 {
--- a/Source/Serve/http_server.cpp
+++ b/Source/Serve/http_server.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+// One worker of so many is kept for refusing calls when all others are taken.
+constexpr std::uint32_t reservedPart = 16;
+
 // mg_read returns only when the buffer is full, so small reads bound how long a slow sender is waited for.
 constexpr std::size_t smallestReadBytes = 64;
 constexpr std::size_t largestReadBytes = 2048;
@@ -214,13 +217,31 @@
     address plain;
     std::unique_ptr<tls_front> front;
 
+    std::atomic<std::uint32_t> openConnections { 0 };
+
     static int onRequest(mg_connection* connection, void* user)
     {
         auto& self = *static_cast<impl*>(user);
         http_call call(connection, self.settings.extraHeaders);
+        const std::uint32_t open = self.openConnections;
+        if (open > self.settings.workers / 2)
+            call.closeAfterwards();
+        if (open > self.settings.workers - self.settings.workers / reservedPart)
+            call.setCrowded();
         self.onCall(call);
         return 1;
     }
+
+    static int onOpen(const mg_connection* connection, void** /*data*/)
+    {
+        ++static_cast<impl*>(mg_get_user_data(mg_get_context(connection)))->openConnections;
+        return 0;
+    }
+
+    static void onClose(const mg_connection* connection)
+    {
+        --static_cast<impl*>(mg_get_user_data(mg_get_context(connection)))->openConnections;
+    }
 };
 
 http_server::http_server(options settings, handler onCall)
@@ -240,8 +261,10 @@
         "no" };
     list.push_back(nullptr);
 
-    const mg_callbacks callbacks {};
-    m_impl->context = mg_start(&callbacks, nullptr, list.data());
+    mg_callbacks callbacks {};
+    callbacks.init_connection = &impl::onOpen;
+    callbacks.connection_close = &impl::onClose;
+    m_impl->context = mg_start(&callbacks, m_impl.get(), list.data());
     if (!m_impl->context)
         throw std::runtime_error("cannot listen for HTTP on " + port
             + "; check that the address is this host's and the port is free");
--- a/Source/Serve/http_server.h
+++ b/Source/Serve/http_server.h
@@ -62,15 +62,24 @@
 
     bool answered() const { return m_answered; }
 
+    /// \return whether nearly all workers are taken, so that this call should be refused at once.
+    bool isCrowded() const { return m_crowded; }
+    void setCrowded() { m_crowded = true; }
+
 private:
     mg_connection* m_connection;
     const header_list& m_extraHeaders;
     header_list m_headers;
     bool m_answered { false };
+    bool m_crowded { false };
     bool m_closesAfterwards { false };
 };
 
 /// \brief An HTTP server whose handler runs on a pool of workers.
+///
+/// A connection takes a worker for as long as it stands. Connections are kept alive only while half of
+/// the workers are free, so that idle ones never keep callers out, and calls that come when hardly one is
+/// left are marked as crowded.
 class http_server {
 public:
     struct options {
--- a/Tests/Serve/http_tests.cpp
+++ b/Tests/Serve/http_tests.cpp
@@ -1,10 +1,14 @@
 #include "Serve/http_client.h"
 #include "Serve/http_server.h"
 #include "Support/free_port.h"
+#include "Support/until.h"
 
-#include <atomic>
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <future>
+#include <memory>
+
 using namespace sagesaddle;
 
 namespace {
@@ -116,3 +120,43 @@
     CHECK_THROWS_AS(client.send(lost), http_error);
     CHECK(calls == 2);
 }
+
+TEST_CASE("http: idle kept connections never keep other callers out")
+{
+    const address listen = testing::freeAddress();
+    http_server server(
+        { .listen = listen, .workers = 8 }, [](http_call& call) { call.respond(200, {}, "ok"); });
+    std::vector<std::unique_ptr<http_client>> clients;
+    http_request request;
+    request.server = listen;
+    request.timeout = seconds(5);
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(std::make_unique<http_client>());
+        CHECK(clients.back()->send(request).status == 200);
+    }
+}
+
+TEST_CASE("http: calls are marked as crowded once hardly a worker is left")
+{
+    const address listen = testing::freeAddress();
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    std::atomic<int> held { 0 };
+    http_server server({ .listen = listen, .workers = 16 }, [&](http_call& call) {
+        if (call.isCrowded())
+            return call.respond(503, {}, "");
+        ++held;
+        released.wait();
+        call.respond(200, {}, "");
+    });
+    http_request request;
+    request.server = listen;
+    std::vector<std::future<std::uint16_t>> calls;
+    for (int i = 0; i < 15; ++i)
+        calls.push_back(std::async(std::launch::async, [&] { return http_client().send(request).status; }));
+    CHECK(testing::until([&] { return held == 15; }));
+    CHECK(http_client().send(request).status == 503);
+    release.set_value();
+    for (auto& call : calls)
+        CHECK(call.get() == 200);
+}
