--- a/Source/Limit/rate_member.cpp
+++ b/Source/Limit/rate_member.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds shortestEmpty { 5 };
 constexpr milliseconds longestEmpty { 250 };
 constexpr std::uint32_t holderAwayRetryMs = 250;
+constexpr double mostTokensInMessage = 1e15;
 constexpr double longestRetryMs = 86'400'000;
 
 double decayed(double value, monotonic_time since, monotonic_time now)
@@ -27,6 +28,12 @@
     return value * std::exp(-std::max(elapsed, 0.0) / recentUseSeconds);
 }
 
+/// \return an amount of a message as whole tokens, within bounds that no sum of them exceeds.
+token_count tokensOf(double amount)
+{
+    return static_cast<token_count>(std::clamp(amount, 0.0, mostTokensInMessage));
+}
+
 std::string entryOf(const std::string& accountName)
 {
     return accountName.substr(0, accountName.rfind('/'));
@@ -417,10 +424,10 @@
     grant.refusal = refusalFor(ask, held, now);
     if (!held || !grant.refusal.empty())
         return grant;
-    const auto ahead = static_cast<token_count>(ask.prefetchTokens);
-    const auto needed = static_cast<token_count>(ask.tokens) - ahead;
-    const credit_settlement settlement { ask.asker, ask.id, static_cast<token_count>(ask.settledTotal),
-        static_cast<token_count>(ask.returnedTotal) };
+    const token_count ahead = tokensOf(ask.prefetchTokens);
+    const token_count needed = std::max<token_count>(tokensOf(ask.tokens) - ahead, 0);
+    const credit_settlement settlement { ask.asker, ask.id, tokensOf(ask.settledTotal),
+        tokensOf(ask.returnedTotal) };
     const credit_debit debit = held->holder->grant(settlement, needed, ahead, now);
     grant.tokens = static_cast<double>(debit.tokens);
     grant.grantedTotal = static_cast<double>(debit.grantedTotal);
@@ -447,7 +454,7 @@
         share.away = !granted;
         share.probedAt = now;
         if (granted)
-            share.account->onGrant(grant.id, static_cast<token_count>(grant.grantedTotal));
+            share.account->onGrant(grant.id, tokensOf(grant.grantedTotal));
         if (grant.refusal == "rate" || grant.retryAfterMs > 0)
             share.emptyUntil
                 = now + std::clamp(milliseconds(grant.retryAfterMs), shortestEmpty, longestEmpty);
--- a/Source/Wire/frame_codec.cpp
+++ b/Source/Wire/frame_codec.cpp
@@ -143,8 +143,8 @@
 {
     const flat_text team = builder.CreateString(value.team);
     const flat_text asker = builder.CreateString(value.asker);
-    return wire::CreateCreditAsk(
-        builder, value.id, team, asker, value.epoch, value.tokens, value.settledTotal);
+    return wire::CreateCreditAsk(builder, value.id, team, asker, value.epoch, value.tokens,
+        value.settledTotal, value.prefetchTokens, value.returnedTotal, value.share);
 }
 
 flatbuffers::Offset<wire::CreditGrant> build(flat_builder& builder, const credit_grant& value)
@@ -153,7 +153,7 @@
     const flat_text holder = builder.CreateString(value.holder);
     const flat_text refusal = builder.CreateString(value.refusal);
     return wire::CreateCreditGrant(builder, value.id, team, holder, value.epoch, value.tokens,
-        value.grantedTotal, value.retryAfterMs, refusal);
+        value.grantedTotal, value.retryAfterMs, refusal, value.share);
 }
 
 flatbuffers::Offset<wire::TailAsk> build(flat_builder& builder, const tail_ask& value)
@@ -359,14 +359,16 @@
 credit_ask read(const wire::CreditAsk& from)
 {
     return { from.id(), readText(from.team()), readText(from.asker()), from.epoch(),
-        readAmount(from.tokens(), "tokens"), readAmount(from.settled_total(), "settled_total") };
+        readAmount(from.tokens(), "tokens"), readAmount(from.settled_total(), "settled_total"),
+        readAmount(from.prefetch_tokens(), "prefetch_tokens"),
+        readAmount(from.returned_total(), "returned_total"), from.share() };
 }
 
 credit_grant read(const wire::CreditGrant& from)
 {
     return { from.id(), readText(from.team()), readText(from.holder()), from.epoch(),
         readAmount(from.tokens(), "tokens"), readAmount(from.granted_total(), "granted_total"),
-        from.retry_after_ms(), readText(from.refusal()) };
+        from.retry_after_ms(), readText(from.refusal()), from.share() };
 }
 
 tail_ask read(const wire::TailAsk& from)
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -213,3 +213,14 @@
     CHECK(holder.spendable("desk", later) >= 100);
     CHECK(holder.spendable("desk", later) <= 200);
 }
+
+TEST_CASE("rate member: an ask for an absurd amount is granted what the share has")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    const credit_ask ask { 5, "desk", "a/1", fleet.state()->epoch.number, 1e300, 1e300, 0, 0, 0 };
+    const credit_grant grant = entries.entries.at("b").answer(ask, start);
+    CHECK(grant.tokens == 1000);
+    CHECK(entries.entries.at("b").answer(ask, start).tokens == 0);
+    CHECK(entries.entries.at("b").spendable("desk", start) == 0);
+}
--- a/Tests/Limit/rate_world.cpp
+++ b/Tests/Limit/rate_world.cpp
@@ -117,7 +117,7 @@
 }
 
 void rate_world::post(
-    const std::string& from, const std::string& to, std::variant<credit_ask, credit_grant> value)
+    const std::string& from, const std::string& to, const std::variant<credit_ask, credit_grant>& value)
 {
     ++m_messages;
     const int copies = chance(m_settings.loss) ? 0 : chance(m_settings.doubling) ? 2 : 1;
--- a/Tests/Limit/rate_world.h
+++ b/Tests/Limit/rate_world.h
@@ -104,7 +104,8 @@
     };
 
     bool chance(double probability);
-    void post(const std::string& from, const std::string& to, std::variant<credit_ask, credit_grant> value);
+    void post(
+        const std::string& from, const std::string& to, const std::variant<credit_ask, credit_grant>& value);
     void postAll(const std::string& from, const std::vector<addressed_ask>& asks);
     void deliverDue();
     void deliver(const delivery& message);
--- a/Utilities/bench/bench_fleet.cpp
+++ b/Utilities/bench/bench_fleet.cpp
@@ -98,6 +98,7 @@
     for (const auto& [key, placed] : state.placements)
         reports[placed.upstream].residentModels.push_back(placed.model);
     std::vector<load_report> list;
+    list.reserve(reports.size());
     for (auto& [name, report] : reports)
         list.push_back(std::move(report));
     return list;
