--- a/Source/Side/claimed_exchange.cpp
+++ b/Source/Side/claimed_exchange.cpp
@@ -2,12 +2,16 @@
 
 #include "Watch/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sagesaddle {
 
 namespace {
 
+// A log that takes longer counts as away: the call is refused rather than held back.
+constexpr milliseconds longestClaim { 2000 };
+
 exchange_outcome refused(verdict ran, std::string reason, std::string detail)
 {
     exchange_outcome outcome;
@@ -23,7 +27,8 @@
     if (!claims.claim)
         return {};
     try {
-        return claims.claim(request.team, request.idempotencyKey, deadline);
+        const auto giveUp = std::min(deadline, std::chrono::steady_clock::now() + longestClaim);
+        return claims.claim(request.team, request.idempotencyKey, giveUp);
     } catch (const std::exception& error) {
         writeLog(log_level::Error, "a claim failed", { { "error", error.what() } });
         return {};
