--- a/Source/Limit/rate_member.h
+++ b/Source/Limit/rate_member.h
@@ -117,6 +117,9 @@
         monotonic_time due;
     };
 
+    /// \return the entry whose account has this name.
+    static std::string entryOf(const std::string& accountName);
+
     using epoch_list = std::vector<const membership_epoch*>;
 
     team_state* find(const std::string& team);
