--- a/Source/Limit/rate_member.h
+++ b/Source/Limit/rate_member.h
@@ -128,6 +128,7 @@
     void updateTeam(const team& record, const std::optional<epoch_list>& passed, monotonic_time now);
     std::vector<share_state> carryShares(
         team_state& value, bool isNew, const std::optional<epoch_list>& passed, monotonic_time now);
+    bool stayedMember(const std::optional<epoch_list>& passed) const;
     bool continues(const std::string& team, const team_share& share, const epoch_list& passed) const;
     share_state openShare(const team_state& value, const team_share& share, bool isNew, monotonic_time now);
     void openAccount(share_state& value);
@@ -154,6 +155,8 @@
     fleet_state_ptr m_state;
     /// Offset from which on this process has learned every record itself.
     std::uint64_t m_bornAt { 0 };
+    /// Whether this process joined the epochs in its life and is a member since.
+    bool m_isJoined { false };
     monotonic_time m_epochLearnedAt;
     std::unordered_map<std::string, team_state> m_teams;
     std::vector<pending_write_off> m_writeOffs;
--- a/Source/Limit/rate_member_shares.cpp
+++ b/Source/Limit/rate_member_shares.cpp
@@ -6,10 +6,14 @@
 
 bool rate_member::mustRejoin() const
 {
-    if (!m_state)
-        return true;
-    const std::uint64_t since = memberSince(m_self, *m_state);
-    return since == 0 || since < m_bornAt;
+    return !m_isJoined;
+}
+
+bool rate_member::stayedMember(const std::optional<epoch_list>& passed) const
+{
+    return passed && std::all_of(passed->begin(), passed->end(), [this](const membership_epoch* epoch) {
+        return isMember(m_self, *epoch);
+    });
 }
 
 void rate_member::update(fleet_state_ptr state, monotonic_time now)
@@ -23,6 +27,8 @@
     if (state->epoch.number != known)
         m_epochLearnedAt = now;
     m_state = std::move(state);
+    const std::uint64_t since = memberSince(m_self, *m_state);
+    m_isJoined = (m_isJoined && stayedMember(passed)) || (since != 0 && since >= m_bornAt);
     if (passed)
         scheduleWriteOffs(*passed, now);
     for (auto& [name, value] : m_teams)
@@ -60,9 +66,7 @@
 std::vector<rate_member::share_state> rate_member::carryShares(
     team_state& value, bool isNew, const std::optional<epoch_list>& passed, monotonic_time now)
 {
-    const bool stayed = passed && std::all_of(passed->begin(), passed->end(), [this](const auto* epoch) {
-        return isMember(m_self, *epoch);
-    });
+    const bool stayed = stayedMember(passed);
     const bool createdInEpoch = isNew && passed && passed->empty();
     std::vector<share_state> carried;
     for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members, m_division.shares)) {
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -224,3 +224,16 @@
     CHECK(entries.entries.at("b").answer(ask, start).tokens == 0);
     CHECK(entries.entries.at("b").spendable("desk", start) == 0);
 }
+
+TEST_CASE("rate member: a member for longer than the state remembers need not rejoin")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    for (std::size_t epoch = 0; epoch < 2 * maxPastEpochs; ++epoch) {
+        fleet.withEpoch(
+            epoch % 2 ? std::vector<std::string> { "a", "b", "c" } : std::vector<std::string> { "a", "b" });
+        entries.learn(fleet, start);
+    }
+    CHECK_FALSE(entries.entries.at("a").mustRejoin());
+    CHECK(entries.entries.at("a").spendable("desk", start) >= 1000);
+}
