Agree: Hold the exchange of evidence and the log's reads to 4 KB a second

Ten asks a second would have cost 7.4 KB/s with packet headers, and an entry whose log answered 503 at once read it nine times a second. Now four asks, and half a second between failed reads: 3.7 KB/s at the bound.

--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -25,7 +25,8 @@
 constexpr std::uint32_t readLimit = 500;
 constexpr milliseconds readWait { 500 };
 constexpr milliseconds logTimeout { 500 };
-constexpr milliseconds retryPause { 100 };
+constexpr milliseconds emptyReadPause { 100 };
+constexpr milliseconds failurePause { 500 };
 constexpr milliseconds tick { 50 };
 constexpr milliseconds writerTick { 200 };
 constexpr milliseconds askLifetime { 5000 };
@@ -68,7 +69,7 @@
     ~impl();
 
     void readLoop();
-    bool readOnce();
+    milliseconds readOnce();
     void onReadFailure(const log_error& error);
     void onBatch(monotonic_time askedAt, const log_batch& batch);
     void peerLoop();
@@ -154,12 +155,12 @@
 void fleet_follower::impl::readLoop()
 {
     while (pause(milliseconds(0)))
-        if (!readOnce())
-            pause(retryPause);
+        pause(readOnce());
 }
 
-// Reads one batch; false where nothing came, so that the next read may wait a moment.
-bool fleet_follower::impl::readOnce()
+// Reads one batch.
+// Returns the pause before the next read.
+milliseconds fleet_follower::impl::readOnce()
 {
     std::uint64_t from = 0;
     {
@@ -170,11 +171,12 @@
     try {
         const log_batch batch = log.read(settings.stream, from, readLimit, readWait);
         onBatch(askedAt, batch);
-        return !batch.records.empty() || currentTime() - askedAt >= readWait;
+        const bool waited = !batch.records.empty() || currentTime() - askedAt >= readWait;
+        return waited ? milliseconds(0) : emptyReadPause;
     } catch (const log_error& error) {
         onReadFailure(error);
+        return error.failure() == log_failure::Lapsed ? milliseconds(0) : failurePause;
     }
-    return false;
 }
 
 void fleet_follower::impl::onReadFailure(const log_error& error)
--- a/Source/Agree/peer_rotation.h
+++ b/Source/Agree/peer_rotation.h
@@ -15,7 +15,7 @@
 public:
     /// Asks a second that keep an entry's control traffic under 4 KB/s, answers and the peers' own asks
     /// included.
-    static constexpr std::size_t mostAsksPerSecond = 10;
+    static constexpr std::size_t mostAsksPerSecond = 4;
 
     /// \return how long it is from one ask of a peer to the next.
     /// \param peers number of peers in turn
--- a/Utilities/bench-state/bench_state.cpp
+++ b/Utilities/bench-state/bench_state.cpp
@@ -83,8 +83,9 @@
         change_record change { state.revision, "ann", { { object, {} } }, {} };
         const std::string text = formatRecord({ "id-" + std::to_string(count++), 2, std::move(change) });
         run.ResumeTiming();
-        fold_result result
-            = copies ? fold(state, state.nextOffset, text) : fold(std::move(state), state.nextOffset, text);
+        fleet_state copied = copies ? state : fleet_state {};
+        const std::uint64_t offset = state.nextOffset;
+        fold_result result = fold(std::move(copies ? copied : state), offset, text);
         if (result.outcome != fold_outcome::Accepted)
             run.SkipWithError(result.reason.c_str());
         state = std::move(result.state);
