--- a/Utilities/bench-state/bench_state.cpp
+++ b/Utilities/bench-state/bench_state.cpp
@@ -73,6 +73,12 @@
     return state;
 }
 
+fold_result foldOnto(fleet_state&& state, const std::string& text)
+{
+    const std::uint64_t offset = state.nextOffset;
+    return fold(std::move(state), offset, text);
+}
+
 // Folds a change of one object again and again, each against the state as it then is.
 void foldChange(benchmark::State& run, const fleet_object& object, bool copies)
 {
@@ -83,9 +89,7 @@
         change_record change { state.revision, "ann", { { object, {} } }, {} };
         const std::string text = formatRecord({ "id-" + std::to_string(count++), 2, std::move(change) });
         run.ResumeTiming();
-        fleet_state copied = copies ? state : fleet_state {};
-        const std::uint64_t offset = state.nextOffset;
-        fold_result result = fold(std::move(copies ? copied : state), offset, text);
+        fold_result result = copies ? foldOnto(fleet_state(state), text) : foldOnto(std::move(state), text);
         if (result.outcome != fold_outcome::Accepted)
             run.SkipWithError(result.reason.c_str());
         state = std::move(result.state);
