--- a/Tests/Agree/log_client_tests.cpp
+++ b/Tests/Agree/log_client_tests.cpp
@@ -70,6 +70,7 @@
     running_log log;
     log_client client(log.first(), seconds(5));
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int thread = 0; thread < 4; ++thread)
         threads.emplace_back([&] {
             for (int count = 0; count < 10; ++count)
