--- a/Tests/Place/memory_ledger_tests.cpp
+++ b/Tests/Place/memory_ledger_tests.cpp
@@ -154,3 +154,17 @@
     ledger.onReport(reportOf(1), start);
     CHECK(ledger.phase() == ledger_phase::Open);
 }
+
+TEST_CASE("memory ledger: a report older than the order never settles it, not even by the models it lists")
+{
+    memory_ledger ledger = openLedger();
+    const auto order = ledger.reserveLoad("a", 600);
+    ledger.takeOrdersToSend(start);
+    ledger.onReply(order->id, order_reply::Accepted, 5);
+    ledger.onReport(reportOf(4, { { "a", { 100, resident_state::Loaded } } }), start + settling);
+    CHECK(ledger.ordersOutstanding() == 1);
+    CHECK(ledger.freeMb() == 400);
+    ledger.onReport(reportOf(5, { { "a", { 600, resident_state::Loaded } } }), start + settling);
+    CHECK(ledger.ordersOutstanding() == 0);
+    CHECK(ledger.freeMb() == 400);
+}
