--- a/Tests/Place/memory_ledger_differential.cpp
+++ b/Tests/Place/memory_ledger_differential.cpp
@@ -60,13 +60,13 @@
         const auto at = m_running.begin() + static_cast<std::ptrdiff_t>(choice % m_running.size());
         const engine_order order = *at;
         m_running.erase(at);
-        if (order.action == order_action::Unload)
-            m_models.erase(order.model);
-        else if (fails && m_models.contains(order.model)
-            && m_models[order.model].state == resident_state::Loading)
-            m_models.erase(order.model);
-        else if (!fails)
+        const auto resident = m_models.find(order.model);
+        const bool isLoading
+            = resident != m_models.end() && resident->second.state == resident_state::Loading;
+        if (order.action == order_action::Load && !fails)
             m_models[order.model] = { order.memoryMb, resident_state::Loaded };
+        else if (order.action == order_action::Unload || isLoading)
+            m_models.erase(order.model);
         m_outcomes[order.id] = order_outcome::Settled;
         ++m_sequence;
         publish();
--- a/Tests/Side/engine_orders_tests.cpp
+++ b/Tests/Side/engine_orders_tests.cpp
@@ -54,6 +54,30 @@
         return entry->waitForLoad([&](const load_report& load) { return isResident(load, model); });
     }
 
+    // Waits until the engine works on a load.
+    bool waitForRunningOrder() const
+    {
+        const auto end = std::chrono::steady_clock::now() + waitBound;
+        while (std::chrono::steady_clock::now() < end) {
+            const nlohmann::json report = get(engine.at, "/control/report");
+            for (const auto& order : report["recent_orders"]) {
+                if (order["outcome"] == "running")
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    // Puts a new process in the place of the one that runs, without a drain.
+    void restart(const side_view& view)
+    {
+        entry.reset();
+        side.reset();
+        side.emplace(settings);
+        entry.emplace(settings.frames);
+        entry->send(side_view_message { view.offset, formatSideView(view) });
+    }
+
     std::uint64_t peakMb() const { return get(engine.at, "/admin/stats")["peak_memory_mb"]; }
 
     served<fake_engine> engine;
@@ -153,3 +177,18 @@
     CHECK(get(path.settings.admin, "/admin/status")["engine"]["orders"] == "fenced_off");
     CHECK(get(path.engine.at, "/admin/stats")["loads"].empty());
 }
+
+TEST_CASE("side orders: a process that replaces one whose order is still under way overcommits nothing")
+{
+    for (const bool checksFencing : { false, true }) {
+        order_path path(viewOf(checksFencing));
+        REQUIRE(path.waitUntilOpen());
+        post(path.engine.at, "/admin/faults", R"({"delay_orders_ms":400,"refuse_overcommit":false})");
+        path.entry->send(chatRequest(1, "other"));
+        REQUIRE(path.waitForRunningOrder());
+        path.restart(viewOf(checksFencing, { { "third", "up-1", true } }));
+        CHECK(path.waitForModel("third"));
+        CHECK(path.peakMb() <= 1000);
+        CHECK(get(path.engine.at, "/admin/stats")["loads"]["other"] == 1);
+    }
+}
