Wire: Give a server's address back before its destructor ends

A side process could also destroy its server within a callback that was sending; it now waits for those.

--- a/Source/Side/side_process.cpp
+++ b/Source/Side/side_process.cpp
@@ -29,6 +29,7 @@
 // Long enough for the entries to hear that this process is stopping.
 constexpr milliseconds shortestDrain { 500 };
 constexpr milliseconds closeLimit { 2000 };
+constexpr milliseconds sendGrace { 1 };
 constexpr milliseconds logTimeout { 2000 };
 constexpr const char* configStream = "config";
 
@@ -71,6 +72,9 @@
     {
         admin.reset();
         publishFrames(nullptr);
+        // A callback that sends holds the server for a moment, and must not be the one to destroy it.
+        while (frames.use_count() > 1)
+            std::this_thread::sleep_for(sendGrace);
         frames.reset();
         if (engine)
             engine->stop();
--- a/Source/Wire/frame_server.cpp
+++ b/Source/Wire/frame_server.cpp
@@ -10,7 +10,9 @@
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <condition_variable>
+#include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -111,19 +113,24 @@
         return result;
     }
 
-    void closeAcceptor()
+    std::future<void> closeAcceptor()
     {
-        asio::post(acceptor.get_executor(), [self = shared_from_this()] {
+        auto closed = std::make_shared<std::promise<void>>();
+        std::future<void> result = closed->get_future();
+        asio::post(acceptor.get_executor(), [self = shared_from_this(), closed] {
             std::error_code ignored;
             self->retryTimer.cancel();
             self->acceptor.close(ignored);
+            closed->set_value();
         });
+        return result;
     }
 
     void stop()
     {
         gate.close();
-        closeAcceptor();
+        // The address is free for another server once this one is gone.
+        closeAcceptor().wait();
         const std::scoped_lock lock(mutex);
         stopped = true;
         for (const auto& [id, connection] : connections)
--- a/Source/Wire/frame_server.h
+++ b/Source/Wire/frame_server.h
@@ -32,6 +32,7 @@
     /// \param listen where to listen; port 0 takes a free one
     /// \throws std::system_error where it cannot listen there
     frame_server(wire_pool& pool, const address& listen, handlers callbacks);
+    /// Waits for running callbacks and gives the address back; never called from a callback.
     ~frame_server();
 
     frame_server(const frame_server&) = delete;
