--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -269,6 +269,9 @@
 
 void request_handler::dispatch(visit& current, const caller_request& incoming)
 {
+    if (incoming.stream && !current.call.takesChunks())
+        throw request_refused(
+            { .status = 400, .reason = "http_version", .detail = "a stream needs HTTP/1.1; send it so" });
     caller_request request = incoming;
     request.headers.push_back({ "X-Request-Id", requestIdOf(current.call, current.trace) });
     const monotonic_time deadline = current.began + request.timeout;
--- a/Source/Serve/http_server.cpp
+++ b/Source/Serve/http_server.cpp
@@ -96,6 +96,12 @@
     return values;
 }
 
+bool http_call::takesChunks() const
+{
+    const char* version = mg_get_request_info(m_connection)->http_version;
+    return version && std::string_view(version) == "1.1";
+}
+
 std::string http_call::callerIp() const
 {
     return mg_get_request_info(m_connection)->remote_addr;
--- a/Source/Serve/http_server.h
+++ b/Source/Serve/http_server.h
@@ -39,6 +39,8 @@
     const header_list& headers() const { return m_headers; }
     /// \return the values of a header, its name compared without case.
     std::vector<std::string> header(std::string_view name) const;
+    /// \return whether the caller understands answers in chunks.
+    bool takesChunks() const;
     /// \return the caller's IP number.
     std::string callerIp() const;
 
--- a/Tests/Entry/edge_tests.cpp
+++ b/Tests/Entry/edge_tests.cpp
@@ -1,6 +1,7 @@
 #include "Entry/edge_fixture.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace sagesaddle;
 using testing::answerWhole;
@@ -230,6 +231,37 @@
     CHECK(edge.sent().size() == 1);
 }
 
+TEST_CASE("edge: a sender that drips its body or stops in its head is cut off")
+{
+    edge_fixture edge(answerOk);
+    asio::io_context context;
+    asio::ip::tcp::socket slow(context);
+    slow.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
+    asio::write(slow,
+        asio::buffer(std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+                                 "secret\r\nContent-Length: 100000\r\n\r\n")));
+    std::error_code error;
+    while (slow.available() == 0 && !error) {
+        asio::write(slow, asio::buffer(" ", 1), error);
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    std::string answer(512, '\0');
+    answer.resize(slow.read_some(asio::buffer(answer), error));
+    CHECK(has(answer, "\"reason\":\"body_incomplete\""));
+    CHECK_FALSE(has(edge.rawCall("GET /v1/models HTTP/1.1\r\nHo"), "HTTP/1.1 200"));
+    CHECK(edge.sent().empty());
+}
+
+TEST_CASE("edge: a stream over HTTP/1.0 is refused, a plain answer is not")
+{
+    edge_fixture edge(answerOk);
+    const std::string body = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true})";
+    const std::string post = "POST /v1/chat/completions HTTP/1.0";
+    CHECK(has(edge.call(post, body), "\"reason\":\"http_version\""));
+    CHECK(has(
+        edge.call(post, R"({"model":"m","messages":[{"role":"user","content":"hi"}]})"), "{\"ok\":true}"));
+}
+
 TEST_CASE("edge: an open route needs no key, and no key or header of ours passes")
 {
     edge_fixture edge(answerOk);
--- a/Tests/Serve/tls_tests.cpp
+++ b/Tests/Serve/tls_tests.cpp
@@ -35,7 +35,7 @@
         name, "CN", MBSTRING_ASC, reinterpret_cast<const unsigned char*>("127.0.0.1"), -1, -1, 0);
     X509_set_issuer_name(certificate.get(), name);
     X509_sign(certificate.get(), key.get(), EVP_sha256());
-    const auto path = std::filesystem::temp_directory_path()
+    auto path = std::filesystem::temp_directory_path()
         / ("sagesaddle-tls-" + std::to_string(testing::freeAddress().port) + ".pem");
     const file_holder file(fopen(path.c_str(), "w"), &fclose);
     PEM_write_PrivateKey(file.get(), key.get(), nullptr, nullptr, 0, nullptr, nullptr);
