--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -118,8 +118,8 @@
         "[process]\nname = \"" + member.name + "\"\nregion = \"north\"\nzone = \"" + zoneOf(index)
             + "\"\n[callers]\nlisten = \"" + formatAddress(member.listen) + "\"\n[admin]\nlisten = \""
             + formatAddress(member.admin) + "\"\n[peers]\nlisten = \"" + formatAddress(m_entryPeers[index])
-            + "\"\nseeds = [" + seedsOf(index) + "]\n[log]\naddress = \"" + formatAddress(m_entryLogs[index]) + "\"\n[hosts]\naddress = \""
-            + formatAddress(m_hosts.listen) + "\"\n" + m_plan.entrySettings);
+            + "\"\nseeds = [" + seedsOf(index) + "]\n[log]\naddress = \"" + formatAddress(m_entryLogs[index])
+            + "\"\n[hosts]\naddress = \"" + formatAddress(m_hosts.listen) + "\"\n" + m_plan.entrySettings);
     member.command = { program("sagesaddle-entry"), "--config", settings.string() };
     return member;
 }
--- a/Utilities/latency.sh
+++ b/Utilities/latency.sh
@@ -7,7 +7,8 @@
 cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache > /dev/null
 cmake --build "$build" > /dev/null
 engine_options='--batch 400 --workers 700'
-entry_extra=$'workers = 400\n'
+entry_extra='workers = 400'
+side_extra='workers = 400'
 upstream_slots=400
 atelier_rate=100000000.0
 atelier_burst=100000000.0
--- a/Utilities/path.sh
+++ b/Utilities/path.sh
@@ -4,7 +4,7 @@
 
 readonly bin="$build/bin"
 # What a script may set otherwise before it sources this.
-: "${engine_options:=}" "${entry_extra:=}" "${upstream_slots:=8}" "${atelier_rate:=2000.0}" "${atelier_burst:=4000.0}"
+: "${engine_options:=}" "${entry_extra:=}" "${side_extra:=}" "${upstream_slots:=8}" "${atelier_rate:=2000.0}" "${atelier_burst:=4000.0}"
 readonly startup_tries=5 ready_timeout_s=20 stop_timeout_s=15
 work=$(mktemp -d "${TMPDIR:-/tmp}/sagesaddle.XXXXXX")
 readonly work
@@ -99,6 +99,7 @@
 listen = "$2"
 [target]
 address = "$3"
+$side_extra
 [admin]
 listen = "$4"
 [log]
