--- a/Tests/Fakes/fake_program.cpp
+++ b/Tests/Fakes/fake_program.cpp
@@ -77,6 +77,7 @@
             servers.push_back(std::make_unique<http_server>(
                 options, [handle, listener](http_call& call) { answerGuarded(handle, call, listener); }));
         }
+        std::cout << R"({"level":"info","message":"stand-in started"})" << std::endl;
         waitForTermination(signals);
         // A stand-in keeps nothing and may be cut off at any point.
         std::_Exit(EXIT_SUCCESS);
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -191,11 +191,13 @@
 
 bool fleet::startMember(fleet_member& member)
 {
-    member.process = std::make_unique<child_process>(member.command, folder() / (member.name + ".log"));
-    const bool listening
-        = until([&] { return !member.process->isRunning() || statusOf(member.admin, "/admin/stats") != 0; },
-            startBound);
-    if (listening && member.process->isRunning())
+    const std::string log = member.name + "-run" + std::to_string(++m_runs) + ".log";
+    member.process = std::make_unique<child_process>(member.command, folder() / log);
+    // Another process may have taken a port meanwhile: only the member's own word tells that it listens.
+    const auto isSettled = [&] {
+        return !member.process->isRunning() || member.process->output().find("started\"") != std::string::npos;
+    };
+    if (until(isSettled, startBound) && member.process->isRunning())
         return true;
     m_startFailure = member.process->output();
     return false;
@@ -209,7 +211,7 @@
 void fleet::restart(fleet_member& member)
 {
     member.process.reset();
-    if (!startMember(member))
+    if (!until([&] { return startMember(member); }))
         throw std::runtime_error(member.name + " does not start again: " + m_startFailure);
 }
 
@@ -221,9 +223,13 @@
             throw std::runtime_error(member.name + " is not ready: " + member.process->output());
     });
     for (const fleet_member& entry : m_entries) {
-        if (!m_services.empty()
-            && !until([&] { return callService(entry.listen, probeTeam, "/stock/probe", "").status == 200; }))
-            throw std::runtime_error("the service does not answer at " + entry.name);
+        http_response stock;
+        const auto serviceAnswers = [&] {
+            stock = callService(entry.listen, probeTeam, "/stock/probe", "");
+            return stock.status == 200;
+        };
+        if (!m_services.empty() && !until(serviceAnswers))
+            throw std::runtime_error("the service does not answer at " + entry.name + ": " + stock.body);
         for (const model& wanted : m_records.models) {
             http_response last;
             const auto answers = [&] {
--- a/Tests/Support/fleet.h
+++ b/Tests/Support/fleet.h
@@ -109,6 +109,7 @@
     std::vector<fleet_member> m_serviceSides;
     std::string m_startFailure;
     std::atomic<int> m_commands { 0 };
+    int m_runs { 0 };
 };
 
 } // namespace sagesaddle::testing
