--- a/Tests/Failure/verdict_tests.cpp
+++ b/Tests/Failure/verdict_tests.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t requestsPerRound = 16;
+
 const chat_call onlyOnFirst { .model = "model-1" };
 
 std::uint64_t runsOnFirst(fleet& fleet, const std::string& team)
@@ -80,7 +82,8 @@
     std::uint64_t sent = 0;
     for (int round = 0; round < 3; ++round) {
         std::vector<std::future<http_response>> answers;
-        for (int i = 0; i < 16; ++i)
+        answers.reserve(requestsPerRound);
+        for (std::size_t i = 0; i < requestsPerRound; ++i)
             answers.push_back(chatLater(fleet, { .model = "model-1", .tokens = 2 }));
         fleet.engineSide(0).process->kill();
         for (auto& answer : answers) {
@@ -95,7 +98,7 @@
         fleet.restart(fleet.engineSide(0));
         REQUIRE(until([&] { return chat(fleet.entry(0).listen, "probe", onlyOnFirst).status == 200; }));
     }
-    CHECK(sent == 48);
+    CHECK(sent == 3 * requestsPerRound);
     // Every request that the engine saw was either answered or told that it may have run.
     CHECK(runsOnFirst(fleet, "walkin") <= answered + mayHaveRun);
     CHECK(runsOnFirst(fleet, "walkin") >= answered);
--- a/Tests/Support/child_process.cpp
+++ b/Tests/Support/child_process.cpp
@@ -37,6 +37,7 @@
         m_output.string());
     throwOnError(posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO), m_output.string());
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
