Entry: Take a restarted entry out of the epoch and back in, so that it holds its shares again

Cause: a process that starts under the name of a member cannot know what the earlier one granted and holds no share until an epoch without it and one with it are written; nothing wrote them, and a fleet's only entry could never serve again. An epoch may now list no members, and an entry is not ready while nobody could charge for its requests.

--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -80,6 +80,7 @@
     void writeLoop();
     std::optional<log_record> dueSnapshot(monotonic_time now);
     std::optional<log_record> dueEpoch(monotonic_time now);
+    std::optional<log_record> epochWithoutSelf() const;
     void appendQuietly(const log_record& record);
     membership_watch::heard_times heardTimes() const;
     bool pause(milliseconds span);
@@ -406,17 +407,34 @@
         m_impl->trust();
 }
 
+std::optional<log_record> fleet_follower::impl::epochWithoutSelf() const
+{
+    const membership_epoch& epoch = current->epoch;
+    epoch_record next { epoch.number, epoch.members };
+    if (!trusted || std::erase(next.members, settings.self) == 0)
+        return std::nullopt;
+    return log_record { makeRecordId(), newestRecordSchema, std::move(next) };
+}
+
 void fleet_follower::leave()
 {
     std::optional<log_record> record;
     {
         const std::lock_guard lock(m_impl->mutex);
         m_impl->leaving = true;
-        const membership_epoch& epoch = m_impl->current->epoch;
-        epoch_record next { epoch.number, epoch.members };
-        std::erase(next.members, m_impl->settings.self);
-        if (m_impl->trusted && !next.members.empty() && next.members != epoch.members)
-            record = log_record { makeRecordId(), newestRecordSchema, std::move(next) };
+        record = m_impl->epochWithoutSelf();
+    }
+    if (record)
+        m_impl->appendQuietly(*record);
+}
+
+void fleet_follower::rejoin()
+{
+    std::optional<log_record> record;
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        if (!m_impl->leaving && !m_impl->judge.isLogAway(std::chrono::steady_clock::now()))
+            record = m_impl->epochWithoutSelf();
     }
     if (record)
         m_impl->appendQuietly(*record);
--- a/Source/Agree/fleet_follower.h
+++ b/Source/Agree/fleet_follower.h
@@ -58,6 +58,11 @@
     /// Leaves the epoch's members at once, for a graceful shutdown; answers peers no longer.
     void leave();
 
+    /// Leaves the epoch's members to come back with the next epoch, for a process that took over the name
+    /// of an earlier one: it cannot know what that one granted. Does nothing where the epoch does not list
+    /// this entry or the log is away; to be called until the epoch has changed.
+    void rejoin();
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -58,9 +58,11 @@
 }
 
 // Before the first epoch nobody holds a part of the teams' rates, and every charge would be refused.
-bool canCharge(const fleet_state& state)
+// An entry without shares of its own charges requests to those of the other members.
+bool canCharge(const fleet_state& state, bool mustRejoin)
 {
-    return state.teams.empty() || !state.epoch.members.empty();
+    const std::size_t holders = state.epoch.members.size();
+    return state.teams.empty() || holders > 1 || (holders == 1 && !mustRejoin);
 }
 
 std::vector<std::string> formatAddresses(const std::vector<address>& addresses)
@@ -130,7 +132,7 @@
     bool isReady() const
     {
         const fleet_state_ptr state = follower.state();
-        return !draining && state && canCharge(*state) && follower.freshnessAt(monotonicNow()).fresh;
+        return !draining && state && canCharge(*state, gate.mustRejoin()) && follower.freshnessAt(monotonicNow()).fresh;
     }
 
     void onState(const fleet_state_ptr& state)
@@ -196,6 +198,8 @@
             static_cast<double>(spans.dropped()));
         tellOverload();
         sides.askLoads();
+        if (gate.mustRejoin())
+            follower.rejoin();
     }
 
     void tellOverload()
--- a/Source/Record/log_record.cpp
+++ b/Source/Record/log_record.cpp
@@ -106,8 +106,8 @@
     epoch_record epoch;
     epoch.previous = reader.integer("previous", 0, mostOffset);
     const json& members = reader.value("members");
-    if (!members.is_array() || members.empty())
-        throw record_error("\"members\" must be a list of at least one entry's name");
+    if (!members.is_array())
+        throw record_error("\"members\" must be a list of entries' names");
     for (const json& member : members) {
         if (!member.is_string() || !isObjectName(member.get_ref<const std::string&>()))
             throw record_error("\"members\" must list names of entries");
--- a/Tests/Failure/rate_tests.cpp
+++ b/Tests/Failure/rate_tests.cpp
@@ -104,3 +104,12 @@
     checkWithinRate(fleet, run);
     CHECK(run.report().refusedForRate == 0);
 }
+
+TEST_CASE("rate: an only entry that was killed serves its teams again once it is started")
+{
+    fleet fleet({ .entries = 1, .engines = 1, .services = 0 });
+    fleet.entry(0).process->kill();
+    fleet.restart(fleet.entry(0));
+    CHECK(until([&] { return statusOf(fleet.entry(0).admin, "/readyz") == 200; }));
+    CHECK(until([&] { return chat(fleet.entry(0).listen, "walkin", {}).status == 200; }));
+}
--- a/Tests/Support/child_process.h
+++ b/Tests/Support/child_process.h
@@ -24,6 +24,8 @@
 
     bool isRunning();
 
+    pid_t pid() const { return m_pid; }
+
     /// Kills it at once and waits for its end.
     void kill();
     /// Stops it where it stands until it is woken.
