--- a/Source/Limit/rate_member.cpp
+++ b/Source/Limit/rate_member.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds shortestEmpty { 5 };
 constexpr milliseconds longestEmpty { 250 };
 constexpr std::uint32_t holderAwayRetryMs = 250;
+constexpr double mostTokensInMessage = 1e15;
 constexpr double longestRetryMs = 86'400'000;
 
 double decayed(double value, monotonic_time since, monotonic_time now)
@@ -27,9 +28,10 @@
     return value * std::exp(-std::max(elapsed, 0.0) / recentUseSeconds);
 }
 
-std::string entryOf(const std::string& accountName)
+/// \return an amount of a message as whole tokens, within bounds that no sum of them exceeds.
+token_count tokensOf(double amount)
 {
-    return accountName.substr(0, accountName.rfind('/'));
+    return static_cast<token_count>(std::clamp(amount, 0.0, mostTokensInMessage));
 }
 
 } // namespace
@@ -56,6 +58,11 @@
     return static_cast<token_count>(std::max(record.burstTokens, 0.0)) / m_division.shares;
 }
 
+std::string rate_member::entryOf(const std::string& accountName)
+{
+    return accountName.substr(0, accountName.rfind('/'));
+}
+
 rate_member::team_state* rate_member::find(const std::string& team)
 {
     const auto found = m_teams.find(team);
@@ -67,141 +74,6 @@
     return value.holder.has_value() && now >= value.opensAt;
 }
 
-bool rate_member::mustRejoin() const
-{
-    if (!m_state)
-        return true;
-    const std::uint64_t since = memberSince(m_self, *m_state);
-    return since == 0 || since < m_bornAt;
-}
-
-void rate_member::update(fleet_state_ptr state, monotonic_time now)
-{
-    if (m_state && state->nextOffset < m_state->nextOffset)
-        return;
-    const std::uint64_t known = m_state ? m_state->epoch.number : 0;
-    if (!m_state)
-        m_bornAt = state->nextOffset;
-    std::optional<epoch_list> passed = epochsAfter(*state, known);
-    if (state->epoch.number != known)
-        m_epochLearnedAt = now;
-    m_state = std::move(state);
-    if (passed)
-        scheduleWriteOffs(*passed, now);
-    for (auto& [name, value] : m_teams)
-        value.withdrawn = !m_state->teams.contains(name);
-    for (const auto& [name, record] : m_state->teams)
-        updateTeam(record, passed, now);
-    for (auto& [name, value] : m_teams)
-        if (value.withdrawn && (!passed || !passed->empty()))
-            value.shares = carryShares(value, false, passed, now);
-}
-
-void rate_member::updateTeam(const team& record, const std::optional<epoch_list>& passed, monotonic_time now)
-{
-    const auto [found, isNew] = m_teams.try_emplace(record.name);
-    team_state& value = found->second;
-    const bool changed = isNew || value.record != record;
-    value.record = record;
-    if (isNew || !passed || !passed->empty())
-        value.shares = carryShares(value, isNew, passed, now);
-    if (!changed)
-        return;
-    for (share_state& share : value.shares)
-        if (share.holder)
-            share.holder->setPart(shareRate(record), shareBurst(record), now);
-}
-
-bool rate_member::continues(const std::string& team, const team_share& share, const epoch_list& passed) const
-{
-    return std::all_of(passed.begin(), passed.end(), [&](const membership_epoch* epoch) {
-        const auto shares = sharesOf(team, epoch->members, m_division.shares);
-        return std::find(shares.begin(), shares.end(), share) != shares.end();
-    });
-}
-
-std::vector<rate_member::share_state> rate_member::carryShares(
-    team_state& value, bool isNew, const std::optional<epoch_list>& passed, monotonic_time now)
-{
-    const bool stayed = passed && std::all_of(passed->begin(), passed->end(), [this](const auto* epoch) {
-        return isMember(m_self, *epoch);
-    });
-    const bool createdInEpoch = isNew && passed && passed->empty();
-    std::vector<share_state> carried;
-    for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members, m_division.shares)) {
-        const auto old = std::find_if(value.shares.begin(), value.shares.end(),
-            [&](const share_state& candidate) { return candidate.share == share; });
-        if (old == value.shares.end() || !passed || !continues(value.record.name, share, *passed)) {
-            carried.push_back(openShare(value, share, createdInEpoch, now));
-            continue;
-        }
-        carried.push_back(std::move(*old));
-        if (!stayed && !isOwn(carried.back()))
-            openAccount(carried.back());
-    }
-    return carried;
-}
-
-void rate_member::openAccount(share_state& value)
-{
-    value.accountName = m_self + "/" + std::to_string(m_nextAskId);
-    value.account.emplace(m_nextAskId);
-    value.toldSettled = 0;
-    value.pendingAsk = 0;
-    ++m_nextAskId;
-}
-
-rate_member::share_state rate_member::openShare(
-    const team_state& value, const team_share& share, bool createdInEpoch, monotonic_time now)
-{
-    share_state opened;
-    opened.share = share;
-    if (!isOwn(opened)) {
-        openAccount(opened);
-        return opened;
-    }
-    const tenure_start tenure = tenureOf(value.record.name, share, *m_state, m_division.shares);
-    if (tenure.epoch == 0 || tenure.epoch < m_bornAt)
-        return opened;
-    const token_count burst = shareBurst(value.record);
-    const bool full = tenure.first || createdInEpoch;
-    opened.heldSince = tenure.epoch;
-    opened.opensAt = tenure.first ? now : std::max(now, m_epochLearnedAt + tenureGrace);
-    opened.holder.emplace(shareRate(value.record), burst, full ? burst : 0, std::max(now, opened.opensAt));
-    return opened;
-}
-
-void rate_member::scheduleWriteOffs(const epoch_list& passed, monotonic_time now)
-{
-    const auto left = [&](const std::string& entry) {
-        return std::any_of(passed.begin(), passed.end(),
-            [&](const membership_epoch* epoch) { return !isMember(entry, *epoch); });
-    };
-    for (auto& [name, value] : m_teams)
-        for (share_state& share : value.shares) {
-            if (!share.holder)
-                continue;
-            for (const std::string& asker : share.holder->askers())
-                if (left(entryOf(asker)))
-                    m_writeOffs.push_back({ name, share.share, asker, now + tenureGrace });
-        }
-}
-
-void rate_member::writeOffDue(monotonic_time now)
-{
-    const auto due = std::partition(m_writeOffs.begin(), m_writeOffs.end(),
-        [now](const pending_write_off& value) { return value.due > now; });
-    for (auto at = due; at != m_writeOffs.end(); ++at) {
-        team_state* value = find(at->team);
-        if (!value)
-            continue;
-        for (share_state& share : value->shares)
-            if (share.share == at->share && share.holder)
-                share.holder->writeOff(at->asker, now);
-    }
-    m_writeOffs.erase(due, m_writeOffs.end());
-}
-
 token_count rate_member::spendable(team_state& value, monotonic_time now)
 {
     token_count sum = 0;
@@ -417,10 +289,10 @@
     grant.refusal = refusalFor(ask, held, now);
     if (!held || !grant.refusal.empty())
         return grant;
-    const auto ahead = static_cast<token_count>(ask.prefetchTokens);
-    const auto needed = static_cast<token_count>(ask.tokens) - ahead;
-    const credit_settlement settlement { ask.asker, ask.id, static_cast<token_count>(ask.settledTotal),
-        static_cast<token_count>(ask.returnedTotal) };
+    const token_count ahead = tokensOf(ask.prefetchTokens);
+    const token_count needed = std::max<token_count>(tokensOf(ask.tokens) - ahead, 0);
+    const credit_settlement settlement { ask.asker, ask.id, tokensOf(ask.settledTotal),
+        tokensOf(ask.returnedTotal) };
     const credit_debit debit = held->holder->grant(settlement, needed, ahead, now);
     grant.tokens = static_cast<double>(debit.tokens);
     grant.grantedTotal = static_cast<double>(debit.grantedTotal);
@@ -447,7 +319,7 @@
         share.away = !granted;
         share.probedAt = now;
         if (granted)
-            share.account->onGrant(grant.id, static_cast<token_count>(grant.grantedTotal));
+            share.account->onGrant(grant.id, tokensOf(grant.grantedTotal));
         if (grant.refusal == "rate" || grant.retryAfterMs > 0)
             share.emptyUntil
                 = now + std::clamp(milliseconds(grant.retryAfterMs), shortestEmpty, longestEmpty);
--- a/Source/Serve/http_server.h
+++ b/Source/Serve/http_server.h
@@ -39,6 +39,8 @@
     const header_list& headers() const { return m_headers; }
     /// \return the values of a header, its name compared without case.
     std::vector<std::string> header(std::string_view name) const;
+    /// \return whether the caller understands answers in chunks.
+    bool takesChunks() const;
     /// \return the caller's IP number.
     std::string callerIp() const;
 
@@ -62,15 +64,24 @@
 
     bool answered() const { return m_answered; }
 
+    /// \return whether nearly all workers are taken, so that this call should be refused at once.
+    bool isCrowded() const { return m_crowded; }
+    void setCrowded() { m_crowded = true; }
+
 private:
     mg_connection* m_connection;
     const header_list& m_extraHeaders;
     header_list m_headers;
     bool m_answered { false };
+    bool m_crowded { false };
     bool m_closesAfterwards { false };
 };
 
 /// \brief An HTTP server whose handler runs on a pool of workers.
+///
+/// A connection takes a worker for as long as it stands. Connections are kept alive only while half of
+/// the workers are free, so that idle ones never keep callers out, and calls that come when hardly one is
+/// left are marked as crowded.
 class http_server {
 public:
     struct options {
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -213,3 +213,27 @@
     CHECK(holder.spendable("desk", later) >= 100);
     CHECK(holder.spendable("desk", later) <= 200);
 }
+
+TEST_CASE("rate member: an ask for an absurd amount is granted what the share has")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    const credit_ask ask { 5, "desk", "a/1", fleet.state()->epoch.number, 1e300, 1e300, 0, 0, 0 };
+    const credit_grant grant = entries.entries.at("b").answer(ask, start);
+    CHECK(grant.tokens == 1000);
+    CHECK(entries.entries.at("b").answer(ask, start).tokens == 0);
+    CHECK(entries.entries.at("b").spendable("desk", start) == 0);
+}
+
+TEST_CASE("rate member: a member for longer than the state remembers need not rejoin")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries = startedFleet(fleet);
+    for (std::size_t epoch = 0; epoch < 2 * maxPastEpochs; ++epoch) {
+        fleet.withEpoch(
+            epoch % 2 ? std::vector<std::string> { "a", "b", "c" } : std::vector<std::string> { "a", "b" });
+        entries.learn(fleet, start);
+    }
+    CHECK_FALSE(entries.entries.at("a").mustRejoin());
+    CHECK(entries.entries.at("a").spendable("desk", start) >= 1000);
+}
