--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -288,6 +288,8 @@
         const rate_decision decision = m_services.admit(request.team, request.tokens, deadline);
         if (!decision.admitted)
             throw request_refused(refusalOf(decision));
+        // A pause before the charge may have outlasted the credit that it was charged to.
+        static_cast<void>(freshState());
         current.record.steps.push_back(
             "charged " + std::to_string(static_cast<std::uint64_t>(request.tokens)) + " tokens");
     }
