--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -132,7 +132,8 @@
     bool isReady() const
     {
         const fleet_state_ptr state = follower.state();
-        return !draining && state && canCharge(*state, gate.mustRejoin()) && follower.freshnessAt(monotonicNow()).fresh;
+        return !draining && state && canCharge(*state, gate.mustRejoin())
+            && follower.freshnessAt(monotonicNow()).fresh;
     }
 
     void onState(const fleet_state_ptr& state)
--- a/Tests/Support/fleet.cpp
+++ b/Tests/Support/fleet.cpp
@@ -195,7 +195,8 @@
     member.process = std::make_unique<child_process>(member.command, folder() / log);
     // Another process may have taken a port meanwhile: only the member's own word tells that it listens.
     const auto isSettled = [&] {
-        return !member.process->isRunning() || member.process->output().find("started\"") != std::string::npos;
+        return !member.process->isRunning()
+            || member.process->output().find("started\"") != std::string::npos;
     };
     if (until(isSettled, startBound) && member.process->isRunning())
         return true;
--- a/Utilities/measure/capacity_main.cpp
+++ b/Utilities/measure/capacity_main.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr const char* usage = R"(Measures what idle daemons cost by the size of the fleet, with real processes.
+constexpr const char* usage
+    = R"(Measures what idle daemons cost by the size of the fleet, with real processes.
 
 Usage:
   sagesaddle-capacity --entries N --engines N [--seconds N]
