--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "Side/request_dispatcher.h"
 
-#include "Route/fair_queue.h"
+#include "Route/waiting_queue.h"
 #include "Serve/http_client.h"
 #include "Side/engine_control.h"
 #include "Side/header_rules.h"
@@ -67,7 +67,7 @@
         : settings(std::move(given))
         , send(std::move(sender))
         , audit(settings.upstream, registry, exporter)
-        , queue({ .slots = 1, .maxWaiting = settings.maxWaiting })
+        , queue(settings.order, { .slots = 1, .maxWaiting = settings.maxWaiting })
     {
         expiry = std::thread([this] { runExpiry(); });
     }
@@ -158,7 +158,8 @@
 
     std::optional<refusal_cause> offer(const job_ptr& job)
     {
-        const queue_decision decision = queue.offer(queuedRequestOf(*job), steadyNow());
+        const queue_decision decision
+            = queue.with([&](auto& waiting) { return waiting.offer(queuedRequestOf(*job), steadyNow()); });
         if (decision.accepted)
             return std::nullopt;
         return refusal_cause { verdict::NotRun, decision.reason, "the upstream's queue is too long",
@@ -220,7 +221,7 @@
     void cancelLocked(const job_ptr& job)
     {
         if (!running.contains(job->ticket)) {
-            queue.remove(job->ticket);
+            queue.with([&](auto& waiting) { waiting.remove(job->ticket); });
             forgetLocked(job);
         } else if (job->request.idempotent || engine) {
             job->cancelled = true;
@@ -299,7 +300,8 @@
     void collectExpired(std::vector<pending_refusal>& refusals)
     {
         const monotonic_time now = steadyNow();
-        for (const queued_request& expired : queue.takeExpired(now)) {
+        for (const queued_request& expired :
+            queue.with([&](auto& waiting) { return waiting.takeExpired(now); })) {
             dropLocked(jobs.at(expired.ticket),
                 { verdict::NotRun, "deadline", "the request cannot make its deadline in the queue", {} },
                 refusals);
@@ -330,7 +332,7 @@
         http_client client;
         std::unique_lock lock(mutex);
         while (!stopping) {
-            const auto next = queue.start(steadyNow());
+            const auto next = queue.with([](auto& waiting) { return waiting.start(steadyNow()); });
             if (!next) {
                 workReady.wait(lock);
                 continue;
@@ -341,7 +343,7 @@
             lock.unlock();
             const exchange_outcome outcome = runJob(client, *job, terms);
             lock.lock();
-            queue.finish(job->ticket, steadyNow());
+            queue.with([&](auto& waiting) { waiting.finish(job->ticket, steadyNow()); });
             if (outcome.reason == "model_not_loaded" && engine)
                 engine->noteNotLoaded(job->request.model, steadyNow());
             lock.unlock();
@@ -404,10 +406,13 @@
         const std::scoped_lock lock(mutex);
         load_report report;
         report.upstream = settings.upstream;
-        report.queued = static_cast<std::uint32_t>(queue.waiting() + parked.size());
-        report.running = static_cast<std::uint32_t>(queue.running());
+        report.queued = static_cast<std::uint32_t>(
+            queue.with([](const auto& waiting) { return waiting.waiting(); }) + parked.size());
+        report.running
+            = static_cast<std::uint32_t>(queue.with([](const auto& waiting) { return waiting.running(); }));
         report.slots = slots;
-        report.waitMs = millisecondsOf(queue.expectedWait(priority::Interactive, steadyNow()));
+        report.waitMs = millisecondsOf(queue.with(
+            [](const auto& waiting) { return waiting.expectedWait(priority::Interactive, steadyNow()); }));
         report.draining = draining || (view && view->upstream.leaving);
         if (engine) {
             const engine_status status = engine->status(steadyNow());
@@ -433,7 +438,7 @@
     engine_control* engine { nullptr };
     claim_hooks claims;
     std::uint32_t slots { 0 };
-    fair_queue queue;
+    waiting_queue queue;
     std::map<std::uint64_t, job_ptr> jobs;
     std::map<job_key, std::uint64_t> keys;
     std::map<std::uint64_t, job_ptr> running;
@@ -479,7 +484,7 @@
         m_impl->engine = engine;
         m_impl->claims = std::move(claims);
         m_impl->slots = std::min(view.upstream.slots, m_impl->settings.workers);
-        m_impl->queue.setSlots(m_impl->slots);
+        m_impl->queue.with([this](auto& waiting) { waiting.setSlots(m_impl->slots); });
         m_impl->growWorkers(m_impl->slots);
     }
     m_impl->workReady.notify_all();
--- a/Source/Side/request_dispatcher.h
+++ b/Source/Side/request_dispatcher.h
@@ -3,6 +3,7 @@
 #include "Base/address.h"
 #include "Base/clock.h"
 #include "Record/side_view.h"
+#include "Route/waiting_queue.h"
 #include "Side/claimed_exchange.h"
 #include "Wire/frame_server.h"
 #include "Wire/messages.h"
@@ -28,6 +29,7 @@
         address target;
         std::uint32_t workers { 64 };
         std::uint32_t maxWaiting { 1024 };
+        queue_order order { queue_order::Fair };
     };
 
     /// Sends a frame over a connection; false where it is gone or its queue is full.
--- a/Source/Side/side_process.cpp
+++ b/Source/Side/side_process.cpp
@@ -44,7 +44,7 @@
 
 request_dispatcher::options dispatcherOptions(const side_settings& settings)
 {
-    return { settings.name, settings.target, settings.workers, settings.maxWaiting };
+    return { settings.name, settings.target, settings.workers, settings.maxWaiting, settings.queueOrder };
 }
 
 } // namespace
--- a/Source/Side/side_settings.cpp
+++ b/Source/Side/side_settings.cpp
@@ -33,6 +33,8 @@
         = reader.duration("target", "order_settling_ms", settings.orderSettling, settlingAllowedMs);
     settings.reportPeriod
         = reader.duration("target", "report_period_ms", settings.reportPeriod, reportPeriodAllowedMs);
+    const std::string order = reader.choice("baseline", "queue", "fair", { "fair", "fifo" });
+    settings.queueOrder = order == "fifo" ? queue_order::Fifo : queue_order::Fair;
     reader.finish();
     return settings;
 }
--- a/Source/Side/side_settings.h
+++ b/Source/Side/side_settings.h
@@ -2,6 +2,7 @@
 
 #include "Base/address.h"
 #include "Base/clock.h"
+#include "Route/waiting_queue.h"
 #include "Watch/log.h"
 
 #include <cstdint>
@@ -26,6 +27,8 @@
     std::uint32_t workers { 64 };
     /// Requests that wait at most.
     std::uint32_t maxWaiting { 1024 };
+    /// The baseline serves measurements only.
+    queue_order queueOrder { queue_order::Fair };
     /// After this time an order that was sent has taken effect or never will; counts only for engines
     /// that do not check fencing numbers.
     milliseconds orderSettling { 10000 };
--- a/Utilities/measure/capacity_main.cpp
+++ b/Utilities/measure/capacity_main.cpp
@@ -71,6 +71,7 @@
         plan.entries = std::stoul(arguments.at("--entries").asString());
         plan.engines = std::stoul(arguments.at("--engines").asString());
         plan.services = 0;
+        plan.engineOptions = { "--workers", "8" };
         const double seconds = std::stod(arguments.at("--seconds").asString());
         fleet processes(plan);
         const pid_t entry = processes.entry(0).process->pid();
