Side: Keep a job alive while it is dropped from the dispatcher's table

Cause: dropLocked was given a reference into the table of jobs, erased its element and then copied it. Seen by the address sanitizer in 'side orders: an engine that a later process has fenced gets no more orders from this one', the one failure of 334 tests under it; ruled out a worker that frees the job, since both accesses are of one thread. The job is copied first now.

--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -228,10 +228,11 @@
         }
     }
 
+    // The job may be a reference into the table that it is taken out of, so a copy is kept first.
     void dropLocked(const job_ptr& job, const refusal_cause& cause, std::vector<pending_refusal>& refusals)
     {
-        forgetLocked(job);
-        refusals.push_back({ job, cause });
+        const job_ptr dropped = refusals.emplace_back(pending_refusal { job, cause }).job;
+        forgetLocked(dropped);
     }
 
     void forgetLocked(const job_ptr& job)
--- a/Tests/Once/claim_gate_tests.cpp
+++ b/Tests/Once/claim_gate_tests.cpp
@@ -62,12 +62,14 @@
     claim_gate second(bench.client, "orders", "run-2");
     for (const char* key : { "a", "b", "c" }) {
         std::vector<std::future<claim_outcome>> outcomes;
+        outcomes.reserve(6);
         for (int i = 0; i < 6; ++i) {
             claim_gate& gate = i % 2 == 0 ? first : second;
             outcomes.push_back(std::async(std::launch::async,
                 [&gate, key] { return gate.claim("ledger", key, within(patience)).outcome; }));
         }
         std::vector<claim_outcome> results;
+        results.reserve(outcomes.size());
         for (auto& outcome : outcomes)
             results.push_back(outcome.get());
         CHECK(std::count(results.begin(), results.end(), claim_outcome::Granted) == 1);
--- a/Utilities/measure/measure_fleet.cpp
+++ b/Utilities/measure/measure_fleet.cpp
@@ -34,6 +34,8 @@
     std::vector<model> pinned;
     for (std::size_t i = engine; i < of.models; i += of.engines)
         pinned.push_back({ modelName(i), modelMemoryMb, "" });
+    if (of.models == 0)
+        return pinned;
     for (std::size_t i = 0; i < of.adapters; ++i) {
         const std::size_t base = i % of.models;
         if (base % of.engines == engine)
