--- a/Utilities/check-proofs.sh
+++ b/Utilities/check-proofs.sh
@@ -13,6 +13,6 @@
         echo "docs/PROOFS.md names a test that does not exist: $name" >&2
         missing=$((missing + 1))
     fi
-done < <(grep -o '`[^`]*: [^`]*`' docs/PROOFS.md | tr -d '`' | sort -u)
+done < <(grep -o '`[a-z][^`]*: [^`]*`' docs/PROOFS.md | tr -d '`' | sort -u)
 echo "proofs: $named tests named, $missing missing"
 [ "$missing" -eq 0 ] && [ "$named" -gt 0 ]
