Limit: Rejoin only where the epoch that the gate holds lists this entry

Cause: a gate counted as having to rejoin before it had seen its first epoch, and the entry could then write an epoch without itself just after it was listed; its shares moved and opened 4 s later.

--- a/Source/Limit/rate_gate.h
+++ b/Source/Limit/rate_gate.h
@@ -54,8 +54,8 @@
     /// \param deadline when to give up waiting
     rate_decision admit(const std::string& team, double tokens, monotonic_time deadline);
 
-    /// \return whether this process can hold no share before two records are written: an epoch without
-    /// this entry, then one with it. True at first, and where the entry restarted under its name.
+    /// \return whether the epoch lists this entry, but by the name of an earlier process: this one holds no
+    /// share before two records are written, an epoch without the entry and then one with it.
     bool mustRejoin() const;
 
     /// Answers another entry's ask.
--- a/Source/Limit/rate_member_shares.cpp
+++ b/Source/Limit/rate_member_shares.cpp
@@ -6,7 +6,7 @@
 
 bool rate_member::mustRejoin() const
 {
-    return !m_isJoined;
+    return m_state && isMember(m_self, m_state->epoch) && !m_isJoined;
 }
 
 bool rate_member::stayedMember(const std::optional<epoch_list>& passed) const
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -237,3 +237,13 @@
     CHECK_FALSE(entries.entries.at("a").mustRejoin());
     CHECK(entries.entries.at("a").spendable("desk", start) >= 1000);
 }
+
+TEST_CASE("rate member: a process that no epoch lists yet need not rejoin")
+{
+    rate_member member("a", 1);
+    CHECK_FALSE(member.mustRejoin());
+    fleet_state state;
+    state.nextOffset = 1;
+    member.update(std::make_shared<const fleet_state>(state), monotonic_time {});
+    CHECK_FALSE(member.mustRejoin());
+}
