--- a/Tests/Serve/http_tests.cpp
+++ b/Tests/Serve/http_tests.cpp
@@ -127,6 +127,7 @@
     http_server server(
         { .listen = listen, .workers = 8 }, [](http_call& call) { call.respond(200, {}, "ok"); });
     std::vector<std::unique_ptr<http_client>> clients;
+    clients.reserve(40);
     http_request request;
     request.server = listen;
     request.timeout = seconds(5);
@@ -152,6 +153,7 @@
     http_request request;
     request.server = listen;
     std::vector<std::future<std::uint16_t>> calls;
+    calls.reserve(15);
     for (int i = 0; i < 15; ++i)
         calls.push_back(std::async(std::launch::async, [&] { return http_client().send(request).status; }));
     CHECK(testing::until([&] { return held == 15; }));
