Tests: Wait until the entry has recorded an answer before it is explained

Ruled out: a lost record; the same run's other tests find theirs, and the trace is in the log. Conclusion: the test waits for the record and then still asks for exactly one.

--- a/Tests/Entry/process_tests.cpp
+++ b/Tests/Entry/process_tests.cpp
@@ -58,8 +58,12 @@
     const http_response answer = chat(fleet.entry(0).listen, "walkin", {});
     REQUIRE(answer.status == 200);
     const std::string trace(answer.header("x-trace-id"));
-    const auto told = getJson(fleet.entry(0).admin, "/admin/explain?trace=" + trace);
-    REQUIRE(told["decisions"].size() == 1);
+    nlohmann::json told;
+    REQUIRE(until([&] {
+        told = getJson(fleet.entry(0).admin, "/admin/explain?trace=" + trace);
+        return !told["decisions"].empty();
+    }));
+    CHECK(told["decisions"].size() == 1);
     CHECK(told["decisions"][0]["verdict"] == "answered");
     CHECK(has(told["decisions"][0]["steps"].dump(), "engine-1: chosen as"));
     const std::string log = fleet.entry(0).process->output();
