--- a/Utilities/measure/measure_tally.cpp
+++ b/Utilities/measure/measure_tally.cpp
@@ -52,6 +52,7 @@
     std::uint64_t insideOutsideFaults { 0 };
     std::uint64_t refusedOutsideFaults { 0 };
     std::map<std::string, std::uint64_t> reasons;
+    std::map<std::string, std::uint64_t> byTeam;
 };
 
 using span_list = std::vector<std::pair<milliseconds, milliseconds>>;
@@ -83,8 +84,10 @@
         result.refused += refused ? 1 : 0;
         result.insideOutsideFaults += outside ? 1 : 0;
         result.refusedOutsideFaults += refused && outside ? 1 : 0;
-        if (refused)
-            ++result.reasons[std::to_string(outcome.status) + " " + outcome.reason];
+        if (!refused)
+            continue;
+        ++result.reasons[std::to_string(outcome.status) + " " + outcome.reason + " " + outcome.verdict];
+        ++result.byTeam[given.teams[given.requests[i].team].name];
     }
     return result;
 }
@@ -142,9 +145,9 @@
         { "refused_inside_rate", shareOf(refused.refused, refused.inside) },
         { "refused_inside_rate_outside_faults",
             shareOf(refused.refusedOutsideFaults, refused.insideOutsideFaults) },
-        { "refused_inside_reasons", refused.reasons }, { "overcommits", counts.overcommits },
-        { "executed_twice", counts.executedTwice }, { "p50_ms", percentile(latencies, 0.5) },
-        { "p99_ms", percentile(latencies, 0.99) } };
+        { "refused_inside_reasons", refused.reasons }, { "refused_inside_by_team", refused.byTeam },
+        { "overcommits", counts.overcommits }, { "executed_twice", counts.executedTwice },
+        { "p50_ms", percentile(latencies, 0.5) }, { "p99_ms", percentile(latencies, 0.99) } };
 }
 
 } // namespace sagesaddle::measure
