Route: Keep loads on demand together and try reached upstreams at once

Cause: in the measured trace requests for a model without a copy went to an engine drawn at random, so one model was loaded on many at a store that gives 1.5 loads a second; each adapter of a lost base went to an engine of its own; a side promised to load what it had no memory for, and held requests to their deadline; an upstream that came back stayed eased off for up to 10 s; requests on a frozen upstream waited to their deadline although another copy was ready. Ruled out: the queue in front of a placed copy as the main cause (few refusals before the first fault); a polluted estimate of service times was not looked at here. Left: most of what is refused now falls into the five seconds in which a zone is frozen, since each model has one copy.

--- a/Source/Entry/dispatcher.cpp
+++ b/Source/Entry/dispatcher.cpp
@@ -76,7 +76,9 @@
 struct dispatcher::attempt {
     std::string upstream;
     std::shared_ptr<exchange> way;
-    answer_check check;
+    /// What was asked of the router.
+    const route_request& wanted;
+    answer_check check {};
     std::uint16_t status { 0 };
 };
 
@@ -166,7 +168,7 @@
             return why;
         }
         context.record.steps.push_back(choice.upstream + ": chosen as " + choice.reason);
-        dispatch_outcome outcome = tryUpstream(context, choice.upstream);
+        dispatch_outcome outcome = tryUpstream(context, wanted, choice.upstream);
         auto* why = std::get_if<refusal>(&outcome);
         if (!why)
             return outcome;
@@ -183,9 +185,10 @@
     }
 }
 
-dispatch_outcome dispatcher::tryUpstream(dispatch_context& context, const std::string& upstream)
+dispatch_outcome dispatcher::tryUpstream(
+    dispatch_context& context, const route_request& wanted, const std::string& upstream)
 {
-    attempt current { upstream, m_exchanges.open(upstream), {}, 0 };
+    attempt current { upstream, m_exchanges.open(upstream), wanted };
     const scope_guard close([&] { m_exchanges.close(current.way->id()); });
     span hop;
     hop.context = childOf(context.trace);
@@ -226,6 +229,17 @@
     return outcome;
 }
 
+bool dispatcher::hasReadyCopyBeside(const dispatch_context& context, const attempt& current)
+{
+    if (!context.request.idempotent || context.answer.hasStarted())
+        return false;
+    route_request other = current.wanted;
+    other.tried.insert(current.upstream);
+    other.mayLoad = false;
+    const std::string reason = choose(other).reason;
+    return reason == "least_loaded" || reason == "prefix";
+}
+
 dispatch_outcome dispatcher::relay(dispatch_context& context, attempt& current)
 {
     const auto cancel = [&] { m_send(current.upstream, cancel_message { current.way->id() }); };
@@ -264,6 +278,10 @@
                 refused.retryAfterMs };
         },
         [&](link_lost) { outcome = brokenAnswer("the link to the upstream " + current.upstream + " broke"); },
+        [&](upstream_silent) {
+            if (hasReadyCopyBeside(context, current))
+                outcome = broken("its side process has fallen silent");
+        },
         [&](answer_overflow) { outcome = broken("the caller takes its answer too slowly"); },
         [&](wait_expired) {
             cancel();
--- a/Source/Entry/dispatcher.h
+++ b/Source/Entry/dispatcher.h
@@ -89,7 +89,9 @@
     }
 
     route_choice choose(const route_request& wanted);
-    dispatch_outcome tryUpstream(dispatch_context& context, const std::string& upstream);
+    dispatch_outcome tryUpstream(
+        dispatch_context& context, const route_request& wanted, const std::string& upstream);
+    bool hasReadyCopyBeside(const dispatch_context& context, const attempt& current);
     dispatch_outcome relay(dispatch_context& context, attempt& current);
     bool mayTryAgain(const dispatch_context& context, const refusal& why, verdict attemptVerdict);
 
--- a/Source/Entry/exchange.cpp
+++ b/Source/Entry/exchange.cpp
@@ -79,15 +79,25 @@
     return true;
 }
 
-void exchange_table::lose(const std::string& upstream)
+void exchange_table::tellAll(const std::string& upstream, const exchange_event& event)
 {
     const std::lock_guard lock(m_mutex);
     for (const auto& [id, open] : m_open) {
         if (open->upstream() == upstream)
-            open->push(link_lost {});
+            open->push(event);
     }
 }
 
+void exchange_table::lose(const std::string& upstream)
+{
+    tellAll(upstream, link_lost {});
+}
+
+void exchange_table::noteSilent(const std::string& upstream)
+{
+    tellAll(upstream, upstream_silent {});
+}
+
 std::size_t exchange_table::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/Source/Entry/exchange.h
+++ b/Source/Entry/exchange.h
@@ -18,6 +18,9 @@
 /// \brief The link broke: what is outstanding will not come.
 struct link_lost { };
 
+/// \brief The upstream's side process has fallen silent; it may come back.
+struct upstream_silent { };
+
 /// \brief The caller takes its answer so slowly that too much of it waits here.
 struct answer_overflow { };
 
@@ -26,7 +29,7 @@
 
 /// What may come next of an answer.
 using exchange_event = std::variant<answer_head, answer_data, answer_end, refusal_message, link_lost,
-    answer_overflow, wait_expired>;
+    upstream_silent, answer_overflow, wait_expired>;
 
 /// \brief One request under way at one upstream: a side's frames in, its worker waits on the other end.
 class exchange {
@@ -67,9 +70,14 @@
     /// The link to the upstream broke.
     void lose(const std::string& upstream);
 
+    /// The upstream's side process has fallen silent.
+    void noteSilent(const std::string& upstream);
+
     std::size_t size() const;
 
 private:
+    void tellAll(const std::string& upstream, const exchange_event& event);
+
     mutable std::mutex m_mutex;
     std::uint64_t m_nextId { 1 };
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_open;
--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -141,6 +141,7 @@
     for (const std::string& upstream : due.silent) {
         writeLog(log_level::Warning, "a side process has fallen silent", { { "upstream", upstream } });
         m_handlers.onLink(upstream, false);
+        m_exchanges.noteSilent(upstream);
     }
 }
 
--- a/Source/Place/order_planner.cpp
+++ b/Source/Place/order_planner.cpp
@@ -47,7 +47,33 @@
         return std::move(m_orders);
     }
 
+    // Whether the model, with its base, is held or can be beside what is pinned, in use or waited for.
+    bool canHold(const std::string& name) const
+    {
+        const std::string base = baseOf(name);
+        std::uint64_t needed = missingSize(name) + (base.empty() ? 0 : missingSize(base));
+        if (needed == 0)
+            return true;
+        if (!m_pinned.contains(name))
+            needed += m_pinsMissingMb;
+        for (const auto& [other, use] : m_demand) {
+            if (use.active > 0 && other != name && other != base && !m_pinned.contains(other))
+                needed += missingSize(other);
+        }
+        std::uint64_t available = m_freeMb + m_ledger.unloadingMb();
+        for (const std::string& victim : evictable({ name, m_pinned.contains(name), true })) {
+            if (victim != base)
+                available += m_ledger.models().at(victim).memoryMb;
+        }
+        return needed <= available;
+    }
+
 private:
+    std::uint64_t missingSize(const std::string& name) const
+    {
+        return m_ledger.holds(name) ? 0 : sizeOf(name);
+    }
+
     std::uint64_t sizeOf(const std::string& name) const
     {
         const auto found = m_view.models.find(name);
@@ -226,6 +252,12 @@
     return sum <= totalMb;
 }
 
+bool canHold(const side_view& view, const memory_ledger& ledger, const demand_table& demand,
+    const std::string& model, monotonic_time now)
+{
+    return planning(view, ledger, demand, now).canHold(model);
+}
+
 std::vector<planned_order> planOrders(
     const side_view& view, const memory_ledger& ledger, const demand_table& demand, monotonic_time now)
 {
--- a/Source/Place/order_planner.h
+++ b/Source/Place/order_planner.h
@@ -37,6 +37,10 @@
 /// \return whether the model fits beside all models pinned to the upstream.
 bool fitsBesidePins(const side_view& view, const std::string& model, std::uint64_t totalMb);
 
+/// \return whether the model is held, or can be loaded without evicting what is pinned or in use.
+bool canHold(const side_view& view, const memory_ledger& ledger, const demand_table& demand,
+    const std::string& model, monotonic_time now);
+
 /// Chooses the orders for one engine: pinned models first, then those that requests ask for, then the
 /// other placements. Pinned models and those in use are never evicted; of the rest the least recently
 /// used go first.
--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -473,19 +473,25 @@
     if (best_candidate best = pickReady(copies.unloaded, request, now); best.value)
         return { best.value->name, "placed", 0 };
     std::uint64_t memoryMb = record->second.memoryMb;
+    // An adapter's engine is the one that its base is loaded on.
+    std::string home = request.model;
     if (const auto base = state->models.find(record->second.base); base != state->models.end()) {
         copy_set& bases = models[base->first];
         refresh(bases);
         if (best_candidate best = pickReady(bases.ready, request, now); best.value)
             return { best.value->name, "adapter_load", 0 };
+        if (best_candidate best = pickReady(bases.coming, request, now); best.value)
+            return { best.value->name, "adapter_load", 0 };
+        home = base->first;
         memoryMb += base->second.memoryMb;
     }
     if (!request.mayLoad)
         return { "", "model_loading", noUpstreamRetryMs };
     if (comesBackSoon(copies.ready, request, now))
         return refuse(copies.ready, request, now);
-    refreshCold(request.model, copies);
-    if (best_candidate best = pickCold(copies.cold, memoryMb, request, now); best.value)
+    copy_set& homes = models[home];
+    refreshCold(home, homes);
+    if (best_candidate best = pickCold(homes.cold, memoryMb, request, now); best.value)
         return { best.value->name, "cold_load", 0 };
     return refuse(copies.ready, request, now);
 }
@@ -561,9 +567,12 @@
     }
 }
 
-void router::onLink(const std::string& upstream, bool up, monotonic_time)
+void router::onLink(const std::string& upstream, bool up, monotonic_time now)
 {
-    m_impl->upstreams[m_impl->idOf(upstream)].linkDown = !up;
+    candidate& value = m_impl->upstreams[m_impl->idOf(upstream)];
+    value.linkDown = !up;
+    if (up)
+        value.load.onLinkUp(now);
 }
 
 void router::onLeaving(const std::string& upstream)
--- a/Source/Route/upstream_load.cpp
+++ b/Source/Route/upstream_load.cpp
@@ -73,6 +73,12 @@
     m_answeredTokens = olderAnswersWeight * m_answeredTokens + tokens;
 }
 
+void upstream_load::onLinkUp(monotonic_time now)
+{
+    m_failuresInARow = std::min<std::uint32_t>(m_failuresInARow, 1);
+    m_easedUntil = std::min(m_easedUntil, now);
+}
+
 std::uint32_t upstream_load::sentSince(monotonic_time since) const
 {
     const auto first = std::upper_bound(m_recentSends.begin(), m_recentSends.end(), since);
--- a/Source/Route/upstream_load.h
+++ b/Source/Route/upstream_load.h
@@ -25,6 +25,9 @@
 
     void onReport(const load_report& report, monotonic_time now);
 
+    /// The upstream is reached again: it is probed at once, however long it was to be eased off.
+    void onLinkUp(monotonic_time now);
+
     /// \return requests that it works on or queues, those of others as last reported included.
     double requests(monotonic_time now) const;
 
--- a/Source/Side/engine_control.cpp
+++ b/Source/Side/engine_control.cpp
@@ -12,7 +12,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -210,16 +209,12 @@
 
     std::vector<std::string> loadingModels() const
     {
-        std::set<std::string> names;
+        std::vector<std::string> names;
         for (const auto& [name, begun] : loadsBegun) {
             if (ledger->holds(name) && !isUsable(name))
-                names.insert(name);
-        }
-        for (const auto& [name, use] : demand) {
-            if (use.active > 0 && !isUsable(name))
-                names.insert(name);
+                names.push_back(name);
         }
-        return { names.begin(), names.end() };
+        return names;
     }
 
     bool isUsable(const std::string& model) const
@@ -252,7 +247,8 @@
             return model_readiness::Ready;
         if (!ledger || !ledger->reportMade() || ledger->phase() != ledger_phase::Open)
             return model_readiness::NoOrders;
-        if (!fitsBesidePins(view, model, ledger->totalMb()))
+        if (!fitsBesidePins(view, model, ledger->totalMb())
+            || !canHold(view, *ledger, demand, model, monotonicNow()))
             return model_readiness::NoMemory;
         return model_readiness::Loading;
     }
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -38,7 +38,7 @@
     bool draining { false };
     std::vector<std::string> residentModels;
     std::vector<std::uint64_t> cachedPrefixes;
-    /// Models that are being loaded, or will be as soon as memory is free.
+    /// Models whose loading was ordered and that are not usable yet.
     std::vector<std::string> loadingModels;
     std::vector<model_use> modelUses;
 
--- a/Tests/Route/router_properties.cpp
+++ b/Tests/Route/router_properties.cpp
@@ -101,6 +101,7 @@
             loading(request.model, request), placed(request.model, request) };
         if (base != state.models.end()) {
             kinds.push_back(ready(base->first, request));
+            kinds.push_back(loading(base->first, request));
             memoryMb += base->second.memoryMb;
         }
         if (request.mayLoad)
--- a/Tests/Route/router_tests.cpp
+++ b/Tests/Route/router_tests.cpp
@@ -290,3 +290,39 @@
         CHECK((chooser.choose(requestFor("rare"), start + seconds(2)).upstream == "e0") == answeredMeanwhile);
     }
 }
+
+TEST_CASE("router: the adapters of a base that is loaded nowhere meet where it is loaded for one of them")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = emptyFleet(20);
+    std::map<std::string, int> targets;
+    for (const char* name : { "a1", "a2", "a3", "a4" })
+        state.models[name] = { name, 10, "rare" };
+    chooser.update(std::make_shared<const fleet_state>(state));
+    reportFree(chooser, state, 600);
+    for (const char* name : { "a1", "a2", "a3" })
+        ++targets[chooser.choose(requestFor(name), start).upstream];
+    REQUIRE(targets.size() == 1);
+    load_report loading = reportOf(targets.begin()->first);
+    loading.loadingModels = { "rare" };
+    chooser.onReport(loading, start);
+    CHECK(chooser.choose(requestFor("a4"), start)
+        == route_choice { targets.begin()->first, "adapter_load", 0 });
+}
+
+TEST_CASE("router: an upstream that is reached again is probed at once")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = emptyFleet(1);
+    state.placements[{ "rare", "e0" }] = { "rare", "e0", true };
+    chooser.update(std::make_shared<const fleet_state>(state));
+    for (int failure = 0; failure < 8; ++failure) {
+        chooser.onSent("e0", 100, start);
+        chooser.onDone("e0", 100, true, start);
+    }
+    const monotonic_time later = start + seconds(1);
+    CHECK(chooser.choose(requestFor("rare"), later).upstream.empty());
+    chooser.onLink("e0", false, later);
+    chooser.onLink("e0", true, later);
+    CHECK(chooser.choose(requestFor("rare"), later).upstream == "e0");
+}
--- a/Utilities/measure/measure_tally.h
+++ b/Utilities/measure/measure_tally.h
@@ -34,4 +34,8 @@
     const std::vector<traced_outcome>& outcomes, const fleet_counts& counts,
     const std::vector<std::pair<milliseconds, milliseconds>>& faulty);
 
+/// Writes what became of each request, a JSON line each.
+/// \throws std::runtime_error naming a file that cannot be written
+void writeOutcomes(const std::string& file, const trace& given, const std::vector<traced_outcome>& outcomes);
+
 } // namespace sagesaddle::measure
