Utilities: Count refusals inside the rate by an exact bucket again

Ruled out: a fault of the rates, since teams that keep to their rate gave the same figures in both counts within a few requests. Conclusion: reverted to the exact bucket. A team over its rate still gets other requests refused than the bucket picks; so the share of the teams that keep to their rate is printed too.

--- a/Utilities/measure/measure_tally.cpp
+++ b/Utilities/measure/measure_tally.cpp
@@ -34,25 +34,26 @@
     return isWhole(outcome) && outcome.wholeMs <= static_cast<double>(deadlineOf(request.priority).count());
 }
 
-// A team's rate and burst over the whole fleet, charged with what was answered whole.
-class use_bucket {
+// An exact bucket over the whole fleet, fed the requests in the order in which they were sent.
+class exact_bucket {
 public:
-    use_bucket(double rate, double burst)
+    exact_bucket(double rate, double burst)
         : m_rate(rate)
         , m_burst(burst)
         , m_level(burst)
     {
     }
 
-    bool hasRoom(milliseconds at, double tokens)
+    bool take(milliseconds at, double tokens)
     {
         m_level = std::min(m_burst, m_level + m_rate * std::chrono::duration<double>(at - m_at).count());
         m_at = at;
-        return m_level >= tokens;
+        if (m_level < tokens)
+            return false;
+        m_level -= tokens;
+        return true;
     }
 
-    void charge(double tokens) { m_level -= tokens; }
-
 private:
     double m_rate;
     double m_burst;
@@ -65,6 +66,9 @@
     std::uint64_t refused { 0 };
     std::uint64_t insideOutsideFaults { 0 };
     std::uint64_t refusedOutsideFaults { 0 };
+    // Outside the faults, of teams that keep to their rate all along.
+    std::uint64_t insideKeeping { 0 };
+    std::uint64_t refusedKeeping { 0 };
     std::map<std::string, std::uint64_t> reasons;
     std::map<std::string, std::uint64_t> byTeam;
 };
@@ -80,7 +84,7 @@
 refused_inside countRefusedInside(
     const trace& given, const std::vector<traced_outcome>& outcomes, const span_list& faulty)
 {
-    std::vector<use_bucket> buckets;
+    std::vector<exact_bucket> buckets;
     for (const traced_team& team : given.teams)
         buckets.emplace_back(team.rate, team.burst);
     std::vector<std::size_t> order(outcomes.size());
@@ -90,15 +94,14 @@
     refused_inside result;
     for (const std::size_t i : order) {
         const traced_outcome& outcome = outcomes[i];
-        use_bucket& bucket = buckets[given.requests[i].team];
-        const double tokens = chargeOf(given.requests[i]);
-        const bool isInside = bucket.hasRoom(outcome.sentAt, tokens);
-        const bool refused = !isWhole(outcome);
-        if (!refused)
-            bucket.charge(tokens);
-        if (!isInside)
+        const std::size_t team = given.requests[i].team;
+        if (!buckets[team].take(outcome.sentAt, chargeOf(given.requests[i])))
             continue;
         const bool outside = !isFaulty(faulty, outcome.sentAt);
+        const bool refused = !isWhole(outcome);
+        const bool keepsToRate = !given.teams[team].greedy;
+        result.insideKeeping += keepsToRate && outside ? 1 : 0;
+        result.refusedKeeping += keepsToRate && outside && refused ? 1 : 0;
         result.inside += 1;
         result.refused += refused ? 1 : 0;
         result.insideOutsideFaults += outside ? 1 : 0;
@@ -106,7 +109,7 @@
         if (!refused)
             continue;
         ++result.reasons[std::to_string(outcome.status) + " " + outcome.reason + " " + outcome.verdict];
-        ++result.byTeam[given.teams[given.requests[i].team].name];
+        ++result.byTeam[given.teams[team].name];
     }
     return result;
 }
@@ -164,6 +167,8 @@
         { "refused_inside_rate", shareOf(refused.refused, refused.inside) },
         { "refused_inside_rate_outside_faults",
             shareOf(refused.refusedOutsideFaults, refused.insideOutsideFaults) },
+        { "refused_inside_rate_outside_faults_of_keeping_teams",
+            shareOf(refused.refusedKeeping, refused.insideKeeping) },
         { "refused_inside_reasons", refused.reasons }, { "refused_inside_by_team", refused.byTeam },
         { "overcommits", counts.overcommits }, { "executed_twice", counts.executedTwice },
         { "p50_ms", percentile(latencies, 0.5) }, { "p99_ms", percentile(latencies, 0.99) } };
