Side: Report the tokens a second that requests ask of each model

Cause: the load report's modelUses were on the wire and never filled, so that a planner had nothing to judge demand by.

use_meter counts each request's tokens as it arrives, before it is admitted, refused or parked; what was asked fades with a time constant of 5 s, models below 0.1 token/s are dropped, and the 16 hottest are told. Services tell none. Ruled out: counting answers, which hides just the demand that was refused; a window of buckets, which needs more state for the same figure.

--- /dev/null
+++ b/Source/Place/use_meter.cpp
@@ -0,0 +1,51 @@
+#include "Place/use_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagesaddle {
+
+namespace {
+
+double secondsOf(monotonic_time::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void use_meter::note(const std::string& model, double tokens, monotonic_time now)
+{
+    if (!m_uses.contains(model))
+        forgetUnused(now);
+    use& noted = m_uses[model];
+    noted.tokens = rateOf(noted, now) * secondsOf(fading) + tokens;
+    noted.at = now;
+}
+
+std::vector<use_meter::rate> use_meter::rates(monotonic_time now) const
+{
+    std::vector<rate> result;
+    for (const auto& [model, noted] : m_uses) {
+        const double tokensPerSecond = rateOf(noted, now);
+        if (tokensPerSecond >= leastRate)
+            result.push_back({ model, tokensPerSecond });
+    }
+    std::stable_sort(result.begin(), result.end(),
+        [](const rate& left, const rate& right) { return left.tokensPerSecond > right.tokensPerSecond; });
+    if (result.size() > mostReported)
+        result.resize(mostReported);
+    return result;
+}
+
+double use_meter::rateOf(const use& of, monotonic_time now)
+{
+    return of.tokens / secondsOf(fading) * std::exp(-secondsOf(now - of.at) / secondsOf(fading));
+}
+
+void use_meter::forgetUnused(monotonic_time now)
+{
+    std::erase_if(m_uses, [&](const auto& entry) { return rateOf(entry.second, now) < leastRate; });
+}
+
+} // namespace sagesaddle
--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "Side/request_dispatcher.h"
 
+#include "Place/use_meter.h"
 #include "Route/waiting_queue.h"
 #include "Serve/http_client.h"
 #include "Side/engine_control.h"
@@ -82,6 +83,7 @@
             }
             job->ticket = nextTicket++;
             jobs.emplace(job->ticket, job);
+            uses.note(job->request.model, job->request.tokens, job->arrived);
             if (const auto cause = admit(job))
                 dropLocked(job, *cause, refusals);
         }
@@ -417,6 +419,8 @@
             report.residentModels = status.residentModels;
             report.loadingModels = status.loadingModels;
             report.cachedPrefixes = status.cachedPrefixes;
+            for (const use_meter::rate& use : uses.rates(monotonicNow()))
+                report.modelUses.push_back({ use.model, use.tokensPerSecond });
         }
         return report;
     }
@@ -436,6 +440,7 @@
     claim_hooks claims;
     std::uint32_t slots { 0 };
     waiting_queue queue;
+    use_meter uses;
     std::map<std::uint64_t, job_ptr> jobs;
     std::map<job_key, std::uint64_t> keys;
     std::map<std::uint64_t, job_ptr> running;
--- a/Tests/Side/side_process_tests.cpp
+++ b/Tests/Side/side_process_tests.cpp
@@ -140,6 +140,18 @@
     CHECK(path.entry.answerTo(1).refusal->reason == "leaving");
 }
 
+TEST_CASE("side: what requests ask of each model is reported, also where they are refused")
+{
+    engine_path path;
+    path.entry.send(chatRequest(1));
+    CHECK(path.entry.answerTo(1).end);
+    path.entry.send(chatRequest(2, "third"));
+    CHECK(path.entry.answerTo(2).refusal->reason == "model_not_loaded");
+    CHECK(path.entry.waitForLoad([](const load_report& load) {
+        return load.modelUses.size() == 2 && load.modelUses[0].tokensPerSecond > 0;
+    }));
+}
+
 TEST_CASE("side: a cancelled stream stops at the engine")
 {
     engine_path path;
