Route: Judge an upstream's speed by the median of its latest requests

Cause: fair_queue kept a running mean of service times and took the whole time of every ended request into it. Eight requests of 5 s after a pause made the estimate some ten times too high; offer() then refused as 'deadline' what free slots could serve, and takeExpired() dropped what waited. Cancelled and failed requests, error answers and answers that a slow entry took late counted too.

Tests that failed first: 'fair queue: after a pause what can be served is let in again at once' (offers refused with free slots), 'fair queue estimates: a pause of 5 s ...', 'request dispatcher: an entry that takes its answer late ...' (expected wait 991 ms where nothing had been served; 289 ms with only the check of the outcome).

Ruled out: clamping a sample to twice the mean, which recovers more slowly. The wait for a slot now comes from what runs in each. Existing tests are unchanged.

--- a/Source/Route/fair_queue.cpp
+++ b/Source/Route/fair_queue.cpp
@@ -1,5 +1,7 @@
 #include "Route/fair_queue.h"
 
+#include "Route/service_pace.h"
+
 #include <algorithm>
 #include <array>
 #include <deque>
@@ -11,9 +13,6 @@
 
 namespace {
 
-/// Weight of the newest measurement in the running mean of service times.
-constexpr double newestWeight = 0.2;
-
 /// \brief One team's waiting requests of one class.
 struct team_line {
     /// Tokens that the team was served, on the virtual clock of its class.
@@ -156,8 +155,7 @@
     std::unordered_map<std::uint64_t, running_request> running;
     /// Fraction of a start that waiting batch requests have earned.
     double batchEarned { 0 };
-    double meanSeconds { 0 };
-    double meanTokens { 0 };
+    service_pace pace;
     double largestTokens { 0 };
 
     class_line& line(priority of) { return lines[of == priority::Batch ? 1 : 0]; }
@@ -165,13 +163,12 @@
     std::size_t waiting() const { return lines[0].count() + lines[1].count(); }
     bool hasFreeSlot() const { return running.size() < settings.slots; }
 
-    double serviceSeconds(double tokens) const
-    {
-        return meanTokens > 0 ? tokens * meanSeconds / meanTokens : 0;
-    }
+    double serviceSeconds(double tokens) const { return tokens * pace.usual(); }
 
     double tokensBefore(priority of, const std::string& team) const;
-    double waitSeconds(double tokensAhead, double ownTokens) const;
+    double waitSeconds(double tokensAhead, monotonic_time now) const;
+    std::vector<double> secondsUntilFree(monotonic_time now) const;
+    double neededSeconds(const queued_request& request, double wait) const;
     priority nextClass();
     void forget(std::uint64_t ticket);
 };
@@ -188,12 +185,40 @@
     return share < 1 ? std::min(own + batch, own / (1 - share)) : own + batch;
 }
 
-double fair_queue::impl::waitSeconds(double tokensAhead, double ownTokens) const
+/// \return when each slot is expected to be free, the first first.
+std::vector<double> fair_queue::impl::secondsUntilFree(monotonic_time now) const
+{
+    std::vector<double> until(std::max<std::size_t>(settings.slots, running.size()));
+    auto slot = until.begin();
+    for (const auto& [ticket, request] : running) {
+        const double elapsed = secondsBetween(request.started, now);
+        *slot++ = std::max(serviceSeconds(request.tokens) - elapsed, 0.0);
+    }
+    std::sort(until.begin(), until.end());
+    return until;
+}
+
+/// The requests ahead take the slots in turn, each as its earlier one ends.
+double fair_queue::impl::waitSeconds(double tokensAhead, monotonic_time now) const
 {
     if (hasFreeSlot() && waiting() == 0)
         return 0;
-    const double untilSlot = hasFreeSlot() ? 0 : (meanTokens > 0 ? meanTokens : ownTokens);
-    return serviceSeconds(tokensAhead + untilSlot) / std::max<std::uint32_t>(settings.slots, 1);
+    if (pace.meanTokens() <= 0 || settings.slots == 0)
+        return 0;
+    const auto ahead = static_cast<std::size_t>(tokensAhead / pace.meanTokens());
+    const std::size_t rounds = ahead / settings.slots;
+    return secondsUntilFree(now)[ahead % settings.slots]
+        + static_cast<double>(rounds) * serviceSeconds(pace.meanTokens());
+}
+
+/// With a free slot and nobody waiting a request is tried if the fastest of late would make it.
+double fair_queue::impl::neededSeconds(const queued_request& request, double wait) const
+{
+    if (running.empty() && waiting() == 0)
+        return 0;
+    if (hasFreeSlot() && waiting() == 0)
+        return request.tokens * pace.best();
+    return wait + serviceSeconds(request.tokens);
 }
 
 priority fair_queue::impl::nextClass()
@@ -230,9 +255,8 @@
 queue_decision fair_queue::offer(const queued_request& request, monotonic_time now)
 {
     const double ahead = m_impl->tokensBefore(request.priority, request.team);
-    const double wait = m_impl->waitSeconds(ahead, request.tokens);
-    const bool idle = m_impl->running.empty() && m_impl->waiting() == 0;
-    const double needed = wait + (idle ? 0 : m_impl->serviceSeconds(request.tokens));
+    const double wait = m_impl->waitSeconds(ahead, now);
+    const double needed = m_impl->neededSeconds(request, wait);
     const double left = secondsBetween(now, request.deadline);
     if (left <= 0 || needed > left) {
         const auto later = toMilliseconds(std::max(needed - std::max(left, 0.0), 0.001));
@@ -266,12 +290,15 @@
     if (found == m_impl->running.end())
         return;
     const double elapsed = std::max(secondsBetween(found->second.started, now), 0.0);
-    const double weight = m_impl->meanTokens > 0 ? newestWeight : 1;
-    m_impl->meanSeconds += weight * (elapsed - m_impl->meanSeconds);
-    m_impl->meanTokens += weight * (found->second.tokens - m_impl->meanTokens);
+    m_impl->pace.note(elapsed, found->second.tokens);
     m_impl->running.erase(found);
 }
 
+void fair_queue::abandon(std::uint64_t ticket)
+{
+    m_impl->running.erase(ticket);
+}
+
 void fair_queue::remove(std::uint64_t ticket)
 {
     auto found = m_impl->places.find(ticket);
@@ -318,9 +345,9 @@
     return m_impl->running.size();
 }
 
-milliseconds fair_queue::expectedWait(priority of, monotonic_time) const
+milliseconds fair_queue::expectedWait(priority of, monotonic_time now) const
 {
-    return toMilliseconds(m_impl->waitSeconds(m_impl->tokensBefore(of, std::string()), 0));
+    return toMilliseconds(m_impl->waitSeconds(m_impl->tokensBefore(of, std::string()), now));
 }
 
 } // namespace sagesaddle
--- a/Source/Route/fair_queue.h
+++ b/Source/Route/fair_queue.h
@@ -53,9 +53,13 @@
     /// \return the next request to start, or nothing where no slot is free or none waits.
     std::optional<queued_request> start(monotonic_time now);
 
-    /// A started request ended and frees its slot.
+    /// A started request was served and frees its slot; its time tells how fast the upstream is.
     void finish(std::uint64_t ticket, monotonic_time now);
 
+    /// A started request frees its slot, and its time tells nothing of the upstream: it was cancelled or
+    /// failed.
+    void abandon(std::uint64_t ticket);
+
     /// A waiting request was cancelled.
     void remove(std::uint64_t ticket);
 
--- a/Source/Route/fifo_queue.h
+++ b/Source/Route/fifo_queue.h
@@ -17,6 +17,7 @@
     queue_decision offer(const queued_request& request, monotonic_time now);
     std::optional<queued_request> start(monotonic_time now);
     void finish(std::uint64_t ticket, monotonic_time now);
+    void abandon(std::uint64_t ticket) { m_running.erase(ticket); }
     void remove(std::uint64_t ticket);
     std::vector<queued_request> takeExpired(monotonic_time now);
     void setSlots(std::uint32_t slots) { m_options.slots = slots; }
--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -341,7 +341,7 @@
             lock.unlock();
             const exchange_outcome outcome = runJob(client, *job, terms);
             lock.lock();
-            queue.with([&](auto& waiting) { waiting.finish(job->ticket, monotonicNow()); });
+            freeSlotLocked(*job, outcome);
             if (outcome.reason == "model_not_loaded" && engine)
                 engine->noteNotLoaded(job->request.model, monotonicNow());
             lock.unlock();
@@ -352,6 +352,15 @@
         }
     }
 
+    // A request that the entry took slowly occupied its slot for longer than the upstream needed.
+    void freeSlotLocked(const request_job& job, const exchange_outcome& outcome)
+    {
+        if (tellsServiceTime(outcome) && !job.waitedForEntry)
+            queue.with([&](auto& waiting) { waiting.finish(job.ticket, monotonicNow()); });
+        else
+            queue.with([&](auto& waiting) { waiting.abandon(job.ticket); });
+    }
+
     // What a worker needs of the state that a newer view may replace.
     struct run_terms {
         upstream_kind kind { upstream_kind::Engine };
@@ -376,11 +385,12 @@
     }
 
     // Waits while the connection's queue is full, so that a slow entry slows the upstream down.
-    bool sendPatiently(const request_job& job, const message& value)
+    bool sendPatiently(request_job& job, const message& value)
     {
         while (!job.disconnected && !stopping) {
             if (send(job.connection, value))
                 return true;
+            job.waitedForEntry = true;
             if (monotonicNow() >= job.deadline)
                 return false;
             std::this_thread::sleep_for(sendRetryDelay);
@@ -388,7 +398,7 @@
         return false;
     }
 
-    void report(const request_job& job, const exchange_outcome& outcome)
+    void report(request_job& job, const exchange_outcome& outcome)
     {
         if (outcome.ran != verdict::Answered) {
             sendPatiently(job, noteRefusal(job, { outcome.ran, outcome.reason, outcome.detail, {} }));
--- a/Source/Side/request_job.h
+++ b/Source/Side/request_job.h
@@ -27,6 +27,8 @@
     std::atomic<bool> cancelled { false };
     /// The connection to the entry is gone.
     std::atomic<bool> disconnected { false };
+    /// The entry took a frame late; used by the worker that runs the request only.
+    bool waitedForEntry { false };
 };
 
 /// \return a job for a request that came now; its ticket is yet to be given.
--- a/Source/Side/upstream_exchange.cpp
+++ b/Source/Side/upstream_exchange.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t largestPieceBytes = 256 * 1024;
 constexpr std::uint16_t statusNotFound = 404;
+constexpr std::uint16_t lowestErrorStatus = 400;
+constexpr const char* reasonDeadline = "deadline";
 
 // The answer cannot be passed on, or is not worth it.
 class exchange_stopped : public std::runtime_error {
@@ -133,19 +135,26 @@
     if (hooks.isCancelled())
         return "cancelled";
     if (monotonicNow() >= deadline)
-        return "deadline";
+        return reasonDeadline;
     return error.ran() == verdict::NotRun ? "upstream_unreachable" : "upstream_broken";
 }
 
 } // namespace
 
+bool tellsServiceTime(const exchange_outcome& outcome)
+{
+    if (outcome.ran == verdict::Answered)
+        return outcome.status < lowestErrorStatus;
+    return outcome.ran == verdict::MayHaveRun && outcome.reason == reasonDeadline;
+}
+
 exchange_outcome runExchange(http_client& client, const exchange_terms& terms, const request_message& request,
     const exchange_hooks& hooks)
 {
     if (hooks.isCancelled())
         return failed(verdict::NotRun, "cancelled", "the caller left before the request was sent");
     if (monotonicNow() >= terms.deadline)
-        return failed(verdict::NotRun, "deadline", "no time was left to send the request");
+        return failed(verdict::NotRun, reasonDeadline, "no time was left to send the request");
     answer_relay relay(request, terms.kind, hooks);
     http_sink sink;
     sink.onHead = [&](std::uint16_t status, const header_list& headers) { relay.onHead(status, headers); };
--- a/Source/Side/upstream_exchange.h
+++ b/Source/Side/upstream_exchange.h
@@ -48,6 +48,11 @@
     auto operator<=>(const exchange_terms&) const = default;
 };
 
+/// \return whether the time of an exchange tells how fast the upstream serves: where it answered without an
+/// error,
+///         or kept the request beyond its deadline. What was cancelled or failed tells nothing.
+bool tellsServiceTime(const exchange_outcome& outcome);
+
 /// Runs a request on the upstream and passes its answer on piece by piece.
 /// \param client kept by the calling thread for its connections
 exchange_outcome runExchange(http_client& client, const exchange_terms& terms, const request_message& request,
--- a/Tests/Route/fair_queue_tests.cpp
+++ b/Tests/Route/fair_queue_tests.cpp
@@ -114,6 +114,69 @@
     CHECK(queue.offer(requestOf(2, "team", 100, priority::Interactive, now + seconds(1)), now).accepted);
 }
 
+namespace {
+
+/// Runs `count` requests of 40 tokens side by side, which take `each`.
+/// \return the time at their end
+monotonic_time serveTogether(fair_queue& queue, std::uint64_t count, milliseconds each, monotonic_time now)
+{
+    for (std::uint64_t ticket = 1; ticket <= count; ++ticket)
+        queue.offer(requestOf(ticket, "team", 40), now);
+    for (std::uint64_t started = 0; started < count; ++started)
+        REQUIRE(queue.start(now));
+    for (std::uint64_t ticket = 1; ticket <= count; ++ticket)
+        queue.finish(ticket, now + each);
+    return now + each;
+}
+
+} // namespace
+
+TEST_CASE("fair queue: after a pause what can be served is let in again at once")
+{
+    fair_queue queue({ 8, 100, 0.1 });
+    monotonic_time now = start;
+    for (int round = 0; round < 3; ++round)
+        now = serveTogether(queue, 8, milliseconds(400), now);
+    now = serveTogether(queue, 8, seconds(5), now);
+    for (std::uint64_t ticket = 1; ticket <= 16; ++ticket) {
+        const auto decision = queue.offer(
+            requestOf(ticket, "team", 40, priority::Interactive, now + milliseconds(2500)), now);
+        CHECK(decision.accepted);
+        queue.start(now);
+    }
+    CHECK(queue.expectedWait(priority::Interactive, now) <= milliseconds(800));
+    CHECK(queue.takeExpired(now + seconds(2)).empty());
+}
+
+TEST_CASE("fair queue: a free slot is tried if one of the latest requests was fast enough")
+{
+    fair_queue queue({ 8, 100, 0.1 });
+    monotonic_time now = serveTogether(queue, 1, milliseconds(400), start);
+    now = serveTogether(queue, 8, seconds(5), now);
+    queue.offer(requestOf(1, "team", 40), now);
+    REQUIRE(queue.start(now));
+    CHECK(
+        queue.offer(requestOf(2, "team", 40, priority::Interactive, now + milliseconds(500)), now).accepted);
+    queue.remove(2);
+    CHECK_FALSE(
+        queue.offer(requestOf(3, "team", 40, priority::Interactive, now + milliseconds(300)), now).accepted);
+}
+
+TEST_CASE("fair queue: a request that was given up frees its slot and tells nothing of the upstream")
+{
+    fair_queue queue({ 1, 100, 0.1 });
+    monotonic_time now = serveTogether(queue, 1, milliseconds(400), start);
+    for (std::uint64_t ticket = 2; ticket <= 20; ++ticket) {
+        queue.offer(requestOf(ticket, "team", 40), now);
+        REQUIRE(queue.start(now));
+        now += seconds(5);
+        queue.abandon(ticket);
+    }
+    queue.offer(requestOf(21, "team", 40), now);
+    REQUIRE(queue.start(now));
+    CHECK(queue.expectedWait(priority::Interactive, now) == milliseconds(400));
+}
+
 TEST_CASE("fair queue: a full queue refuses")
 {
     fair_queue queue({ 1, 1, 0.1 });
--- a/Tests/Side/request_dispatcher_tests.cpp
+++ b/Tests/Side/request_dispatcher_tests.cpp
@@ -1,10 +1,12 @@
 #include "Side/request_dispatcher.h"
 #include "Side/side_fixture.h"
+#include "Support/until.h"
 #include "Watch/metric_registry.h"
 #include "Watch/span_exporter.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace sagesaddle;
 using namespace sagesaddle::testing;
@@ -64,6 +66,27 @@
     return request;
 }
 
+exchange_outcome outcomeOf(verdict ran, const std::string& reason, std::uint16_t status)
+{
+    exchange_outcome outcome;
+    outcome.ran = ran;
+    outcome.reason = reason;
+    outcome.status = status;
+    return outcome;
+}
+
+// What the dispatcher takes for the wait while another request holds the only slot.
+std::uint32_t waitBehindOne(dispatcher_path& path)
+{
+    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    path.dispatcher.onRequest(1, lookup(100));
+    REQUIRE(until([&] { return path.dispatcher.load().running == 1; }));
+    const std::uint32_t waitMs = path.dispatcher.load().waitMs;
+    post(path.service.at, "/admin/faults", R"({"hold":false})");
+    path.dispatcher.waitIdle();
+    return waitMs;
+}
+
 } // namespace
 
 TEST_CASE("request dispatcher: a refusal for a full connection is sent later, and its sender never waits")
@@ -111,3 +134,37 @@
     path.dispatcher.waitIdle();
     CHECK(get(path.service.at, "/admin/executions")["total"] == 1);
 }
+
+TEST_CASE("request dispatcher: only what the upstream served or kept too long tells how fast it is")
+{
+    CHECK(tellsServiceTime(outcomeOf(verdict::Answered, "", 200)));
+    CHECK(tellsServiceTime(outcomeOf(verdict::MayHaveRun, "deadline", 0)));
+    CHECK_FALSE(tellsServiceTime(outcomeOf(verdict::Answered, "", 503)));
+    CHECK_FALSE(tellsServiceTime(outcomeOf(verdict::NotRun, "deadline", 0)));
+    CHECK_FALSE(tellsServiceTime(outcomeOf(verdict::MayHaveRun, "cancelled", 0)));
+    CHECK_FALSE(tellsServiceTime(outcomeOf(verdict::MayHaveRun, "entry_gone", 200)));
+}
+
+TEST_CASE(
+    "request dispatcher: an entry that takes its answer late, or a caller that leaves, does not make the "
+    "upstream slow")
+{
+    constexpr milliseconds lateness { 300 };
+    dispatcher_path path;
+    side_view view = serviceView();
+    view.upstream.slots = 1;
+    path.dispatcher.setView(view, nullptr, {});
+    path.isFull = true;
+    path.dispatcher.onRequest(1, lookup(1));
+    REQUIRE(until([&] { return get(path.service.at, "/admin/executions")["total"] == 1; }));
+    std::this_thread::sleep_for(lateness);
+    path.isFull = false;
+    path.dispatcher.waitIdle();
+    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    path.dispatcher.onRequest(1, lookup(2));
+    REQUIRE(until([&] { return get(path.service.at, "/admin/executions")["total"] == 2; }));
+    std::this_thread::sleep_for(lateness);
+    path.dispatcher.onCancel(1, 2);
+    path.dispatcher.waitIdle();
+    CHECK(waitBehindOne(path) == 0);
+}
