Side: Split the dispatcher's jobs and its engine's admission off

job_table knows the open requests by ticket and by connection; engine_admission holds their models and keeps those that wait for a load. The dispatcher keeps the lock, the queue, the workers and the frames. Ruled out: moving the unsent refusals out too, which are a list and two short functions.

--- /dev/null
+++ b/Source/Side/engine_admission.cpp
@@ -0,0 +1,94 @@
+#include "Side/engine_admission.h"
+
+#include "Side/engine_control.h"
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr milliseconds memoryRetryAfter { 1000 };
+
+refusal_cause notRun(std::string reason, std::string detail, milliseconds retryAfter)
+{
+    return { verdict::NotRun, std::move(reason), std::move(detail), retryAfter };
+}
+
+} // namespace
+
+std::optional<refusal_cause> engine_admission::admit(const job_ptr& job)
+{
+    const std::string& name = job->request.model;
+    switch (m_engine->request(name, job->arrived)) {
+    case model_readiness::Ready:
+        m_holding.insert(job->ticket);
+        return std::nullopt;
+    case model_readiness::Loading:
+        m_holding.insert(job->ticket);
+        return park(job);
+    case model_readiness::NoMemory:
+        return notRun("no_memory",
+            "the model \"" + name + "\" is not loaded and does not fit beside the pinned ones",
+            memoryRetryAfter);
+    case model_readiness::NoOrders:
+        return notRun("model_not_loaded",
+            "the model \"" + name + "\" is not loaded and cannot be ordered now", memoryRetryAfter);
+    case model_readiness::Unknown:
+        break;
+    }
+    return notRun("unknown_model", "the records that this side process holds name no model \"" + name + "\"",
+        milliseconds(0));
+}
+
+std::optional<refusal_cause> engine_admission::park(const job_ptr& job)
+{
+    const std::string& name = job->request.model;
+    const milliseconds expected = m_engine->expectedLoad(name, job->arrived);
+    if (job->arrived + expected > job->deadline) {
+        return notRun(
+            "model_loading", "the model \"" + name + "\" is being loaded and will be late", expected);
+    }
+    m_parked.emplace(job->ticket, job);
+    return std::nullopt;
+}
+
+std::vector<engine_admission::settled_job> engine_admission::takeSettled()
+{
+    std::vector<settled_job> settled;
+    for (const auto& [ticket, job] : m_parked) {
+        const std::string& name = job->request.model;
+        const model_readiness readiness = m_engine->readiness(name);
+        if (readiness == model_readiness::Ready)
+            settled.push_back({ job, std::nullopt });
+        else if (readiness != model_readiness::Loading) {
+            settled.push_back({ job,
+                notRun("model_not_loaded", "the model \"" + name + "\" could not be loaded",
+                    memoryRetryAfter) });
+        }
+    }
+    for (const settled_job& done : settled)
+        m_parked.erase(done.job->ticket);
+    return settled;
+}
+
+std::vector<pending_refusal> engine_admission::expired(monotonic_time now) const
+{
+    std::vector<pending_refusal> late;
+    for (const auto& [ticket, job] : m_parked) {
+        if (job->deadline > now)
+            continue;
+        const std::string& name = job->request.model;
+        late.push_back({ job,
+            notRun("model_loading", "the model \"" + name + "\" was not loaded in time",
+                m_engine->expectedLoad(name, now)) });
+    }
+    return late;
+}
+
+void engine_admission::letGo(const request_job& job, monotonic_time now)
+{
+    if (m_holding.erase(job.ticket) > 0)
+        m_engine->endUse(job.request.model, now);
+    m_parked.erase(job.ticket);
+}
+
+} // namespace sagesaddle
--- a/Source/Side/request_dispatcher.cpp
+++ b/Source/Side/request_dispatcher.cpp
@@ -3,20 +3,19 @@
 #include "Place/use_meter.h"
 #include "Route/waiting_queue.h"
 #include "Serve/http_client.h"
+#include "Side/engine_admission.h"
 #include "Side/engine_control.h"
 #include "Side/header_rules.h"
+#include "Side/job_table.h"
 #include "Side/request_audit.h"
-#include "Side/request_job.h"
 #include "Side/upstream_exchange.h"
 #include "Watch/log.h"
 
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
-#include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -25,19 +24,9 @@
 
 namespace {
 
-using job_ptr = std::shared_ptr<request_job>;
-using job_key = std::pair<connection_id, std::uint64_t>;
-
 constexpr milliseconds expiryPeriod { 20 };
 constexpr milliseconds sendRetryDelay { 5 };
 constexpr milliseconds drainRetryAfter { 100 };
-constexpr milliseconds memoryRetryAfter { 1000 };
-
-// A refusal that is sent once the lock is given back.
-struct pending_refusal {
-    job_ptr job;
-    refusal_cause cause;
-};
 
 // A refusal that a full connection did not take.
 struct unsent_refusal {
@@ -76,13 +65,11 @@
         std::vector<pending_refusal> refusals;
         {
             const std::scoped_lock lock(mutex);
-            if (!keys.emplace(job_key(connection, job->request.id), nextTicket).second) {
+            if (!jobs.add(job)) {
                 writeLog(log_level::Warning, "a doubled request frame was ignored",
                     { { "trace_id", job->span.traceId }, { "id", job->request.id } });
                 return;
             }
-            job->ticket = nextTicket++;
-            jobs.emplace(job->ticket, job);
             uses.note(job->request.model, job->request.tokens, job->arrived);
             if (const auto cause = admit(job))
                 dropLocked(job, *cause, refusals);
@@ -101,8 +88,10 @@
             return refusal_cause { verdict::NotRun, "key_header",
                 "the header \"" + *name + "\" may hold a key, which no upstream may see", {} };
         }
-        if (engine)
-            return admitToEngine(job);
+        if (engine) {
+            if (auto cause = models.admit(job); cause || models.isParked(*job))
+                return cause;
+        }
         return offer(job);
     }
 
@@ -118,41 +107,6 @@
         return std::nullopt;
     }
 
-    std::optional<refusal_cause> admitToEngine(const job_ptr& job)
-    {
-        const std::string& name = job->request.model;
-        switch (engine->request(name, job->arrived)) {
-        case model_readiness::Ready:
-            modelUsers.insert(job->ticket);
-            return offer(job);
-        case model_readiness::Loading:
-            return waitForModel(job);
-        case model_readiness::NoMemory:
-            return refusal_cause { verdict::NotRun, "no_memory",
-                "the model \"" + name + "\" is not loaded and does not fit beside the pinned ones",
-                memoryRetryAfter };
-        case model_readiness::NoOrders:
-            return refusal_cause { verdict::NotRun, "model_not_loaded",
-                "the model \"" + name + "\" is not loaded and cannot be ordered now", memoryRetryAfter };
-        case model_readiness::Unknown:
-            break;
-        }
-        return refusal_cause { verdict::NotRun, "unknown_model",
-            "the records that this side process holds name no model \"" + name + "\"", {} };
-    }
-
-    std::optional<refusal_cause> waitForModel(const job_ptr& job)
-    {
-        modelUsers.insert(job->ticket);
-        const milliseconds expected = engine->expectedLoad(job->request.model, job->arrived);
-        if (job->arrived + expected > job->deadline) {
-            return refusal_cause { verdict::NotRun, "model_loading",
-                "the model \"" + job->request.model + "\" is being loaded and will be late", expected };
-        }
-        parked.insert(job->ticket);
-        return std::nullopt;
-    }
-
     std::optional<refusal_cause> offer(const job_ptr& job)
     {
         const queue_decision decision
@@ -168,45 +122,28 @@
         std::vector<pending_refusal> refusals;
         {
             const std::scoped_lock lock(mutex);
-            const std::set<std::uint64_t> tickets = parked;
-            for (const std::uint64_t ticket : tickets)
-                retryParked(jobs.at(ticket), refusals);
+            for (const auto& [job, failure] : models.takeSettled()) {
+                if (const auto cause = failure ? failure : offer(job))
+                    dropLocked(job, *cause, refusals);
+            }
         }
         workReady.notify_all();
         refuse(refusals);
     }
 
-    void retryParked(const job_ptr& job, std::vector<pending_refusal>& refusals)
-    {
-        const model_readiness readiness = engine->readiness(job->request.model);
-        if (readiness == model_readiness::Loading)
-            return;
-        parked.erase(job->ticket);
-        auto cause = readiness == model_readiness::Ready
-            ? offer(job)
-            : refusal_cause { verdict::NotRun, "model_not_loaded",
-                  "the model \"" + job->request.model + "\" could not be loaded", memoryRetryAfter };
-        if (cause)
-            dropLocked(job, *cause, refusals);
-    }
-
     // Giving requests up.
 
     void onCancel(connection_id connection, std::uint64_t id)
     {
         const std::scoped_lock lock(mutex);
-        if (const auto found = keys.find({ connection, id }); found != keys.end())
-            cancelLocked(jobs.at(found->second));
+        if (const job_ptr job = jobs.find(connection, id))
+            cancelLocked(job);
     }
 
     void onConnectionClosed(connection_id connection)
     {
         const std::scoped_lock lock(mutex);
-        std::vector<job_ptr> lost;
-        for (auto it = keys.lower_bound({ connection, 0 }); it != keys.end() && it->first.first == connection;
-             ++it)
-            lost.push_back(jobs.at(it->second));
-        for (const job_ptr& job : lost) {
+        for (const job_ptr& job : jobs.ofConnection(connection)) {
             job->disconnected = true;
             cancelLocked(job);
         }
@@ -217,7 +154,7 @@
     // A call that may run once goes on once it was started: cutting it off would not undo it.
     void cancelLocked(const job_ptr& job)
     {
-        if (!running.contains(job->ticket)) {
+        if (!jobs.isRunning(*job)) {
             queue.with([&](auto& waiting) { waiting.remove(job->ticket); });
             forgetLocked(job);
         } else if (job->request.idempotent || engine) {
@@ -234,11 +171,8 @@
 
     void forgetLocked(const job_ptr& job)
     {
-        if (modelUsers.erase(job->ticket) > 0)
-            engine->endUse(job->request.model, monotonicNow());
-        parked.erase(job->ticket);
-        keys.erase({ job->connection, job->request.id });
-        jobs.erase(job->ticket);
+        models.letGo(*job, monotonicNow());
+        jobs.remove(*job);
         if (isIdleLocked())
             becameIdle.notify_all();
     }
@@ -304,17 +238,8 @@
                 { verdict::NotRun, "deadline", "the request cannot make its deadline in the queue", {} },
                 refusals);
         }
-        const std::set<std::uint64_t> tickets = parked;
-        for (const std::uint64_t ticket : tickets) {
-            const job_ptr job = jobs.at(ticket);
-            if (job->deadline <= now) {
-                dropLocked(job,
-                    { verdict::NotRun, "model_loading",
-                        "the model \"" + job->request.model + "\" was not loaded in time",
-                        engine->expectedLoad(job->request.model, now) },
-                    refusals);
-            }
-        }
+        for (const pending_refusal& late : models.expired(now))
+            dropLocked(late.job, late.cause, refusals);
     }
 
     // Running requests.
@@ -336,7 +261,7 @@
                 continue;
             }
             const job_ptr job = jobs.at(next->ticket);
-            running.emplace(job->ticket, job);
+            jobs.noteRunning(*job);
             const run_terms terms = termsLocked(*job);
             lock.unlock();
             const exchange_outcome outcome = runJob(client, *job, terms);
@@ -347,7 +272,6 @@
             lock.unlock();
             report(*job, outcome);
             lock.lock();
-            running.erase(job->ticket);
             forgetLocked(job);
         }
     }
@@ -415,7 +339,7 @@
         load_report report;
         report.upstream = settings.upstream;
         report.queued = static_cast<std::uint32_t>(
-            queue.with([](const auto& waiting) { return waiting.waiting(); }) + parked.size());
+            queue.with([](const auto& waiting) { return waiting.waiting(); }) + models.parked());
         report.running
             = static_cast<std::uint32_t>(queue.with([](const auto& waiting) { return waiting.running(); }));
         report.slots = slots;
@@ -451,15 +375,9 @@
     std::uint32_t slots { 0 };
     waiting_queue queue;
     use_meter uses;
-    std::map<std::uint64_t, job_ptr> jobs;
-    std::map<job_key, std::uint64_t> keys;
-    std::map<std::uint64_t, job_ptr> running;
-    // Wait for their model.
-    std::set<std::uint64_t> parked;
-    // Hold their model on the engine.
-    std::set<std::uint64_t> modelUsers;
+    job_table jobs;
+    engine_admission models;
     std::vector<unsent_refusal> unsent;
-    std::uint64_t nextTicket { 1 };
     bool draining { false };
     std::atomic<bool> stopping { false };
     std::vector<std::thread> workers;
@@ -477,7 +395,7 @@
     {
         const std::scoped_lock lock(m_impl->mutex);
         m_impl->stopping = true;
-        for (const auto& [ticket, job] : m_impl->running)
+        for (const job_ptr& job : m_impl->jobs.running())
             job->cancelled = true;
     }
     m_impl->workReady.notify_all();
@@ -494,6 +412,7 @@
         m_impl->view = view;
         m_impl->kind = view.upstream.kind;
         m_impl->engine = engine;
+        m_impl->models.setEngine(engine);
         m_impl->claims = std::move(claims);
         m_impl->slots = std::min(view.upstream.slots, m_impl->settings.workers);
         m_impl->queue.with([this](auto& waiting) { waiting.setSlots(m_impl->slots); });
