Limit: Let one process of a name hold its shares, by the run that the epoch lists

Cause: epochs listed members by name only, so that two processes under one name (one frozen and replaced, or an operator's mistake) both took its shares.

Each process draws a number, its run (the one that its asks are counted on from). Answers for the tail carry it, and an epoch lists its members' runs, in an optional field of epoch records of schema 3 (older programs skip it; epochs without it are read as before). Another run holds no share; a change of run counts as leaving and joining. A member that stays keeps its run, and who joins is listed with the run it named since the epoch before, so that a restarted process is not listed by its predecessor's run.

Ruled out: a claim that each process writes for itself. It needs no message, but costs an epoch a member at every start, and would start all shares empty.

Not covered: epochs written by older programs, and two lasting processes of one name are served badly, though within the bound.

--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -81,8 +81,10 @@
     std::optional<log_record> dueSnapshot(monotonic_time now);
     std::optional<log_record> dueEpoch(monotonic_time now);
     std::optional<log_record> epochWithoutSelf() const;
+    log_record epochOf(std::vector<std::string> members) const;
     void appendQuietly(const log_record& record);
     membership_watch::heard_times heardTimes() const;
+    void setCurrent(fleet_state_ptr state);
     bool pause(milliseconds span);
     void trust();
     tail_answer evidence(std::uint64_t id) const;
@@ -110,6 +112,9 @@
     // The replica's state as last folded.
     fleet_state_ptr current;
     freshness_judge judge;
+    // Runs that the peers last named; of those outside the epoch, since it began.
+    member_runs heardRuns;
+    std::uint64_t heardInEpoch { 0 };
     peer_rotation rotation;
     snapshot_schedule snapshots;
     membership_watch membership;
@@ -196,7 +201,7 @@
     const std::lock_guard folding(replicaMutex);
     replica.takeRecords(batch.first, batch.records);
     const std::lock_guard lock(mutex);
-    current = replica.state();
+    setCurrent(replica.state());
     snapshotOffset = replica.snapshotOffset();
     earliest = batch.earliest;
     if (batch.next != batch.end || replica.isSearching())
@@ -205,6 +210,16 @@
     trust();
 }
 
+// Whoever joins again may be another process than the one heard before: it is to be heard anew.
+void fleet_follower::impl::setCurrent(fleet_state_ptr state)
+{
+    current = std::move(state);
+    const membership_epoch& epoch = current->epoch;
+    if (std::exchange(heardInEpoch, epoch.number) != epoch.number)
+        std::erase_if(heardRuns,
+            [&](const auto& heard) { return !std::ranges::binary_search(epoch.members, heard.first); });
+}
+
 void fleet_follower::impl::trust()
 {
     trusted = true;
@@ -293,7 +308,7 @@
 {
     membership_watch::heard_times heard;
     for (const auto& [name, entry] : current->entries)
-        if (const auto at = judge.lastHeard(name))
+        if (const auto at = judge.lastHeard(name); at && heardRuns.contains(name))
             heard.emplace(name, *at);
     return heard;
 }
@@ -307,8 +322,21 @@
     auto members = membership.proposal(now, state, heardTimes());
     if (!members)
         return std::nullopt;
-    return log_record { makeRecordId(), newestRecordSchema,
-        epoch_record { state.epoch.number, std::move(*members) } };
+    return epochOf(std::move(*members));
+}
+
+// A member that stays keeps its run, so that a second process of its name does not take its shares over.
+log_record fleet_follower::impl::epochOf(std::vector<std::string> members) const
+{
+    epoch_record next { current->epoch.number, std::move(members) };
+    member_runs known = current->epoch.runs;
+    known.emplace(settings.self, settings.run);
+    known.insert(heardRuns.begin(), heardRuns.end());
+    for (const std::string& member : next.members)
+        if (const auto found = known.find(member); found != known.end() && found->second != 0)
+            next.runs.insert(*found);
+    const std::uint32_t schema = next.runs.empty() ? newestRecordSchema : epochRunsSchema;
+    return { makeRecordId(), schema, std::move(next) };
 }
 
 // A snapshot or an epoch that could not be appended falls due again.
@@ -353,6 +381,7 @@
     answer.ageMs = ageMs(judge.lastRead(), now);
     answer.logAway = judge.isLogAway(now);
     answer.next = trusted ? current->nextOffset : 0;
+    answer.run = settings.run;
     return answer;
 }
 
@@ -399,10 +428,11 @@
     const bool moved = !replica.isSearching() && replica.takeRecords(answer.first, answer.records);
 
     const std::lock_guard lock(m_impl->mutex);
-    m_impl->current = replica.state();
+    m_impl->setCurrent(replica.state());
     m_impl->snapshotOffset = replica.snapshotOffset();
     m_impl->judge.onPeer(
         ask->entry, ask->askedAt, { answer.next, milliseconds(answer.ageMs), answer.logAway });
+    m_impl->heardRuns[ask->entry] = answer.run;
     if ((adopted || moved) && m_impl->current->nextOffset >= answer.next)
         m_impl->trust();
 }
@@ -410,10 +440,10 @@
 std::optional<log_record> fleet_follower::impl::epochWithoutSelf() const
 {
     const membership_epoch& epoch = current->epoch;
-    epoch_record next { epoch.number, epoch.members };
-    if (!trusted || std::erase(next.members, settings.self) == 0)
+    std::vector<std::string> members = epoch.members;
+    if (!trusted || std::erase(members, settings.self) == 0)
         return std::nullopt;
-    return log_record { makeRecordId(), newestRecordSchema, std::move(next) };
+    return epochOf(std::move(members));
 }
 
 void fleet_follower::leave()
--- a/Source/Agree/fleet_follower.h
+++ b/Source/Agree/fleet_follower.h
@@ -24,6 +24,8 @@
         std::string stream { "config" };
         /// Name of this entry in the records.
         std::string self;
+        /// Number of this process among those of the name, for the epochs; 0 where it has none.
+        std::uint64_t run { 0 };
         /// How old the evidence may be.
         milliseconds freshFor { 2000 };
         /// Peers to ask while there is no state that lists the entries; given to `send` as they are.
--- a/Source/Limit/rate_gate.cpp
+++ b/Source/Limit/rate_gate.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds housekeepInterval { 250 };
 
 /// \return a number that two processes hardly share, with room above it to count on.
-std::uint64_t drawFirstAskId()
+std::uint64_t drawRun()
 {
     std::random_device device;
     const std::uint64_t high = device();
@@ -45,7 +45,7 @@
 
     impl(std::string self, send_to_peer sender, rate_member::division divided)
         : send(std::move(sender))
-        , member(std::move(self), drawFirstAskId(), divided)
+        , member(std::move(self), drawRun(), divided)
     {
     }
 
@@ -130,6 +130,11 @@
     m_impl->granted.notify_all();
 }
 
+std::uint64_t rate_gate::run() const
+{
+    return m_impl->member.run();
+}
+
 bool rate_gate::mustRejoin() const
 {
     const std::scoped_lock lock(m_impl->mutex);
--- a/Source/Limit/rate_member.cpp
+++ b/Source/Limit/rate_member.cpp
@@ -34,17 +34,26 @@
     return static_cast<token_count>(std::clamp(amount, 0.0, mostTokensInMessage));
 }
 
+/// \return a past epoch or the current one; to be called only where the state remembers it.
+const membership_epoch& epochNumbered(const fleet_state& state, std::uint64_t number)
+{
+    const auto past = std::find_if(state.pastEpochs.begin(), state.pastEpochs.end(),
+        [number](const membership_epoch& epoch) { return epoch.number == number; });
+    return past == state.pastEpochs.end() ? state.epoch : *past;
+}
+
 } // namespace
 
-rate_member::rate_member(std::string self, std::uint64_t firstAskId)
-    : rate_member(std::move(self), firstAskId, division {})
+rate_member::rate_member(std::string self, std::uint64_t run)
+    : rate_member(std::move(self), run, division {})
 {
 }
 
-rate_member::rate_member(std::string self, std::uint64_t firstAskId, division divided)
+rate_member::rate_member(std::string self, std::uint64_t run, division divided)
     : m_self(std::move(self))
     , m_division(divided)
-    , m_nextAskId(firstAskId)
+    , m_run(run)
+    , m_nextAskId(run)
 {
 }
 
@@ -267,9 +276,8 @@
     if (!passed)
         return "epoch";
     const std::string entry = entryOf(ask.asker);
-    const bool stayed = std::all_of(passed->begin(), passed->end(),
-        [&](const membership_epoch* epoch) { return isMember(entry, *epoch); });
-    return stayed && isMember(entry, m_state->epoch) ? "" : "not_member";
+    const std::uint64_t run = runOf(entry, epochNumbered(*m_state, ask.epoch));
+    return isMember(entry, m_state->epoch) && areListing(*passed, entry, run) ? "" : "not_member";
 }
 
 credit_grant rate_member::answer(const credit_ask& ask, monotonic_time now)
--- a/Source/Limit/rate_member.h
+++ b/Source/Limit/rate_member.h
@@ -43,9 +43,10 @@
     };
 
     /// \param self name of this entry in the records
-    /// \param firstAskId a number that no earlier process of this name has come near
-    rate_member(std::string self, std::uint64_t firstAskId);
-    rate_member(std::string self, std::uint64_t firstAskId, division divided);
+    /// \param run number of this process, which no other one of this name has come near: where the epoch
+    /// lists another beside the name, this process holds no share. Asks are counted on from it.
+    rate_member(std::string self, std::uint64_t run);
+    rate_member(std::string self, std::uint64_t run, division divided);
 
     /// Takes in a newer state; an older one is ignored.
     void update(fleet_state_ptr state, monotonic_time now);
@@ -73,7 +74,10 @@
     /// Gives back idle credit and probes holders that were away; to be called a few times a second.
     std::vector<addressed_ask> housekeep(monotonic_time now);
 
-    /// \return whether this process holds no shares until an epoch without it and one with it are written.
+    std::uint64_t run() const { return m_run; }
+
+    /// \return whether this process holds no shares until an epoch without it and one with it are written;
+    /// not for one that another process of its name has replaced.
     bool mustRejoin() const;
 
     /// \return tokens that the entry could charge now without a message.
@@ -83,6 +87,8 @@
     /// \brief A share of a team as this entry sees it.
     struct share_state {
         team_share share;
+        /// Run that the epoch lists for the holder.
+        std::uint64_t holderRun { 0 };
         /// Where this entry holds it and may hand out credit.
         std::optional<credit_holder> holder;
         std::uint64_t heldSince { 0 };
@@ -128,8 +134,10 @@
     void updateTeam(const team& record, const std::optional<epoch_list>& passed, monotonic_time now);
     std::vector<share_state> carryShares(
         team_state& value, bool isNew, const std::optional<epoch_list>& passed, monotonic_time now);
+    bool isListed() const;
+    bool stayed(const std::string& entry, const epoch_list& passed) const;
     bool stayedMember(const std::optional<epoch_list>& passed) const;
-    bool continues(const std::string& team, const team_share& share, const epoch_list& passed) const;
+    bool continues(const std::string& team, const share_state& share, const epoch_list& passed) const;
     share_state openShare(const team_state& value, const team_share& share, bool isNew, monotonic_time now);
     void openAccount(share_state& value);
     void scheduleWriteOffs(const epoch_list& passed, monotonic_time now);
@@ -151,12 +159,17 @@
 
     std::string m_self;
     division m_division;
+    std::uint64_t m_run;
     std::uint64_t m_nextAskId;
     fleet_state_ptr m_state;
     /// Offset from which on this process has learned every record itself.
     std::uint64_t m_bornAt { 0 };
+    /// Runs of the epoch that was known before the newest update.
+    member_runs m_knownRuns;
     /// Whether this process joined the epochs in its life and is a member since.
     bool m_isJoined { false };
+    /// Whether it ever was.
+    bool m_wasJoined { false };
     monotonic_time m_epochLearnedAt;
     std::unordered_map<std::string, team_state> m_teams;
     std::vector<pending_write_off> m_writeOffs;
--- a/Source/Limit/rate_member_shares.cpp
+++ b/Source/Limit/rate_member_shares.cpp
@@ -6,14 +6,29 @@
 
 bool rate_member::mustRejoin() const
 {
-    return m_state && isMember(m_self, m_state->epoch) && !m_isJoined;
+    if (!m_state || m_isJoined || !isMember(m_self, m_state->epoch))
+        return false;
+    const bool isReplaced = m_wasJoined && !isListed();
+    return !isReplaced;
+}
+
+// An epoch that an older program wrote may list the name without a run.
+bool rate_member::isListed() const
+{
+    const std::uint64_t listed = runOf(m_self, m_state->epoch);
+    return isMember(m_self, m_state->epoch) && (listed == 0 || listed == m_run);
+}
+
+// Whether an entry's process is a member in every epoch after the one known before.
+bool rate_member::stayed(const std::string& entry, const epoch_list& passed) const
+{
+    const auto known = m_knownRuns.find(entry);
+    return areListing(passed, entry, known == m_knownRuns.end() ? 0 : known->second);
 }
 
 bool rate_member::stayedMember(const std::optional<epoch_list>& passed) const
 {
-    return passed && std::all_of(passed->begin(), passed->end(), [this](const membership_epoch* epoch) {
-        return isMember(m_self, *epoch);
-    });
+    return passed && stayed(m_self, *passed);
 }
 
 void rate_member::update(fleet_state_ptr state, monotonic_time now)
@@ -24,11 +39,15 @@
     if (!m_state)
         m_bornAt = state->nextOffset;
     std::optional<epoch_list> passed = epochsAfter(*state, known);
-    if (state->epoch.number != known)
+    if (state->epoch.number != known) {
         m_epochLearnedAt = now;
+        m_knownRuns = m_state ? m_state->epoch.runs : member_runs {};
+    }
     m_state = std::move(state);
     const std::uint64_t since = memberSince(m_self, *m_state);
-    m_isJoined = (m_isJoined && stayedMember(passed)) || (since != 0 && since >= m_bornAt);
+    const bool joinedHere = since != 0 && since >= m_bornAt;
+    m_isJoined = isListed() && ((m_isJoined && stayedMember(passed)) || joinedHere);
+    m_wasJoined = m_wasJoined || m_isJoined;
     if (passed)
         scheduleWriteOffs(*passed, now);
     for (auto& [name, value] : m_teams)
@@ -55,12 +74,13 @@
             share.holder->setPart(shareRate(record), shareBurst(record), now);
 }
 
-bool rate_member::continues(const std::string& team, const team_share& share, const epoch_list& passed) const
+bool rate_member::continues(const std::string& team, const share_state& share, const epoch_list& passed) const
 {
-    return std::all_of(passed.begin(), passed.end(), [&](const membership_epoch* epoch) {
-        const auto shares = sharesOf(team, epoch->members, m_division.shares);
-        return std::find(shares.begin(), shares.end(), share) != shares.end();
-    });
+    return areListing(passed, share.share.holder, share.holderRun)
+        && std::all_of(passed.begin(), passed.end(), [&](const membership_epoch* epoch) {
+               const auto shares = sharesOf(team, epoch->members, m_division.shares);
+               return std::find(shares.begin(), shares.end(), share.share) != shares.end();
+           });
 }
 
 std::vector<rate_member::share_state> rate_member::carryShares(
@@ -72,7 +92,7 @@
     for (const team_share& share : sharesOf(value.record.name, m_state->epoch.members, m_division.shares)) {
         const auto old = std::find_if(value.shares.begin(), value.shares.end(),
             [&](const share_state& candidate) { return candidate.share == share; });
-        if (old == value.shares.end() || !passed || !continues(value.record.name, share, *passed)) {
+        if (old == value.shares.end() || !passed || !continues(value.record.name, *old, *passed)) {
             carried.push_back(openShare(value, share, createdInEpoch, now));
             continue;
         }
@@ -97,10 +117,13 @@
 {
     share_state opened;
     opened.share = share;
+    opened.holderRun = runOf(share.holder, m_state->epoch);
     if (!isOwn(opened)) {
         openAccount(opened);
         return opened;
     }
+    if (!isListed())
+        return opened;
     const tenure_start tenure = tenureOf(value.record.name, share, *m_state, m_division.shares);
     if (tenure.epoch == 0 || tenure.epoch < m_bornAt)
         return opened;
@@ -114,16 +137,12 @@
 
 void rate_member::scheduleWriteOffs(const epoch_list& passed, monotonic_time now)
 {
-    const auto left = [&](const std::string& entry) {
-        return std::any_of(passed.begin(), passed.end(),
-            [&](const membership_epoch* epoch) { return !isMember(entry, *epoch); });
-    };
     for (auto& [name, value] : m_teams)
         for (share_state& share : value.shares) {
             if (!share.holder)
                 continue;
             for (const std::string& asker : share.holder->askers())
-                if (left(entryOf(asker)))
+                if (!stayed(entryOf(asker), passed))
                     m_writeOffs.push_back({ name, share.share, asker, now + tenureGrace });
         }
 }
--- a/Source/Limit/share_tenure.cpp
+++ b/Source/Limit/share_tenure.cpp
@@ -25,7 +25,8 @@
 }
 
 /// Walks back from the current epoch for as long as a condition holds.
-tenure_start startOfRun(const fleet_state& state, const std::function<bool(const membership_epoch&)>& holds)
+tenure_start startOfStretch(
+    const fleet_state& state, const std::function<bool(const membership_epoch&)>& holds)
 {
     if (state.epoch.number == 0 || !holds(state.epoch))
         return {};
@@ -80,7 +81,10 @@
 tenure_start tenureOf(
     const std::string& team, const team_share& share, const fleet_state& state, std::uint32_t shares)
 {
-    return startOfRun(state, [&](const membership_epoch& epoch) {
+    const std::uint64_t run = runOf(share.holder, state.epoch);
+    return startOfStretch(state, [&](const membership_epoch& epoch) {
+        if (runOf(share.holder, epoch) != run)
+            return false;
         const auto held = sharesOf(team, epoch.members, shares);
         return std::find(held.begin(), held.end(), share) != held.end();
     });
@@ -88,7 +92,10 @@
 
 std::uint64_t memberSince(const std::string& entry, const fleet_state& state)
 {
-    return startOfRun(state, [&](const membership_epoch& epoch) { return isMember(entry, epoch); }).epoch;
+    const std::uint64_t run = runOf(entry, state.epoch);
+    return startOfStretch(state, [&](const membership_epoch& epoch) {
+        return isMember(entry, epoch) && runOf(entry, epoch) == run;
+    }).epoch;
 }
 
 bool isMember(const std::string& entry, const membership_epoch& epoch)
@@ -96,4 +103,18 @@
     return std::binary_search(epoch.members.begin(), epoch.members.end(), entry);
 }
 
+std::uint64_t runOf(const std::string& entry, const membership_epoch& epoch)
+{
+    const auto found = epoch.runs.find(entry);
+    return found == epoch.runs.end() ? 0 : found->second;
+}
+
+bool areListing(
+    const std::vector<const membership_epoch*>& epochs, const std::string& entry, std::uint64_t run)
+{
+    return std::all_of(epochs.begin(), epochs.end(), [&](const membership_epoch* epoch) {
+        return isMember(entry, *epoch) && runOf(entry, *epoch) == run;
+    });
+}
+
 } // namespace sagesaddle
--- a/Source/Limit/share_tenure.h
+++ b/Source/Limit/share_tenure.h
@@ -40,13 +40,21 @@
 std::optional<std::vector<const membership_epoch*>> epochsAfter(
     const fleet_state& state, std::uint64_t number);
 
+/// \return since when the process that the current epoch lists by the holder's name has held the share.
 tenure_start tenureOf(const std::string& team, const team_share& share, const fleet_state& state,
     std::uint32_t shares = sharesPerTeam);
 
-/// \return number of the epoch since which the entry is a member without a break; 0 where it is not,
-/// or where that began before the epochs that the state remembers.
+/// \return number of the epoch since which the entry is a member with one run, without a break; 0 where it is
+/// not, or where that began before the epochs that the state remembers.
 std::uint64_t memberSince(const std::string& entry, const fleet_state& state);
 
 bool isMember(const std::string& entry, const membership_epoch& epoch);
 
+/// \return the run that the epoch lists beside the entry's name; 0 where it lists none.
+std::uint64_t runOf(const std::string& entry, const membership_epoch& epoch);
+
+/// \return whether every epoch lists the entry with this run.
+bool areListing(
+    const std::vector<const membership_epoch*>& epochs, const std::string& entry, std::uint64_t run);
+
 } // namespace sagesaddle
--- a/Source/Record/fleet_state.h
+++ b/Source/Record/fleet_state.h
@@ -12,12 +12,17 @@
 
 namespace sagesaddle {
 
+/// Numbers that processes draw at their start, by the name they run under; never 0.
+using member_runs = std::map<std::string, std::uint64_t>;
+
 /// \brief The entries that share the teams' rates, fixed by a record in the log.
 struct membership_epoch {
     /// Offset of the record; 0 before there is one.
     std::uint64_t number { 0 };
     /// Names of the member entries, sorted.
     std::vector<std::string> members;
+    /// Which process runs under a member's name; a member that an older program listed has none.
+    member_runs runs {};
 
     auto operator<=>(const membership_epoch&) const = default;
 };
--- a/Source/Record/fold.cpp
+++ b/Source/Record/fold.cpp
@@ -50,7 +50,7 @@
     state.pastEpochs.push_back(std::move(state.epoch));
     if (state.pastEpochs.size() > maxPastEpochs)
         state.pastEpochs.erase(state.pastEpochs.begin());
-    state.epoch = { offset, epoch.members };
+    state.epoch = { offset, epoch.members, epoch.runs };
     return {};
 }
 
--- a/Source/Record/log_record.cpp
+++ b/Source/Record/log_record.cpp
@@ -42,7 +42,10 @@
 
 json formatBody(const epoch_record& epoch, std::uint32_t)
 {
-    return { { "previous", epoch.previous }, { "members", epoch.members } };
+    json fields { { "previous", epoch.previous }, { "members", epoch.members } };
+    if (!epoch.runs.empty())
+        fields["runs"] = epoch.runs;
+    return fields;
 }
 
 json formatBody(const lease_record& lease, std::uint32_t)
@@ -101,6 +104,21 @@
     return change;
 }
 
+member_runs parseRuns(const json& fields, const std::vector<std::string>& members)
+{
+    if (!fields.is_object())
+        throw record_error("\"runs\" must be an object of numbers by member");
+    member_runs runs;
+    for (const auto& [member, run] : fields.items()) {
+        if (!run.is_number_unsigned() || run.get<std::uint64_t>() == 0)
+            throw record_error("\"runs\": \"" + member + "\" must have a whole number above 0");
+        if (!std::binary_search(members.begin(), members.end(), member))
+            throw record_error("\"runs\": \"" + member + "\" is not among \"members\"");
+        runs.emplace(member, run.get<std::uint64_t>());
+    }
+    return runs;
+}
+
 epoch_record parseEpoch(field_reader& reader)
 {
     epoch_record epoch;
@@ -116,6 +134,8 @@
     std::sort(epoch.members.begin(), epoch.members.end());
     if (std::adjacent_find(epoch.members.begin(), epoch.members.end()) != epoch.members.end())
         throw record_error("\"members\" names an entry twice");
+    if (reader.has("runs"))
+        epoch.runs = parseRuns(reader.value("runs"), epoch.members);
     return epoch;
 }
 
--- a/Source/Record/log_record.h
+++ b/Source/Record/log_record.h
@@ -14,6 +14,9 @@
 /// Schema version of the records that this program writes.
 inline constexpr std::uint32_t newestRecordSchema = 2;
 
+/// Schema version of epoch records that name runs: programs that do not know runs skip the field.
+inline constexpr std::uint32_t epochRunsSchema = 3;
+
 /// \brief An operator's change of the declared objects.
 struct change_record {
     /// Revision that the change was made against.
@@ -36,6 +39,8 @@
     std::uint64_t previous { 0 };
     /// Names of entries, sorted.
     std::vector<std::string> members;
+    /// Which process runs under a member's name, where the writer knew it.
+    member_runs runs {};
 
     auto operator<=>(const epoch_record&) const = default;
 };
--- a/Source/Record/state_json.cpp
+++ b/Source/Record/state_json.cpp
@@ -45,7 +45,10 @@
 
 json formatEpoch(const membership_epoch& epoch)
 {
-    return { { "number", epoch.number }, { "members", epoch.members } };
+    json fields { { "number", epoch.number }, { "members", epoch.members } };
+    if (!epoch.runs.empty())
+        fields["runs"] = epoch.runs;
+    return fields;
 }
 
 json formatPastEpochs(const fleet_state& state)
@@ -62,6 +65,8 @@
     membership_epoch epoch;
     epoch.number = reader.integer("number", 0, mostOffset);
     epoch.members = reader.value("members").get<std::vector<std::string>>();
+    if (reader.has("runs"))
+        epoch.runs = reader.value("runs").get<member_runs>();
     return epoch;
 }
 
--- a/Source/Wire/frame_codec.cpp
+++ b/Source/Wire/frame_codec.cpp
@@ -180,7 +180,7 @@
     const auto records = buildTexts(builder, value.records);
     const flat_text snapshot = builder.CreateString(value.snapshot);
     return wire::CreateTailAnswer(
-        builder, value.id, value.first, value.next, value.ageMs, value.logAway, records, snapshot);
+        builder, value.id, value.first, value.next, value.ageMs, value.logAway, records, snapshot, value.run);
 }
 
 template <typename Table> constexpr wire::Message typeOf(flatbuffers::Offset<Table>)
@@ -397,7 +397,7 @@
 tail_answer read(const wire::TailAnswer& from)
 {
     return { from.id(), from.first(), from.next(), from.age_ms(), from.log_away(), readTexts(from.records()),
-        readText(from.snapshot()) };
+        readText(from.snapshot()), from.run() };
 }
 
 message readMessage(const wire::Frame& frame)
--- a/Source/Wire/frame_generated.h
+++ b/Source/Wire/frame_generated.h
@@ -1814,7 +1814,8 @@
     VT_AGE_MS = 10,
     VT_LOG_AWAY = 12,
     VT_RECORDS = 14,
-    VT_SNAPSHOT = 16
+    VT_SNAPSHOT = 16,
+    VT_RUN = 18
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1837,6 +1838,9 @@
   const flatbuffers::String *snapshot() const {
     return GetPointer<const flatbuffers::String *>(VT_SNAPSHOT);
   }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1849,6 +1853,7 @@
            verifier.VerifyVectorOfStrings(records()) &&
            VerifyOffsetRequired(verifier, VT_SNAPSHOT) &&
            verifier.VerifyString(snapshot()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
            verifier.EndTable();
   }
 };
@@ -1878,6 +1883,9 @@
   void add_snapshot(flatbuffers::Offset<flatbuffers::String> snapshot) {
     fbb_.AddOffset(TailAnswer::VT_SNAPSHOT, snapshot);
   }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(TailAnswer::VT_RUN, run, 0);
+  }
   explicit TailAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1898,8 +1906,10 @@
     uint32_t age_ms = 0,
     bool log_away = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> records = 0,
-    flatbuffers::Offset<flatbuffers::String> snapshot = 0) {
+    flatbuffers::Offset<flatbuffers::String> snapshot = 0,
+    uint64_t run = 0) {
   TailAnswerBuilder builder_(_fbb);
+  builder_.add_run(run);
   builder_.add_next(next);
   builder_.add_first(first);
   builder_.add_id(id);
@@ -1923,7 +1933,8 @@
     uint32_t age_ms = 0,
     bool log_away = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *records = nullptr,
-    const char *snapshot = nullptr) {
+    const char *snapshot = nullptr,
+    uint64_t run = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*records) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
   return sagesaddle::wire::CreateTailAnswer(
@@ -1934,7 +1945,8 @@
       age_ms,
       log_away,
       records__,
-      snapshot__);
+      snapshot__,
+      run);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -183,6 +183,8 @@
     bool logAway { false };
     std::vector<std::string> records;
     std::string snapshot;
+    /// Number that the sender's process drew at its start; 0 where an older program sent this.
+    std::uint64_t run { 0 };
 
     auto operator<=>(const tail_answer&) const = default;
 };
--- a/Tests/Agree/fleet_follower_tests.cpp
+++ b/Tests/Agree/fleet_follower_tests.cpp
@@ -36,6 +36,7 @@
         fleet_follower::options options { .log = log, .self = name };
         options.startPeers = std::move(seeds);
         options.missedFor = milliseconds(2000);
+        options.run = ++m_lastRun;
         auto follower = std::make_shared<fleet_follower>(
             options,
             [this, name](const std::string& peer, const message& value) {
@@ -101,6 +102,7 @@
     std::map<std::string, std::shared_ptr<fleet_follower>> m_followers;
     std::map<std::string, std::uint64_t> m_offsets;
     std::set<std::string> m_cut;
+    std::uint64_t m_lastRun { 0 };
     std::atomic<bool> m_wentBack { false };
 };
 
@@ -223,6 +225,19 @@
     {
         fleet.stop("c");
         CHECK(eventually([&] { return members() == names { "a", "b" }; }));
+        CHECK(first.state()->epoch.runs == member_runs { { "a", 1 }, { "b", 2 } });
+        fleet.start("c", log.first());
+        const member_runs again { { "a", 1 }, { "b", 2 }, { "c", 4 } };
+        CHECK(eventually([&] { return first.state()->epoch.runs == again; }));
+    }
+    SUBCASE("started again before it was missed")
+    {
+        fleet.stop("c");
+        fleet_follower& second = fleet.start("c", log.first());
+        REQUIRE(eventually([&] { return second.state() != nullptr; }));
+        second.rejoin();
+        const member_runs again { { "a", 1 }, { "b", 2 }, { "c", 4 } };
+        CHECK(eventually([&] { return first.state()->epoch.runs == again; }));
     }
 }
 
--- a/Tests/Limit/fleet_of.h
+++ b/Tests/Limit/fleet_of.h
@@ -29,13 +29,13 @@
     }
 
     /// Writes a membership epoch as the next record.
-    fleet_of& withEpoch(std::vector<std::string> members)
+    fleet_of& withEpoch(std::vector<std::string> members, member_runs runs = {})
     {
         std::sort(members.begin(), members.end());
         m_state.pastEpochs.push_back(m_state.epoch);
         if (m_state.pastEpochs.size() > maxPastEpochs)
             m_state.pastEpochs.erase(m_state.pastEpochs.begin());
-        m_state.epoch = { m_state.nextOffset, std::move(members) };
+        m_state.epoch = { m_state.nextOffset, std::move(members), std::move(runs) };
         ++m_state.nextOffset;
         return *this;
     }
--- a/Tests/Limit/rate_history_properties.cpp
+++ b/Tests/Limit/rate_history_properties.cpp
@@ -147,11 +147,12 @@
 namespace {
 
 /// Lets every entry but one spend all it can, again and again.
-void drainAll(rate_world& world, milliseconds span, const std::string& idle = "")
+void drainAll(rate_world& world, milliseconds span, const std::string& idle = "",
+    const std::vector<std::string>& entries = allEntries)
 {
     constexpr milliseconds pause { 100 };
     for (milliseconds spent { 0 }; spent < span; spent += pause) {
-        for (const std::string& entry : allEntries)
+        for (const std::string& entry : entries)
             for (token_count tokens : { 200, 200, 100, 50, 20, 20, 5, 5, 5 })
                 if (entry != idle)
                     world.send(entry, "desk", tokens);
@@ -199,6 +200,33 @@
     CHECK(held);
 }
 
+TEST_CASE(
+    "rate history: every window stays within the bound while two processes of one name are under full load")
+{
+    const bool held = rc::check([] {
+        rate_world::options settings;
+        settings.syncEvery = milliseconds(*rc::gen::inRange(50, 1950));
+        const token_count rate = *rc::gen::elementOf(deskRates);
+        rate_world world(settings, *rc::gen::inRange<std::uint64_t>(0, 1'000'000));
+        world.records().withTeam("desk", static_cast<double>(rate), deskBurst);
+        std::vector<std::string> processes { "a", "b", "c" };
+        for (const std::string& entry : processes)
+            world.startEntry(entry);
+        world.startTwin("twin of a", "a");
+        processes.emplace_back("twin of a");
+        const monotonic_time start = world.now();
+        for (int epochs = *rc::gen::inRange(1, 5); epochs > 0; --epochs) {
+            const std::string listed = *rc::gen::elementOf(std::vector<std::string> { "a", "twin of a" });
+            const auto members
+                = *rc::gen::elementOf(std::vector<std::vector<std::string>> { { "a" }, { "a", "b", "c" } });
+            world.records().withEpoch(members, { { "a", world.runOf(listed) } });
+            drainAll(world, milliseconds(*rc::gen::inRange(0, 8000)), "", processes);
+        }
+        RC_ASSERT(staysWithinBound(world, rate, start));
+    });
+    CHECK(held);
+}
+
 TEST_CASE("rate history: with a good network the fleet admits what one exact bucket admits or still has it, "
           "but for a share")
 {
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -150,6 +150,51 @@
     CHECK(again.spendable("desk", start + tenureGrace + seconds(1)) == 100);
 }
 
+TEST_CASE("rate member: of two processes of one name, the one that the epoch lists holds the shares")
+{
+    fleet_of fleet;
+    fleet.withTeam("desk", 300, 3000);
+    rate_member first("a", 1000);
+    rate_member second("a", 2000);
+    const auto learn = [&] {
+        first.update(fleet.state(), start);
+        second.update(fleet.state(), start);
+    };
+    learn();
+    fleet.withEpoch({ "a" }, { { "a", 1000 } });
+    learn();
+    CHECK(first.spendable("desk", start) == 3000);
+    CHECK(second.spendable("desk", start + seconds(60)) == 0);
+    CHECK(second.mustRejoin());
+    fleet.withEpoch({ "a" }, { { "a", 2000 } });
+    learn();
+    CHECK(first.spendable("desk", start + seconds(60)) == 0);
+    CHECK_FALSE(first.mustRejoin());
+    CHECK(second.spendable("desk", start + tenureGrace) == 0);
+    CHECK(second.spendable("desk", start + tenureGrace + seconds(1)) == 300);
+}
+
+TEST_CASE("rate member: credit of a replaced process is dropped by it and written off by the holder")
+{
+    fleet_of fleet = deskFleet();
+    small_fleet entries;
+    entries.learn(fleet, start);
+    fleet.withEpoch({ "a", "b", "c" }, { { "a", 2000 }, { "b", 3000 }, { "c", 4000 } });
+    entries.learn(fleet, start);
+    rate_member& asker = entries.entries.at("a");
+    entries.deliver("a", asker.asksFor("desk", 3000, start), start);
+    CHECK(asker.spendable("desk", start) == 3000);
+    const credit_ask old { 5, "desk", "a/2000", fleet.state()->epoch.number, 10, 0, 0, 0, 0 };
+    fleet.withEpoch({ "a", "b", "c" }, { { "a", 2001 }, { "b", 3000 }, { "c", 4000 } });
+    entries.learn(fleet, start);
+    CHECK(asker.spendable("desk", start) == 0);
+    rate_member& holder = entries.entries.at("b");
+    CHECK(holder.answer(old, start).refusal == "not_member");
+    CHECK(holder.spendable("desk", start + tenureGrace - milliseconds(1)) == 0);
+    holder.admit("desk", 1, start + tenureGrace);
+    CHECK(holder.spendable("desk", start + tenureGrace + seconds(1)) >= 100);
+}
+
 TEST_CASE("rate member: an entry outside the epoch is granted nothing")
 {
     fleet_of fleet = deskFleet();
--- a/Tests/Limit/rate_world.cpp
+++ b/Tests/Limit/rate_world.cpp
@@ -27,14 +27,25 @@
 }
 
 void rate_world::startEntry(const std::string& name)
+{
+    start(name, name);
+}
+
+void rate_world::startTwin(const std::string& twin, const std::string& name)
+{
+    m_twins[name] = twin;
+    start(twin, name);
+}
+
+void rate_world::start(const std::string& name, const std::string& entry)
 {
     m_entries.erase(name);
     const auto offset
         = std::chrono::microseconds(std::uniform_int_distribution<>(0, 1'000'000'000)(m_random));
     const milliseconds firstSync(
         std::uniform_int_distribution<milliseconds::rep>(0, m_settings.syncEvery.count())(m_random));
-    process fresh { rate_member(name, askIdsPerProcess * m_nextProcess++, m_settings.division), offset, m_now,
-        m_now + firstSync, m_now };
+    process fresh { rate_member(entry, askIdsPerProcess * m_nextProcess++, m_settings.division), offset,
+        m_now, m_now + firstSync, m_now };
     m_entries.emplace(name, std::move(fresh));
     sync(name);
 }
@@ -124,7 +135,9 @@
     for (int copy = 0; copy < copies; ++copy) {
         std::uniform_int_distribution<milliseconds::rep> delay(
             m_settings.leastDelay.count(), m_settings.mostDelay.count());
-        m_underWay.push({ m_now + milliseconds(delay(m_random)), m_messages, from, to, value });
+        const auto twin = m_twins.find(to);
+        const std::string& reached = twin != m_twins.end() && chance(0.5) ? twin->second : to;
+        m_underWay.push({ m_now + milliseconds(delay(m_random)), m_messages, from, reached, value });
     }
 }
 
--- a/Tests/Limit/rate_world.h
+++ b/Tests/Limit/rate_world.h
@@ -57,6 +57,9 @@
 
     /// Starts an entry, or a new process of the same name.
     void startEntry(const std::string& name);
+    /// Starts a second process, called `twin` here, under an entry's name; messages reach either of them.
+    void startTwin(const std::string& twin, const std::string& name);
+    std::uint64_t runOf(const std::string& entry) const { return m_entries.at(entry).member.run(); }
     void kill(const std::string& name);
     void freeze(const std::string& name);
     void wake(const std::string& name);
@@ -104,6 +107,7 @@
     };
 
     bool chance(double probability);
+    void start(const std::string& name, const std::string& entry);
     void post(
         const std::string& from, const std::string& to, const std::variant<credit_ask, credit_grant>& value);
     void postAll(const std::string& from, const std::vector<addressed_ask>& asks);
@@ -119,6 +123,8 @@
     fleet_of m_records;
     bool m_logAway { false };
     std::map<std::string, process> m_entries;
+    /// Second processes by the name they run under.
+    std::map<std::string, std::string> m_twins;
     std::uint64_t m_nextProcess { 1 };
     std::priority_queue<delivery, std::vector<delivery>, std::greater<>> m_underWay;
     std::uint64_t m_messages { 0 };
--- a/Tests/Model/team_rate.pml
+++ b/Tests/Model/team_rate.pml
@@ -1,4 +1,4 @@
-// variants: NO_GRACE NO_DROP NO_CAP ADD_GRANTS NO_FRESHNESS NO_DEBIT RESTART_HOLDS SETTLE_IN_HAND
+// variants: NO_GRACE NO_DROP NO_CAP ADD_GRANTS NO_FRESHNESS NO_DEBIT RESTART_HOLDS SETTLE_IN_HAND NO_RUN
 /*
  * One share of a team's rate.
  *
@@ -6,6 +6,7 @@
  * credit that the other granted. Grants and settlements are totals; they may be lost, doubled and late.
  * An entry spends only while it has read the log to its end at most F ticks ago. Either entry may be
  * frozen and woken (it then simply takes no step for a while), and entry 0 may restart.
+ * A twin, a second process, runs under entry 1's name; the second epoch lists the run of one of the two.
  * The bound is a bucket that starts full: every window's use is within burst and rate.
  */
 
@@ -25,6 +26,12 @@
 bool holds0 = true;            /* entry 0 still has the ledger of the first epoch */
 bool restarted = false;
 
+byte listedRun = 0;            /* of entry 1 in the second epoch: 1 for it, 2 for the twin */
+bool twinKnows = false;        /* the twin has learned of the second epoch */
+byte twinLearnedAt = 0;
+byte twinEvidence = 0;
+short twinLevel = 0;
+
 short level[2] = { BURST, 0 };
 byte granted[2];               /* by the holder, to the other entry */
 byte settled[2];               /* as the holder has heard */
@@ -45,10 +52,18 @@
 #define FRESH(e) (now - evidence[e] <= F)
 #endif
 
+#ifdef NO_RUN
+#define LISTED(run) true
+#else
+#define LISTED(run) (listedRun == run)
+#endif
+
 #ifdef NO_GRACE
-#define OPEN1 (epoch[1] == 2)
+#define OPEN1 (epoch[1] == 2 && LISTED(1))
+#define OPEN_TWIN (twinKnows && LISTED(2))
 #else
-#define OPEN1 (epoch[1] == 2 && now >= learnedAt + GRACE)
+#define OPEN1 (epoch[1] == 2 && LISTED(1) && now >= learnedAt + GRACE)
+#define OPEN_TWIN (twinKnows && LISTED(2) && now >= twinLearnedAt + GRACE)
 #endif
 #define OPEN0 (epoch[0] == 1 && holds0)
 #define OPEN(h) ((h == 0 && OPEN0) || (h == 1 && OPEN1))
@@ -88,6 +103,10 @@
     if
     :: OPEN1 -> refill(1)
     :: else -> skip
+    fi;
+    if
+    :: OPEN_TWIN && twinLevel < BURST -> twinLevel++
+    :: else -> skip
     fi
 }
 
@@ -116,7 +135,18 @@
     byte h;
     do
     :: now < END -> atomic { tick() }
-    :: logEpoch == 1 -> logEpoch = 2
+    :: atomic { logEpoch == 1 -> logEpoch = 2; listedRun = 1 }
+    :: atomic { logEpoch == 1 -> logEpoch = 2; listedRun = 2 }
+    :: atomic {
+        twinEvidence < now || (!twinKnows && logEpoch == 2) ->
+        twinEvidence = now;
+        if
+        :: !twinKnows && logEpoch == 2 ->
+            twinKnows = true;
+            twinLearnedAt = now
+        :: else -> skip
+        fi
+    }
     :: atomic { evidence[0] < now || epoch[0] < logEpoch -> read_log(0) }
     :: atomic { evidence[1] < now || epoch[1] < logEpoch -> read_log(1) }
 
@@ -124,6 +154,8 @@
     :: atomic { OPEN(0) && FRESH(0) && level[0] > 0 -> level[0]--; use() }
     :: atomic { OPEN(1) && FRESH(1) && level[1] > 0 -> level[1]--; use() }
 
+    :: atomic { OPEN_TWIN && now - twinEvidence <= F && twinLevel > 0 -> twinLevel--; use() }
+
     /* A holder grants one token: the debit comes before the message. */
     :: atomic {
         if
--- a/Tests/Record/fold_tests.cpp
+++ b/Tests/Record/fold_tests.cpp
@@ -1,7 +1,9 @@
 #include "Record/fold.h"
 #include "Record/log_record.h"
+#include "Record/state_json.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace sagesaddle;
 
@@ -121,6 +123,19 @@
     CHECK(foldAll({ entries[0], first, late }).outcome == fold_outcome::Rejected);
 }
 
+TEST_CASE("fold: an epoch may name its members' runs, and a snapshot carries them")
+{
+    const std::string entries = change("a", 0, { entry("entry-a"), entry("entry-b") });
+    const auto epoch = [](const member_runs& runs) {
+        return formatRecord({ "e", epochRunsSchema, epoch_record { 0, { "entry-a", "entry-b" }, runs } });
+    };
+    const fold_result accepted = foldAll({ entries, epoch({ { "entry-a", 7 } }) });
+    CHECK(accepted.state.epoch == membership_epoch { 1, { "entry-a", "entry-b" }, { { "entry-a", 7 } } });
+    CHECK(parseStateJson(formatStateJson(accepted.state)) == accepted.state);
+    CHECK(foldAll({ entries, epoch({ { "entry-c", 7 } }) }).outcome == fold_outcome::Malformed);
+    CHECK(foldAll({ entries, epoch({ { "entry-a", 0 } }) }).outcome == fold_outcome::Malformed);
+}
+
 TEST_CASE("fold: a lease is granted only against the current fence")
 {
     const std::string entries = change("a", 0, { entry("entry-a"), entry("entry-b") });
--- a/Tests/Wire/message_generators.h
+++ b/Tests/Wire/message_generators.h
@@ -103,10 +103,11 @@
             rc::gen::set(&credit_grant::refusal), rc::gen::set(&credit_grant::share))),
         rc::gen::cast<message>(
             rc::gen::build<tail_ask>(rc::gen::set(&tail_ask::id), rc::gen::set(&tail_ask::from))),
-        rc::gen::cast<message>(rc::gen::build<tail_answer>(rc::gen::set(&tail_answer::id),
-            rc::gen::set(&tail_answer::first), rc::gen::set(&tail_answer::next),
-            rc::gen::set(&tail_answer::ageMs), rc::gen::set(&tail_answer::logAway),
-            rc::gen::set(&tail_answer::records), rc::gen::set(&tail_answer::snapshot))));
+        rc::gen::cast<message>(
+            rc::gen::build<tail_answer>(rc::gen::set(&tail_answer::id), rc::gen::set(&tail_answer::first),
+                rc::gen::set(&tail_answer::next), rc::gen::set(&tail_answer::ageMs),
+                rc::gen::set(&tail_answer::logAway), rc::gen::set(&tail_answer::records),
+                rc::gen::set(&tail_answer::snapshot), rc::gen::set(&tail_answer::run))));
 }
 
 /// \return any message that a process may send.
