Tests: Hold a frozen entry's messages aside instead of queueing them again each step

They now wait beside the queue until the entry wakes, is killed or started again, and are then due at the next step, as before.

--- a/Tests/Limit/rate_world.cpp
+++ b/Tests/Limit/rate_world.cpp
@@ -39,6 +39,7 @@
 
 void rate_world::start(const std::string& name, const std::string& entry)
 {
+    release(name);
     m_entries.erase(name);
     const auto offset
         = std::chrono::microseconds(std::uniform_int_distribution<>(0, 1'000'000'000)(m_random));
@@ -52,6 +53,7 @@
 
 void rate_world::kill(const std::string& name)
 {
+    release(name);
     m_entries.erase(name);
 }
 
@@ -65,6 +67,7 @@
 {
     if (auto found = m_entries.find(name); found != m_entries.end())
         found->second.frozen = false;
+    release(name);
 }
 
 void rate_world::sync(const std::string& name)
@@ -158,20 +161,24 @@
 
 void rate_world::deliverDue()
 {
-    std::vector<delivery> held;
     while (!m_underWay.empty() && m_underWay.top().due <= m_now) {
-        const delivery message = m_underWay.top();
+        delivery message = m_underWay.top();
         m_underWay.pop();
         const auto found = m_entries.find(message.to);
         if (found != m_entries.end() && found->second.frozen)
-            held.push_back(message);
+            m_held[message.to].push_back(std::move(message));
         else
             deliver(message);
     }
-    for (delivery& message : held) {
+}
+
+void rate_world::release(const std::string& name)
+{
+    for (delivery& message : m_held[name]) {
         message.due = m_now + tickLength;
-        m_underWay.push(message);
+        m_underWay.push(std::move(message));
     }
+    m_held.erase(name);
 }
 
 void rate_world::tick(const std::string& name, process& value)
--- a/Tests/Limit/rate_world.h
+++ b/Tests/Limit/rate_world.h
@@ -112,6 +112,8 @@
         const std::string& from, const std::string& to, const std::variant<credit_ask, credit_grant>& value);
     void postAll(const std::string& from, const std::vector<addressed_ask>& asks);
     void deliverDue();
+    /// What came for a frozen entry is delivered next.
+    void release(const std::string& name);
     void deliver(const delivery& message);
     void serve(rate_request& request);
     void tick(const std::string& name, process& value);
@@ -127,6 +129,8 @@
     std::map<std::string, std::string> m_twins;
     std::uint64_t m_nextProcess { 1 };
     std::priority_queue<delivery, std::vector<delivery>, std::greater<>> m_underWay;
+    /// Messages that came for frozen entries.
+    std::map<std::string, std::vector<delivery>> m_held;
     std::uint64_t m_messages { 0 };
     std::vector<rate_request> m_requests;
     std::vector<std::size_t> m_waiting;
