--- a/Tests/Limit/rate_world.cpp
+++ b/Tests/Limit/rate_world.cpp
@@ -28,19 +28,32 @@
 
 void rate_world::startEntry(const std::string& name)
 {
+    start(name, name);
+}
+
+void rate_world::startTwin(const std::string& twin, const std::string& name)
+{
+    m_twins[name] = twin;
+    start(twin, name);
+}
+
+void rate_world::start(const std::string& name, const std::string& entry)
+{
+    release(name);
     m_entries.erase(name);
     const auto offset
         = std::chrono::microseconds(std::uniform_int_distribution<>(0, 1'000'000'000)(m_random));
     const milliseconds firstSync(
         std::uniform_int_distribution<milliseconds::rep>(0, m_settings.syncEvery.count())(m_random));
-    process fresh { rate_member(name, askIdsPerProcess * m_nextProcess++, m_settings.division), offset, m_now,
-        m_now + firstSync, m_now };
+    process fresh { rate_member(entry, askIdsPerProcess * m_nextProcess++, m_settings.division), offset,
+        m_now, m_now + firstSync, m_now };
     m_entries.emplace(name, std::move(fresh));
     sync(name);
 }
 
 void rate_world::kill(const std::string& name)
 {
+    release(name);
     m_entries.erase(name);
 }
 
@@ -54,6 +67,7 @@
 {
     if (auto found = m_entries.find(name); found != m_entries.end())
         found->second.frozen = false;
+    release(name);
 }
 
 void rate_world::sync(const std::string& name)
@@ -124,7 +138,9 @@
     for (int copy = 0; copy < copies; ++copy) {
         std::uniform_int_distribution<milliseconds::rep> delay(
             m_settings.leastDelay.count(), m_settings.mostDelay.count());
-        m_underWay.push({ m_now + milliseconds(delay(m_random)), m_messages, from, to, value });
+        const auto twin = m_twins.find(to);
+        const std::string& reached = twin != m_twins.end() && chance(0.5) ? twin->second : to;
+        m_underWay.push({ m_now + milliseconds(delay(m_random)), m_messages, from, reached, value });
     }
 }
 
@@ -145,20 +161,24 @@
 
 void rate_world::deliverDue()
 {
-    std::vector<delivery> held;
     while (!m_underWay.empty() && m_underWay.top().due <= m_now) {
-        const delivery message = m_underWay.top();
+        delivery message = m_underWay.top();
         m_underWay.pop();
         const auto found = m_entries.find(message.to);
         if (found != m_entries.end() && found->second.frozen)
-            held.push_back(message);
+            m_held[message.to].push_back(std::move(message));
         else
             deliver(message);
     }
-    for (delivery& message : held) {
+}
+
+void rate_world::release(const std::string& name)
+{
+    for (delivery& message : m_held[name]) {
         message.due = m_now + tickLength;
-        m_underWay.push(message);
+        m_underWay.push(std::move(message));
     }
+    m_held.erase(name);
 }
 
 void rate_world::tick(const std::string& name, process& value)
--- a/Tests/Limit/rate_world.h
+++ b/Tests/Limit/rate_world.h
@@ -57,6 +57,9 @@
 
     /// Starts an entry, or a new process of the same name.
     void startEntry(const std::string& name);
+    /// Starts a second process, called `twin` here, under an entry's name; messages reach either of them.
+    void startTwin(const std::string& twin, const std::string& name);
+    std::uint64_t runOf(const std::string& entry) const { return m_entries.at(entry).member.run(); }
     void kill(const std::string& name);
     void freeze(const std::string& name);
     void wake(const std::string& name);
@@ -104,10 +107,13 @@
     };
 
     bool chance(double probability);
+    void start(const std::string& name, const std::string& entry);
     void post(
         const std::string& from, const std::string& to, const std::variant<credit_ask, credit_grant>& value);
     void postAll(const std::string& from, const std::vector<addressed_ask>& asks);
     void deliverDue();
+    /// What came for a frozen entry is delivered next.
+    void release(const std::string& name);
     void deliver(const delivery& message);
     void serve(rate_request& request);
     void tick(const std::string& name, process& value);
@@ -119,8 +125,12 @@
     fleet_of m_records;
     bool m_logAway { false };
     std::map<std::string, process> m_entries;
+    /// Second processes by the name they run under.
+    std::map<std::string, std::string> m_twins;
     std::uint64_t m_nextProcess { 1 };
     std::priority_queue<delivery, std::vector<delivery>, std::greater<>> m_underWay;
+    /// Messages that came for frozen entries.
+    std::map<std::string, std::vector<delivery>> m_held;
     std::uint64_t m_messages { 0 };
     std::vector<rate_request> m_requests;
     std::vector<std::size_t> m_waiting;
