Entry: Tell a fault of the entry after a request left as one that may have run

Cause: the handler took the verdict over only after the dispatch had returned. Where it failed by an exception after the bytes had left, the answer was a 500 with the verdict not_run, which is untrue.

Ruled out: the verdict tracker itself; its attempt was still in flight and said may_have_run.

The verdict is now kept on every way out of the dispatch. The test, whose side throws once it has got the request, failed before (not_run) and passes after; it also fails with a tracker that always says not_run.

--- a/Source/Entry/request_handler.cpp
+++ b/Source/Entry/request_handler.cpp
@@ -289,8 +289,9 @@
             "charged " + std::to_string(static_cast<std::uint64_t>(request.tokens)) + " tokens");
     }
     dispatch_context context { request, current.trace, deadline, current.answer, current.record };
+    // Also where the dispatch fails by an exception: the request may have left by then.
+    const scope_guard keepVerdict([&] { current.record.ran = context.verdicts.current(); });
     const dispatch_outcome outcome = m_services.routes.run(context);
-    current.record.ran = context.verdicts.current();
     if (const auto* why = std::get_if<refusal>(&outcome))
         throw request_refused(*why);
     if (std::holds_alternative<caller_gone>(outcome)) {
--- a/Tests/Entry/edge_tests.cpp
+++ b/Tests/Entry/edge_tests.cpp
@@ -165,6 +165,17 @@
     CHECK(edge.exchanges.size() == 0);
 }
 
+TEST_CASE("edge: a fault of the entry after the request left is told as one that may have run")
+{
+    edge_fixture edge([](exchange_table&, const std::string&, const request_message&) {
+        throw std::runtime_error("out of something");
+    });
+    const std::string answer = edge.chat();
+    CHECK(answer.starts_with("HTTP/1.1 500 "));
+    CHECK(has(answer, "\"reason\":\"internal\""));
+    CHECK(has(answer, "\"verdict\":\"may_have_run\""));
+}
+
 TEST_CASE("edge: a key withdrawn while the connection is open is refused on the next request")
 {
     edge_fixture edge(answerOk);
