--- a/Tests/Place/order_planner_tests.cpp
+++ b/Tests/Place/order_planner_tests.cpp
@@ -97,3 +97,21 @@
     const demand_table demand { { "c", { 1, now } } };
     CHECK(planOrders(view, ledger, demand, now).empty());
 }
+
+TEST_CASE("order planner: a model can be held only beside what is pinned, in use or waited for")
+{
+    const side_view view = viewOf({});
+    const auto fits = [&](const std::vector<std::string>& loaded, const demand_table& demand,
+                          const std::string& model) {
+        return canHold(view, ledgerWith(loaded), demand, model, now);
+    };
+    CHECK(fits({ "a" }, {}, "b"));
+    CHECK(fits({ "a", "b" }, { { "a", { 1, now } }, { "b", { 0, now } } }, "c"));
+    const demand_table bothUsed { { "a", { 1, now } }, { "b", { 1, now } } };
+    CHECK_FALSE(fits({ "a", "b" }, bothUsed, "c"));
+    CHECK(fits({ "a", "b" }, bothUsed, "a"));
+    CHECK_FALSE(fits({ "b" }, { { "b", { 1, now } }, { "c", { 1, now } } }, "a-tuned"));
+    CHECK(fits({ "a" }, { { "b", { 1, now } } }, "a-tuned"));
+    const side_view pinned = viewOf({ { "a", "up-1", true }, { "b", "up-1", true } });
+    CHECK_FALSE(canHold(pinned, ledgerWith({}), {}, "c", now));
+}
