Place: Let a model in steady use yield its memory to a pinned one

Cause: a pinned model that finds no free memory waits until an unpinned one is idle, and one that requests keep coming for never is; so a pin that was moved to an engine may never be loaded. Ruled out: evicting a model in use, which would cut its answers. Before: with the guard out the new side test fails (the second request is taken, no refusal comes). After: the least recently asked for of the models in use takes no new requests (refused as not run with no_memory, so that they go elsewhere), its running ones end, and the pin is loaded. Left: a base model that only adapters keep in use does not yield by itself.

--- a/Source/Place/order_planner.cpp
+++ b/Source/Place/order_planner.cpp
@@ -68,7 +68,38 @@
         return needed <= available;
     }
 
+    // Whether the model is among those in use that pins missing here need the memory of.
+    bool mustYield(const std::string& name) const
+    {
+        std::uint64_t gained = m_freeMb + m_ledger.unloadingMb();
+        for (const std::string& idle : evictable({ {}, true, false }))
+            gained += m_ledger.models().at(idle).memoryMb;
+        for (const std::string& used : usedByAge()) {
+            if (gained >= m_pinsMissingMb)
+                return false;
+            if (used == name)
+                return true;
+            gained += m_ledger.models().at(used).memoryMb;
+        }
+        return false;
+    }
+
 private:
+    // Loaded models in use that are not pinned, those first that were asked for the longest ago.
+    std::vector<std::string> usedByAge() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, resident] : m_ledger.models()) {
+            const auto use = m_demand.find(name);
+            const bool isUsed = use != m_demand.end() && use->second.active > 0;
+            if (isUsed && !m_pinned.contains(name) && m_ledger.isUsable(name))
+                names.push_back(name);
+        }
+        std::stable_sort(names.begin(), names.end(),
+            [this](const auto& a, const auto& b) { return lastAsked(a) < lastAsked(b); });
+        return names;
+    }
+
     std::uint64_t missingSize(const std::string& name) const
     {
         return m_ledger.holds(name) ? 0 : sizeOf(name);
@@ -258,6 +289,12 @@
     return planning(view, ledger, demand, now).canHold(model);
 }
 
+bool mustYield(const side_view& view, const memory_ledger& ledger, const demand_table& demand,
+    const std::string& model, monotonic_time now)
+{
+    return planning(view, ledger, demand, now).mustYield(model);
+}
+
 std::vector<planned_order> planOrders(
     const side_view& view, const memory_ledger& ledger, const demand_table& demand, monotonic_time now)
 {
--- a/Tests/Place/order_planner_tests.cpp
+++ b/Tests/Place/order_planner_tests.cpp
@@ -101,10 +101,10 @@
 TEST_CASE("order planner: a model can be held only beside what is pinned, in use or waited for")
 {
     const side_view view = viewOf({});
-    const auto fits = [&](const std::vector<std::string>& loaded, const demand_table& demand,
-                          const std::string& model) {
-        return canHold(view, ledgerWith(loaded), demand, model, now);
-    };
+    const auto fits
+        = [&](const std::vector<std::string>& loaded, const demand_table& demand, const std::string& model) {
+              return canHold(view, ledgerWith(loaded), demand, model, now);
+          };
     CHECK(fits({ "a" }, {}, "b"));
     CHECK(fits({ "a", "b" }, { { "a", { 1, now } }, { "b", { 0, now } } }, "c"));
     const demand_table bothUsed { { "a", { 1, now } }, { "b", { 1, now } } };
@@ -115,3 +115,19 @@
     const side_view pinned = viewOf({ { "a", "up-1", true }, { "b", "up-1", true } });
     CHECK_FALSE(canHold(pinned, ledgerWith({}), {}, "c", now));
 }
+
+TEST_CASE("order planner: of the models in steady use the least recently asked for yields to a pin, no more")
+{
+    const side_view view = viewOf({ { "c", "up-1", true } });
+    const demand_table demand { { "a", { 1, now - seconds(1) } }, { "b", { 1, now } } };
+    const auto yields
+        = [&](const side_view& seen, const std::vector<std::string>& loaded, const std::string& model) {
+              return mustYield(seen, ledgerWith(loaded), demand, model, now);
+          };
+    CHECK(yields(view, { "a", "b" }, "a"));
+    CHECK_FALSE(yields(view, { "a", "b" }, "b"));
+    CHECK_FALSE(yields(view, { "a" }, "a"));
+    CHECK_FALSE(yields(view, { "a", "c" }, "a"));
+    CHECK_FALSE(yields(viewOf({}), { "a", "b" }, "a"));
+    CHECK_FALSE(yields(viewOf({ { "a", "up-1", true }, { "c", "up-1", true } }), { "a", "b" }, "a"));
+}
--- a/Tests/Side/engine_orders_tests.cpp
+++ b/Tests/Side/engine_orders_tests.cpp
@@ -131,6 +131,29 @@
     CHECK(answer.refusal->verdict == verdict::NotRun);
 }
 
+TEST_CASE("side orders: a model in steady use yields its memory to a pinned one that has no other room")
+{
+    order_path path(viewOf(true, { { "small", "up-1", true } }));
+    REQUIRE(path.waitUntilOpen());
+    path.entry->send(chatRequest(3, "third"));
+    REQUIRE(path.entry->answerTo(3).end);
+    post(path.engine.at, "/admin/faults", R"({"hold":true})");
+    path.entry->send(chatRequest(1, "third"));
+    REQUIRE(path.entry->waitForLoad([](const load_report& load) { return load.running == 1; }));
+    side_view pinned = viewOf(true, { { "small", "up-1", true }, { "other", "up-1", true } });
+    ++pinned.offset;
+    path.entry->send(side_view_message { pinned.offset, formatSideView(pinned) });
+    path.entry->send(chatRequest(2, "third"));
+    const seen_answer refused = path.entry->answerTo(2);
+    REQUIRE(refused.refusal);
+    CHECK(refused.refusal->reason == "no_memory");
+    CHECK(refused.refusal->verdict == verdict::NotRun);
+    post(path.engine.at, "/admin/faults", R"({"hold":false})");
+    CHECK(path.entry->answerTo(1).end);
+    CHECK(path.waitForModel("other"));
+    CHECK(path.peakMb() <= 1000);
+}
+
 TEST_CASE(
     "side orders: a cold model that comes too late for the deadline is refused, with a time to come back")
 {
