Record: Take in the planner's copies, under the fence of its lease

A model whose pinned host died was served only where an upstream had memory that no pin holds: nothing wrote another placement. A new record kind `plan` adds and takes back copies beyond the declared ones. The fold accepts it only under the current fence of the lease on `planner`, where all names exist and all copies fit their upstream. It leaves the declared placements and the revision alone, so operators and planner never race: an operator's change takes back the planned copies that its objects no longer allow.

Ruled out: writing declared placements (each plan would raise the revision and break a running apply, and the next apply of the folder would take the copies back).

Side views, changed views and the router's index of placements go by declared and planned copies together (one line in Entry/side_links.cpp, four in Route/router.cpp).

Tests: the histories of the differential tests hold plans; their lease is on the duty `planner` now.

--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -18,7 +18,7 @@
 placement_index byUpstream(const fleet_state& state)
 {
     placement_index index;
-    for (const auto& [key, value] : state.placements)
+    for (const auto& [key, value] : effectivePlacements(state))
         index[value.upstream].push_back(value);
     return index;
 }
--- a/Source/Record/fleet_state.cpp
+++ b/Source/Record/fleet_state.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+placement_map effectivePlacements(const fleet_state& state)
+{
+    placement_map copies = state.placements;
+    for (const auto& [key, planned] : state.plan) {
+        const auto [copy, added] = copies.emplace(key, planned);
+        copy->second.pinned = copy->second.pinned || planned.pinned;
+    }
+    return copies;
+}
+
 const route* findRoute(const fleet_state& state, const std::string& path)
 {
     const route* best = nullptr;
--- a/Source/Record/fleet_state.h
+++ b/Source/Record/fleet_state.h
@@ -34,6 +34,9 @@
     auto operator<=>(const lease_grant&) const = default;
 };
 
+/// Copies by model, then upstream.
+using placement_map = std::map<std::pair<std::string, std::string>, placement>;
+
 /// \brief What a prefix of the configuration log amounts to; equal prefixes give equal states.
 struct fleet_state {
     /// Offset of the next record to fold: every record below it is in.
@@ -50,8 +53,10 @@
     /// By path prefix.
     std::map<std::string, route> routes;
     /// By model, then upstream.
-    std::map<std::pair<std::string, std::string>, placement> placements;
+    placement_map placements;
     std::map<std::string, entry_host> entries;
+    /// Copies that the planner asks for beyond the declared placements, by model, then upstream.
+    placement_map plan;
 
     membership_epoch epoch;
     /// The epochs before it, oldest first and at most `maxPastEpochs` of them; the first epoch's
@@ -70,6 +75,9 @@
 /// A state as readers hold it: never changed after it was published.
 using fleet_state_ptr = std::shared_ptr<const fleet_state>;
 
+/// \return the declared and the planned copies; one is pinned if either says so.
+placement_map effectivePlacements(const fleet_state& state);
+
 /// \return the route with the longest prefix of the path, or nothing where none fits.
 const route* findRoute(const fleet_state& state, const std::string& path);
 
--- a/Source/Record/fold.cpp
+++ b/Source/Record/fold.cpp
@@ -4,6 +4,7 @@
 #include "Record/change_check.h"
 #include "Record/log_record.h"
 #include "Record/object_table.h"
+#include "Record/plan_check.h"
 #include "Record/record_error.h"
 
 #include <stdexcept>
@@ -36,6 +37,7 @@
     for (const declared_object& object : change.put)
         putObject(state, object);
     state.revision = offset + 1;
+    prunePlan(state);
     return {};
 }
 
@@ -67,6 +69,18 @@
     return {};
 }
 
+std::string applyPlan(fleet_state& state, const plan_record& plan)
+{
+    std::string conflict = findConflict(state, plan);
+    if (!conflict.empty())
+        return conflict;
+    for (const auto& key : plan.remove)
+        state.plan.erase(key);
+    for (const placement& copy : plan.add)
+        state.plan.insert_or_assign({ copy.model, copy.upstream }, copy);
+    return {};
+}
+
 // A snapshot says nothing that its readers below do not have; an unknown kind is only reported.
 std::string apply(fleet_state& state, std::uint64_t offset, const record_body& body)
 {
@@ -75,6 +89,7 @@
             [&](const change_record& change) { return applyChange(state, offset, change); },
             [&](const epoch_record& epoch) { return applyEpoch(state, offset, epoch); },
             [&](const lease_record& lease) { return applyLease(state, offset, lease); },
+            [&](const plan_record& plan) { return applyPlan(state, plan); },
             [](const snapshot_record&) { return std::string(); },
             [](const unknown_record& unknown) { return "unknown kind \"" + unknown.kind + "\""; },
         },
--- a/Source/Record/log_record.cpp
+++ b/Source/Record/log_record.cpp
@@ -50,6 +50,17 @@
     return { { "duty", lease.duty }, { "holder", lease.holder }, { "previous_fence", lease.previousFence } };
 }
 
+json formatBody(const plan_record& plan, std::uint32_t schema)
+{
+    json add = json::array();
+    for (const placement& copy : plan.add)
+        add.push_back(formatObject({ copy, {} }, schema));
+    json remove = json::array();
+    for (const auto& [model, upstream] : plan.remove)
+        remove.push_back({ { "model", model }, { "upstream", upstream } });
+    return { { "fence", plan.fence }, { "add", std::move(add) }, { "remove", std::move(remove) } };
+}
+
 json formatBody(const unknown_record& record, std::uint32_t)
 {
     throw std::invalid_argument("a record of unknown kind \"" + record.kind + "\" cannot be written");
@@ -62,6 +73,7 @@
                           [](const snapshot_record&) -> std::string { return "snapshot"; },
                           [](const epoch_record&) -> std::string { return "epoch"; },
                           [](const lease_record&) -> std::string { return "lease"; },
+                          [](const plan_record&) -> std::string { return "plan"; },
                           [](const unknown_record& record) { return record.kind; },
                       },
         body);
@@ -128,6 +140,30 @@
     return lease;
 }
 
+const json& listOf(field_reader& reader, std::string_view key)
+{
+    const json& list = reader.value(key);
+    if (!list.is_array())
+        throw record_error("\"" + std::string(key) + "\" must be a list of copies");
+    return list;
+}
+
+plan_record parsePlan(field_reader& reader, std::uint32_t schema)
+{
+    plan_record plan;
+    plan.fence = reader.integer("fence", 0, mostOffset);
+    for (const json& fields : listOf(reader, "add"))
+        plan.add.push_back(
+            std::get<placement>(parseObject(object_kind::Placement, fields, "plan.add", schema).value));
+    for (const json& fields : listOf(reader, "remove")) {
+        field_reader copy(fields, "plan.remove", schema);
+        const std::string model = copy.name("model");
+        plan.remove.emplace_back(model, copy.name("upstream"));
+        copy.takeUnknown();
+    }
+    return plan;
+}
+
 record_body parseBody(const std::string& kind, const json& body, std::uint32_t schema)
 {
     if (kind == "snapshot")
@@ -140,6 +176,8 @@
         result = parseEpoch(reader);
     else if (kind == "lease")
         result = parseLease(reader);
+    else if (kind == "plan")
+        result = parsePlan(reader, schema);
     else
         return result;
     reader.takeUnknown();
--- a/Source/Record/log_record.h
+++ b/Source/Record/log_record.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,9 @@
 /// Schema version of the records that this program writes.
 inline constexpr std::uint32_t newestRecordSchema = 2;
 
+/// Duty whose holder may write plan records.
+inline constexpr const char* plannerDuty = "planner";
+
 /// \brief An operator's change of the declared objects.
 struct change_record {
     /// Revision that the change was made against.
@@ -50,6 +54,18 @@
     auto operator<=>(const lease_record&) const = default;
 };
 
+/// \brief Changes the copies that the planner asks for beyond the declared ones.
+struct plan_record {
+    /// Fencing number of the writer's lease on `plannerDuty`.
+    std::uint64_t fence { 0 };
+    /// Copies to add; one that is there already is replaced.
+    std::vector<placement> add;
+    /// Copies to take back, by model and upstream; those that are not there are passed over.
+    std::vector<std::pair<std::string, std::string>> remove;
+
+    auto operator<=>(const plan_record&) const = default;
+};
+
 /// \brief A record whose kind this program does not know.
 struct unknown_record {
     std::string kind;
@@ -57,7 +73,8 @@
     auto operator<=>(const unknown_record&) const = default;
 };
 
-using record_body = std::variant<change_record, snapshot_record, epoch_record, lease_record, unknown_record>;
+using record_body
+    = std::variant<change_record, snapshot_record, epoch_record, lease_record, plan_record, unknown_record>;
 
 /// \brief A record of the `config` stream.
 struct log_record {
--- a/Source/Record/side_view.h
+++ b/Source/Record/side_view.h
@@ -17,7 +17,7 @@
     sagesaddle::upstream upstream;
     /// For an engine every model, since any may be asked of it; by name.
     std::map<std::string, model> models;
-    /// Placements on this upstream.
+    /// Declared and planned copies on this upstream.
     std::vector<placement> placements;
 
     auto operator<=>(const side_view&) const = default;
--- a/Source/Record/state_json.cpp
+++ b/Source/Record/state_json.cpp
@@ -31,6 +31,14 @@
     return leases;
 }
 
+json formatPlan(const fleet_state& state)
+{
+    json list = json::array();
+    for (const auto& [key, copy] : state.plan)
+        list.push_back(formatObject({ copy, {} }, newestSchema));
+    return list;
+}
+
 // Snapshots are written by newer programs too, so that unknown fields are kept whatever the schema.
 void parseObjects(const json& lists, std::uint32_t schema, fleet_state& state)
 {
@@ -76,6 +84,15 @@
     }
 }
 
+void parsePlan(const json& list, std::uint32_t schema, fleet_state& state)
+{
+    for (const json& fields : list) {
+        const auto copy
+            = std::get<placement>(parseObject(object_kind::Placement, fields, "snapshot.plan", schema).value);
+        state.plan.emplace(std::pair(copy.model, copy.upstream), copy);
+    }
+}
+
 fleet_state parseStateFields(const json& document)
 {
     field_reader reader(document, "snapshot", newestSchema);
@@ -89,6 +106,8 @@
         for (const json& epoch : reader.value("past_epochs"))
             state.pastEpochs.push_back(parseEpoch(epoch));
     parseLeases(reader.value("leases"), state);
+    if (reader.has("plan"))
+        parsePlan(reader.value("plan"), schema, state);
     state.recentIds = reader.value("recent_ids").get<std::map<std::string, std::uint64_t>>();
     return state;
 }
@@ -101,7 +120,7 @@
     return { { "next_offset", state.nextOffset }, { "revision", state.revision }, { "schema", schema },
         { "objects", formatObjects(state) }, { "epoch", formatEpoch(state.epoch) },
         { "past_epochs", formatPastEpochs(state) }, { "leases", formatLeases(state) },
-        { "recent_ids", state.recentIds } };
+        { "plan", formatPlan(state) }, { "recent_ids", state.recentIds } };
 }
 
 fleet_state parseStateJson(const json& document)
--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -237,11 +237,13 @@
             copies.placed.erase(id);
         copies.stale = true;
     };
-    for (const auto& [key, value] : state->placements)
-        if (!next.placements.contains(key))
+    const placement_map before = effectivePlacements(*state);
+    const placement_map after = effectivePlacements(next);
+    for (const auto& [key, value] : before)
+        if (!after.contains(key))
             change(value, false);
-    for (const auto& [key, value] : next.placements)
-        if (!state->placements.contains(key))
+    for (const auto& [key, value] : after)
+        if (!before.contains(key))
             change(value, true);
 }
 
--- a/Tests/Record/fold_tests.cpp
+++ b/Tests/Record/fold_tests.cpp
@@ -1,7 +1,9 @@
 #include "Record/fold.h"
 #include "Record/log_record.h"
+#include "Record/state_json.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace sagesaddle;
 
@@ -43,6 +45,26 @@
     return { value, {} };
 }
 
+std::string plan(std::uint64_t fence, std::vector<placement> add,
+    std::vector<std::pair<std::string, std::string>> remove = {})
+{
+    static int count = 0;
+    return formatRecord(
+        { "plan-" + std::to_string(++count), 2, plan_record { fence, std::move(add), std::move(remove) } });
+}
+
+// Models `m` and `n` of 600 MB, engine `u` of 1000 MB, and a lease on the planner's duty of `entry-a`.
+std::vector<std::string> plannedFleet(const std::vector<std::string>& more = {})
+{
+    std::vector<std::string> texts { change("a", 0,
+                                         { entry("entry-a"), entry("entry-b"), engine(1000),
+                                             { model { "m", 600, "" }, {} },
+                                             { model { "n", 600, "" }, {} } }),
+        formatRecord({ "l", 2, lease_record { plannerDuty, "entry-a", 0 } }) };
+    texts.insert(texts.end(), more.begin(), more.end());
+    return texts;
+}
+
 } // namespace
 
 TEST_CASE("fold: of two racing changes exactly one is accepted")
@@ -131,6 +153,77 @@
     CHECK(foldAll({ entries, first, second, third }).state.leases.at("plan") == lease_grant { "entry-b", 3 });
 }
 
+TEST_CASE("fold: a plan is taken in only under the planner's current fence")
+{
+    const fold_result held = foldAll(plannedFleet());
+    const std::uint64_t fence = held.state.leases.at(plannerDuty).fence;
+    const placement copy { "m", "u", true };
+    const fold_result accepted = foldAll(plannedFleet({ plan(fence, { copy }) }));
+    CHECK(accepted.outcome == fold_outcome::Accepted);
+    CHECK(accepted.state.plan.at({ "m", "u" }) == copy);
+    CHECK(accepted.state.placements.empty());
+    CHECK(accepted.state.revision == held.state.revision);
+    CHECK(foldAll(plannedFleet({ plan(fence, { copy }), plan(fence, {}, { { "m", "u" } }) }))
+              .state.plan.empty());
+
+    const std::string taken = formatRecord({ "l2", 2, lease_record { plannerDuty, "entry-b", fence } });
+    const fold_result late = foldAll(plannedFleet({ taken, plan(fence, { copy }) }));
+    CHECK(late.outcome == fold_outcome::Rejected);
+    CHECK(late.reason.find("of \"entry-b\"") != std::string::npos);
+    CHECK(late.state.plan.empty());
+    CHECK(foldAll({ plan(0, {}) }).outcome == fold_outcome::Rejected);
+}
+
+TEST_CASE("fold: a plan that names what does not exist or overcommits an upstream is rejected")
+{
+    const std::uint64_t fence = foldAll(plannedFleet()).state.leases.at(plannerDuty).fence;
+    const auto reasonOf = [&](const std::vector<placement>& add) {
+        return foldAll(plannedFleet({ plan(fence, add) })).reason;
+    };
+    CHECK(reasonOf({ { "x", "u", true } }).find("model \"x\"") != std::string::npos);
+    CHECK(reasonOf({ { "m", "x", true } }).find("upstream \"x\"") != std::string::npos);
+    CHECK(reasonOf({ { "m", "u", true }, { "n", "u", false } }).find("1000 MB") != std::string::npos);
+}
+
+TEST_CASE("fold: planned copies go with their model or upstream, and give way to declared ones")
+{
+    const fold_result held = foldAll(plannedFleet());
+    const std::string planned = plan(held.state.leases.at(plannerDuty).fence, { { "m", "u", true } });
+    const auto planAfter = [&](std::vector<declared_object> put, std::vector<object_ref> remove) {
+        const fold_result result = foldAll(
+            plannedFleet({ planned, change("c", held.state.revision, std::move(put), std::move(remove)) }));
+        CHECK(result.outcome == fold_outcome::Accepted);
+        return result.state.plan;
+    };
+    CHECK(planAfter({ gold() }, {}).size() == 1);
+    CHECK(planAfter({}, { { object_kind::Model, "m" } }).empty());
+    CHECK(planAfter({}, { { object_kind::Upstream, "u" } }).empty());
+    CHECK(planAfter({ { placement { "n", "u", true }, {} } }, {}).empty());
+    CHECK(planAfter({ { placement { "m", "u", false }, {} } }, {}).size() == 1);
+}
+
+TEST_CASE("fold: a copy is pinned where its declaration or the plan says so")
+{
+    fleet_state state;
+    state.placements[{ "m", "u" }] = { "m", "u", false };
+    state.placements[{ "n", "u" }] = { "n", "u", true };
+    state.plan[{ "m", "u" }] = { "m", "u", true };
+    state.plan[{ "n", "u" }] = { "n", "u", false };
+    state.plan[{ "m", "v" }] = { "m", "v", false };
+    const placement_map copies = effectivePlacements(state);
+    CHECK(copies.size() == 3);
+    CHECK(copies.at({ "m", "u" }).pinned);
+    CHECK(copies.at({ "n", "u" }).pinned);
+    CHECK_FALSE(copies.at({ "m", "v" }).pinned);
+}
+
+TEST_CASE("fold: a snapshot of an older program, which has no plan, is read")
+{
+    nlohmann::json document = formatStateJson(foldAll(plannedFleet()).state);
+    document.erase("plan");
+    CHECK(parseStateJson(document) == foldAll(plannedFleet()).state);
+}
+
 TEST_CASE("fold: an unknown kind and a malformed text are reported and change nothing")
 {
     const fold_result unknown = foldAll({ R"({"id":"a","schema":9,"kind":"quota","body":{}})" });
--- a/Tests/Record/history.cpp
+++ b/Tests/Record/history.cpp
@@ -72,16 +72,27 @@
 record_body makeBody(choices& pick, const std::vector<fleet_state_ptr>& prefixes)
 {
     const fleet_state& state = *prefixes.back();
-    switch (pick.below(10)) {
+    switch (pick.below(12)) {
     case 0:
         return epoch_record { pick.flag() ? state.epoch.number : pick.below(9), { pick.name("e") } };
     case 1: {
-        const auto held = state.leases.find("plan");
+        const auto held = state.leases.find(plannerDuty);
         const std::uint64_t fence = held == state.leases.end() ? 0 : held->second.fence;
-        return lease_record { "plan", pick.name("e"), pick.flag() ? fence : pick.below(9) };
+        return lease_record { plannerDuty, pick.name("e"), pick.flag() ? fence : pick.below(9) };
     }
     case 2:
         return snapshot_record { prefixes[pick.below(255) % prefixes.size()] };
+    case 3:
+    case 4: {
+        const auto held = state.leases.find(plannerDuty);
+        const bool current = held != state.leases.end() && pick.below(4) > 0;
+        plan_record plan { current ? held->second.fence : pick.below(9), {}, {} };
+        for (std::uint8_t count = pick.below(3); count > 0; --count)
+            plan.add.push_back({ pick.name("m"), pick.name("u"), pick.flag() });
+        if (pick.flag())
+            plan.remove.emplace_back(pick.name("m"), pick.name("u"));
+        return plan;
+    }
     default:
         return makeChange(pick, state);
     }
--- a/Tests/Record/history.h
+++ b/Tests/Record/history.h
@@ -12,8 +12,8 @@
 /// Number of choices that a step needs.
 inline constexpr std::size_t choicesPerStep = 16;
 
-/// \return records of a small fleet: changes of current and stale revisions, epochs, leases, snapshots of any
-/// prefix, repeated ids, unknown kinds and malformed texts.
+/// \return records of a small fleet: changes of current and stale revisions, epochs, leases, plans, snapshots
+/// of any prefix, repeated ids, unknown kinds and malformed texts.
 std::vector<std::string> makeHistory(const std::vector<history_step>& steps);
 
 } // namespace sagesaddle::testing
--- a/Tests/Record/naive_fold.cpp
+++ b/Tests/Record/naive_fold.cpp
@@ -71,6 +71,29 @@
     return false;
 }
 
+bool isPlannable(const naive_state& state, const std::pair<std::string, std::string>& copy)
+{
+    const auto host = state.objects.find({ "upstream", copy.second });
+    return state.objects.contains({ "model", copy.first }) && host != state.objects.end()
+        && host->second.at("kind") == "engine";
+}
+
+// Whether the declared and planned copies on an upstream fit its memory together.
+bool fits(const naive_state& state, const std::string& upstream)
+{
+    std::set<std::string> models;
+    for (const auto& [ref, fields] : state.objects)
+        if (ref.first == "placement" && fields.at("upstream") == upstream)
+            models.insert(fields.at("model"));
+    for (const auto& [copy, pinned] : state.plan)
+        if (copy.second == upstream)
+            models.insert(copy.first);
+    double needed = 0;
+    for (const std::string& name : models)
+        needed += state.objects.at({ "model", name }).at("memory_mb").get<double>();
+    return needed <= state.objects.at({ "upstream", upstream }).at("memory_mb").get<double>();
+}
+
 bool applyChange(naive_state& state, std::uint64_t offset, const json& body)
 {
     if (body.at("base_revision") != state.revision)
@@ -91,6 +114,36 @@
         return false;
     next.revision = offset + 1;
     state = std::move(next);
+    // The first planned copies that are in the way go, one by one, and all is summed up again each time.
+    std::erase_if(state.plan, [&](const auto& copy) { return !isPlannable(state, copy.first); });
+    for (auto copy = state.plan.begin(); copy != state.plan.end();) {
+        const bool declared
+            = state.objects.contains({ "placement", copy->first.first + "@" + copy->first.second });
+        copy = !declared && !fits(state, copy->first.second) ? state.plan.erase(copy) : std::next(copy);
+    }
+    return true;
+}
+
+bool applyPlan(naive_state& state, const json& body)
+{
+    const auto held = state.leases.find("planner");
+    if (held == state.leases.end() || body.at("fence") != held->second.second)
+        return false;
+    naive_state next = state;
+    for (const json& copy : body.at("remove")) {
+        if (!isPlannable(state, { copy.at("model"), copy.at("upstream") }))
+            return false;
+        next.plan.erase({ copy.at("model"), copy.at("upstream") });
+    }
+    for (const json& copy : body.at("add")) {
+        if (!isPlannable(state, { copy.at("model"), copy.at("upstream") }))
+            return false;
+        next.plan[{ copy.at("model"), copy.at("upstream") }] = copy.at("pinned");
+    }
+    for (const json& copy : body.at("add"))
+        if (!fits(next, copy.at("upstream")))
+            return false;
+    state = std::move(next);
     return true;
 }
 
@@ -134,6 +187,8 @@
         accepted = applyEpoch(state, offset, body);
     else if (kind == "lease")
         accepted = applyLease(state, offset, body);
+    else if (kind == "plan")
+        accepted = applyPlan(state, body);
     else if (!accepted)
         return fold_outcome::UnknownKind;
     return accepted ? fold_outcome::Accepted : fold_outcome::Rejected;
@@ -151,6 +206,8 @@
     result.members = { state.epoch.members.begin(), state.epoch.members.end() };
     for (const auto& [duty, grant] : state.leases)
         result.leases[duty] = { grant.holder, grant.fence };
+    for (const auto& [key, copy] : state.plan)
+        result.plan[key] = copy.pinned;
     return result;
 }
 
--- a/Tests/Record/naive_fold.h
+++ b/Tests/Record/naive_fold.h
@@ -19,6 +19,8 @@
     std::uint64_t epoch { 0 };
     std::set<std::string> members;
     std::map<std::string, std::pair<std::string, std::uint64_t>> leases;
+    /// Planned copies by model and upstream, with whether each is pinned.
+    std::map<std::pair<std::string, std::string>, bool> plan;
     std::set<std::string> ids;
 
     bool operator==(const naive_state&) const = default;
