--- a/Source/Plan/placement_planner.cpp
+++ b/Source/Plan/placement_planner.cpp
@@ -85,16 +85,32 @@
             placePin(run, model);
         }
     }
+    releasePins(run, model);
     // A copy on an upstream that is lost or leaving is given up once another one is loaded.
     if (!loadedCopy(fleet, model.name))
         return;
     const auto copies = fleet.copiesOf(model.name);
     for (const auto& [upstream, pinned] : copies) {
-        if (!fleet.isUsable(upstream))
+        if (!fleet.isUsable(upstream) && !fleet.isFixed(model.name, upstream))
             run.take(plan_action::Remove, model.name, upstream, "gone");
     }
 }
 
+// Pins that stood in for a declared one become spare copies, which go when they are cold.
+void placement_planner::releasePins(pass& run, const plan_model& model)
+{
+    const auto copies = run.fleet.copiesOf(model.name);
+    const bool isBack = std::any_of(copies.begin(), copies.end(), [&](const auto& copy) {
+        const auto& [upstream, pinned] = copy;
+        return pinned && run.fleet.isFixed(model.name, upstream) && run.fleet.isUsable(upstream)
+            && run.fleet.isResident(model.name, upstream);
+    });
+    for (const auto& [upstream, pinned] : copies) {
+        if (isBack && pinned && !run.fleet.isFixed(model.name, upstream))
+            run.take(plan_action::Unpin, model.name, upstream, "spare");
+    }
+}
+
 void placement_planner::placePin(pass& run, const plan_model& model)
 {
     auto room = run.fleet.findRoom(model);
@@ -142,7 +158,7 @@
         return;
     const auto& pins = run.fleet.copiesOf(model.name);
     for (const std::string& upstream : copies) {
-        if (pins.at(upstream))
+        if (pins.at(upstream) || run.fleet.isFixed(model.name, upstream))
             continue;
         run.take(plan_action::Remove, model.name, upstream, "cold");
         m_coolSince.erase(model.name);
--- a/Source/Plan/placement_planner.h
+++ b/Source/Plan/placement_planner.h
@@ -14,7 +14,8 @@
 
 /// \brief Plans which upstreams hold which models: a pinned copy of each, more for hot ones; pure.
 ///
-/// A pin moves only after the new copy is reported as loaded. Copies are added at once when demand asks
+/// A pin moves only after the new copy is reported as loaded, and goes back to the declared copy once that
+/// one is loaded again. Declared copies are never removed. Copies are added at once when demand asks
 /// for them and given up only after demand stayed low, so that a load pays for itself. Loads under way
 /// stay within what the weight store takes at once.
 class placement_planner {
@@ -41,6 +42,7 @@
     struct pass;
 
     void keepReachable(pass& run, const plan_model& model) const;
+    static void releasePins(pass& run, const plan_model& model);
     static void placePin(pass& run, const plan_model& model);
     void addCopies(pass& run, const plan_model& model) const;
     void dropCopies(pass& run, const plan_model& model, monotonic_time now);
--- a/Source/Plan/plan_fleet.cpp
+++ b/Source/Plan/plan_fleet.cpp
@@ -18,8 +18,11 @@
         at.upstream = upstream;
         setFree(at, static_cast<std::int64_t>(upstream.memoryMb));
     }
-    for (const plan_copy& copy : view.copies)
+    for (const plan_copy& copy : view.copies) {
         add(copy.model, copy.upstream, copy.pinned);
+        if (copy.fixed)
+            m_fixed.emplace(copy.model, copy.upstream);
+    }
 }
 
 void plan_fleet::apply(const plan_step& step)
@@ -47,6 +50,11 @@
     return found == m_copies.end() ? none : found->second;
 }
 
+bool plan_fleet::isFixed(const std::string& model, const std::string& upstream) const
+{
+    return m_fixed.contains({ model, upstream });
+}
+
 bool plan_fleet::isUsable(const std::string& upstream) const
 {
     const auto found = m_sites.find(upstream);
@@ -179,7 +187,7 @@
 {
     const auto& copies = copiesOf(model);
     const auto here = copies.find(upstream);
-    if (here == copies.end() || here->second)
+    if (here == copies.end() || here->second || isFixed(model, upstream))
         return false;
     for (const auto& [other, pinned] : copies) {
         if (other != upstream && isUsable(other))
--- a/Source/Plan/plan_fleet.h
+++ b/Source/Plan/plan_fleet.h
@@ -26,6 +26,8 @@
     /// \return the copies of a model, by upstream, with whether each is pinned.
     const std::map<std::string, bool>& copiesOf(const std::string& model) const;
 
+    /// \return whether a copy is an operator's, so that no step may remove it.
+    bool isFixed(const std::string& model, const std::string& upstream) const;
     bool isUsable(const std::string& upstream) const;
     bool isResident(const std::string& model, const std::string& upstream) const;
 
@@ -37,8 +39,8 @@
     ///         then the most free memory; nothing where none has room
     std::optional<std::string> findRoom(const plan_model& model) const;
 
-    /// Finds an upstream that would have room without copies of other models that are not pinned and have
-    /// another usable copy.
+    /// Finds an upstream that would have room without copies of other models that are neither pinned nor
+    /// declared and have another usable copy.
     /// \return the steps that remove these copies, and the upstream; nothing where none would do
     struct room_by_removal {
         std::string upstream;
@@ -68,6 +70,8 @@
     std::map<std::string, plan_model> m_models;
     std::map<std::string, site> m_sites;
     std::map<std::string, std::map<std::string, bool>> m_copies;
+    // Copies that operators declared, by model and upstream.
+    std::set<std::pair<std::string, std::string>> m_fixed;
     // Usable upstreams by free memory.
     std::set<std::pair<std::int64_t, std::string>> m_byFree;
     std::size_t m_loading { 0 };
--- a/Source/Plan/plan_types.h
+++ b/Source/Plan/plan_types.h
@@ -38,6 +38,8 @@
     std::string model;
     std::string upstream;
     bool pinned { false };
+    /// Declared by an operator, so that it is never removed.
+    bool fixed { false };
 
     auto operator<=>(const plan_copy&) const = default;
 };
@@ -64,7 +66,7 @@
     plan_action action { plan_action::Add };
     std::string model;
     std::string upstream;
-    /// `unreachable`, `hot`, `cold`, `room` or `gone`.
+    /// `unreachable`, `hot`, `cold`, `room`, `gone` or `spare`.
     std::string reason;
 
     auto operator<=>(const plan_step&) const = default;
--- a/Tests/Plan/placement_planner_tests.cpp
+++ b/Tests/Plan/placement_planner_tests.cpp
@@ -114,3 +114,32 @@
     REQUIRE(steps.size() == 2);
     CHECK(steps[0].upstream == "a");
 }
+
+TEST_CASE(
+    "planner: a pin that stood in is released once the declared copy is loaded again, and goes when cold")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.copies = { { "draft", "a", true, true }, { "draft", "b", true } };
+    view.upstreams[0].resident.clear();
+    view.upstreams[1].resident = { "draft" };
+    placement_planner planner({ .coolDown = seconds(120) });
+    planner.plan(view, start);
+    CHECK(planner.plan(view, start + seconds(120)).empty());
+    view.upstreams[0].resident = { "draft" };
+    const std::vector<plan_step> expected { { plan_action::Unpin, "draft", "b", "spare" },
+        { plan_action::Remove, "draft", "b", "cold" } };
+    CHECK((planner.plan(view, start + seconds(240)) == expected));
+}
+
+TEST_CASE("planner: a declared copy is never removed, whether it is cold, gone or in the way")
+{
+    plan_view view = oneModelOnTwoHosts();
+    view.models.push_back({ "brief", "", 100, 0 });
+    view.copies.push_back({ "draft", "b", false, true });
+    view.upstreams[1].resident = { "draft" };
+    placement_planner planner({ .coolDown = seconds(120) });
+    CHECK(planner.plan(view, start).empty());
+    CHECK(planner.plan(view, start + seconds(120)).empty());
+    view.upstreams[1].usable = false;
+    CHECK(planner.plan(view, start + seconds(240)).empty());
+}
