Entry: Plan placements while holding the lease on it

The planner was pure code that nothing called. `planner_loop` looks every 750 ms: it takes or renews the lease, builds the planner's view out of records, links and load reports (`planner_sight`, pure), and appends one plan record under its fence. It plans nothing while the log is away, the state is not fresh, the entry drains, or links and reports of the start are awaited (at most 5 s). An upstream is given up 2 s after its link broke, at once when it leaves or drains, and when its engine has said nothing for 5 s. Demand counts over linked upstreams only.

`[planner]` in the entry's settings, `[baseline] placement = "static"` to do without; `/admin/status` shows holder, fence and planned copies; metrics sagesaddle_plan_steps_total and sagesaddle_plans_rejected_total.

The test of the entry's settings also reads and refuses planner settings.

--- a/Source/Entry/admin_handler.cpp
+++ b/Source/Entry/admin_handler.cpp
@@ -1,5 +1,6 @@
 #include "Entry/admin_handler.h"
 
+#include "Record/log_record.h"
 #include "Watch/log.h"
 
 #include <nlohmann/json.hpp>
@@ -52,6 +53,19 @@
     return value;
 }
 
+ordered_json planOf(const fleet_state& state)
+{
+    ordered_json plan { { "holder", nullptr }, { "copies", ordered_json::array() } };
+    if (const auto lease = state.leases.find(plannerDuty); lease != state.leases.end()) {
+        plan["holder"] = lease->second.holder;
+        plan["fence"] = lease->second.fence;
+    }
+    for (const auto& [key, copy] : state.plan)
+        plan["copies"].push_back(
+            { { "model", copy.model }, { "upstream", copy.upstream }, { "pinned", copy.pinned } });
+    return plan;
+}
+
 std::string textOf(const ordered_json& value)
 {
     return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
@@ -73,6 +87,7 @@
         { "overload", overloadOf(report) }, { "teams", ordered_json::array() },
         { "upstreams", ordered_json::array() }, { "peers", ordered_json::array() } };
     if (report.state) {
+        value["planner"] = planOf(*report.state);
         for (const auto& [name, record] : report.state->teams)
             value["teams"].push_back({ { "name", name }, { "rate_tokens_per_s", record.rateTokensPerSecond },
                 { "burst_tokens", record.burstTokens } });
--- a/Source/Entry/entry_process.cpp
+++ b/Source/Entry/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "Entry/housekeeper.h"
 #include "Entry/overload_watch.h"
 #include "Entry/peer_links.h"
+#include "Entry/planner_loop.h"
 #include "Entry/request_handler.h"
 #include "Entry/side_links.h"
 #include "Limit/rate_gate.h"
@@ -32,6 +33,7 @@
 constexpr milliseconds overloadQuiet { 3000 };
 constexpr milliseconds housekeepingPeriod { 500 };
 constexpr milliseconds silencePeriod { 200 };
+constexpr milliseconds planningPeriod { 750 };
 constexpr milliseconds drainPoll { 10 };
 
 dispatcher::options dispatcherOptions(const entry_settings& settings)
@@ -87,6 +89,8 @@
               [this](
                   const std::string& upstream, const message& value) { return sides.send(upstream, value); },
               metrics, spans)
+        , planning(
+              { .self = settings.name, .log = settings.log, .planner = settings.planner }, planningServices())
         , sides(pool, exchanges, sideHandlers())
         , follower(
               { .log = settings.log,
@@ -104,9 +108,12 @@
                 *settings.hosts, settings.hostsPeriod, [this](const std::string& host) {
                     writeLog(log_level::Info, "a host is leaving", { { "host", host } });
                     routes.onLeaving(host);
+                    planning.onLeaving(host);
                 });
         keeper = std::make_unique<housekeeper>(housekeepingPeriod, [this] { housekeep(); });
         silenceKeeper = std::make_unique<housekeeper>(silencePeriod, [this] { sides.watch(); });
+        if (settings.plans)
+            planningKeeper = std::make_unique<housekeeper>(planningPeriod, [this] { planning.step(); });
         adminServer = std::make_unique<http_server>(
             http_server::options { .listen = settings.admin, .workers = adminWorkers },
             [this](http_call& call) { admin.handle(call); });
@@ -121,6 +128,7 @@
     {
         callerServer.reset();
         adminServer.reset();
+        planningKeeper.reset();
         silenceKeeper.reset();
         keeper.reset();
         hosts.reset();
@@ -145,7 +153,10 @@
     side_links::handlers sideHandlers()
     {
         return { [this](const load_report& report) { routes.onLoad(report); },
-            [this](const std::string& upstream, bool up) { routes.onLink(upstream, up); },
+            [this](const std::string& upstream, bool up) {
+                routes.onLink(upstream, up);
+                planning.onLink(upstream, up);
+            },
             [this](const std::string& upstream) {
                 metrics.add("sagesaddle_stray_frames_total",
                     "Frames dropped because their request is no longer under way.",
@@ -153,6 +164,13 @@
             } };
     }
 
+    planner_loop::services planningServices()
+    {
+        return { [this] { return follower.state(); },
+            [this](monotonic_time now) { return follower.freshnessAt(now); },
+            [this] { return routes.loads(); }, [this] { return !draining; }, metrics };
+    }
+
     peer_links::handlers peerHandlers()
     {
         return { [this](const tail_ask& ask) { return follower.answerTail(ask); },
@@ -228,6 +246,7 @@
     peer_links peers;
     rate_gate gate;
     dispatcher routes;
+    planner_loop planning;
     side_links sides;
     fleet_follower follower;
     request_handler requests;
@@ -235,6 +254,7 @@
     std::unique_ptr<host_watcher> hosts;
     std::unique_ptr<housekeeper> keeper;
     std::unique_ptr<housekeeper> silenceKeeper;
+    std::unique_ptr<housekeeper> planningKeeper;
     std::unique_ptr<http_server> adminServer;
     std::unique_ptr<http_server> callerServer;
 };
--- a/Source/Entry/entry_settings.cpp
+++ b/Source/Entry/entry_settings.cpp
@@ -43,11 +43,27 @@
     return limits;
 }
 
+void readPlanner(settings_reader& reader, entry_settings& settings)
+{
+    const placement_planner::options standard;
+    settings.plans = reader.flag("planner", "enabled", true);
+    settings.planner.copyTokensPerSecond
+        = reader.number("planner", "copy_tokens_per_s", standard.copyTokensPerSecond, 1, 1e9);
+    settings.planner.addAbove = reader.number("planner", "add_above", standard.addAbove, 0.05, 1);
+    settings.planner.removeBelow = reader.number("planner", "remove_below", standard.removeBelow, 0, 1);
+    settings.planner.coolDown
+        = reader.duration("planner", "cool_down_ms", standard.coolDown, { 1000, hourMs });
+    settings.planner.maxLoading = static_cast<std::size_t>(reader.integer(
+        "planner", "max_loading", static_cast<std::int64_t>(standard.maxLoading), { 1, 10000 }));
+}
+
 void readBaseline(settings_reader& reader, entry_settings& settings)
 {
     settings.staticRates = reader.choice("baseline", "rates", "shared", { "shared", "static" }) == "static";
     settings.roundRobin
         = reader.choice("baseline", "routing", "loads", { "loads", "round_robin" }) == "round_robin";
+    if (reader.choice("baseline", "placement", "planned", { "planned", "static" }) == "static")
+        settings.plans = false;
 }
 
 } // namespace
@@ -73,6 +89,7 @@
     settings.logging.file = reader.text("logging", "file", "");
     settings.retriesPerRequest = reader.number("requests", "retries_per_request", 0.1, 0, 1);
     settings.retryReserve = reader.number("requests", "retry_reserve", 10, 0, 1000);
+    readPlanner(reader, settings);
     readBaseline(reader, settings);
     reader.finish();
     return settings;
--- a/Source/Entry/entry_settings.h
+++ b/Source/Entry/entry_settings.h
@@ -2,6 +2,7 @@
 
 #include "Base/address.h"
 #include "Base/clock.h"
+#include "Plan/placement_planner.h"
 #include "Watch/log.h"
 
 #include <cstddef>
@@ -60,6 +61,9 @@
     milliseconds freshFor { 2000 };
     double retriesPerRequest { 0.1 };
     double retryReserve { 10 };
+    /// Whether this entry takes part in planning placements.
+    bool plans { true };
+    placement_planner::options planner;
     /// Baselines that the decisions are measured against.
     bool staticRates { false };
     bool roundRobin { false };
--- /dev/null
+++ b/Source/Entry/planner_loop.cpp
@@ -0,0 +1,128 @@
+#include "Entry/planner_loop.h"
+
+#include "Watch/log.h"
+#include "Watch/metric_registry.h"
+
+#include <utility>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr milliseconds appendTimeout { 1000 };
+constexpr milliseconds pauseAfterFailure { 2000 };
+
+std::string_view nameOf(plan_action action)
+{
+    switch (action) {
+    case plan_action::Add:
+        return "add";
+    case plan_action::Remove:
+        return "remove";
+    case plan_action::Pin:
+        return "pin";
+    case plan_action::Unpin:
+        return "unpin";
+    }
+    return "none";
+}
+
+} // namespace
+
+planner_loop::planner_loop(const options& settings, services others)
+    : m_settings(settings)
+    , m_services(std::move(others))
+    , m_log(settings.log, appendTimeout)
+    , m_planner(settings.planner)
+    , m_lease({ .self = settings.self })
+{
+}
+
+void planner_loop::onLink(const std::string& upstream, bool up)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sight.onLink(upstream, up, monotonicNow());
+}
+
+void planner_loop::onLeaving(const std::string& upstream)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sight.onLeaving(upstream);
+}
+
+void planner_loop::step()
+{
+    const monotonic_time now = monotonicNow();
+    const fleet_state_ptr state = m_services.state();
+    const freshness fresh = m_services.freshnessAt(now);
+    if (!state || !fresh.fresh || fresh.logAway)
+        return;
+    settle(*state);
+    m_lease.onState(*state, now);
+    if (now < m_pausedUntil || !m_services.isStaying())
+        return;
+    if (const auto ask = m_lease.due(now)) {
+        if (const auto offset = append(*ask))
+            m_lease.onAppended(now, *offset);
+        return;
+    }
+    const auto fence = m_lease.fence(now);
+    if (fence && !m_written)
+        plan(*state, *fence, now);
+}
+
+// Tells what became of the last plan, once it is folded.
+void planner_loop::settle(const fleet_state& state)
+{
+    if (!m_written || state.nextOffset <= m_written->offset)
+        return;
+    const written_plan written = std::move(*std::exchange(m_written, std::nullopt));
+    if (!isCarriedOut(state, written.record)) {
+        writeLog(log_level::Warning, "a plan was rejected", { { "offset", written.offset } });
+        m_services.metrics.add("sagesaddle_plans_rejected_total", "Plans that the log's order made void.");
+        return;
+    }
+    for (const plan_step& step : written.steps) {
+        writeLog(log_level::Info, "a copy is planned",
+            { { "action", nameOf(step.action) }, { "model", step.model }, { "upstream", step.upstream },
+                { "reason", step.reason } });
+        m_services.metrics.add("sagesaddle_plan_steps_total", "Steps of the plan that were carried out.",
+            { { "action", std::string(nameOf(step.action)) }, { "reason", step.reason } });
+    }
+}
+
+std::optional<plan_view> planner_loop::look(const fleet_state& state, monotonic_time now)
+{
+    const auto loads = m_services.loads();
+    const std::lock_guard lock(m_mutex);
+    if (!m_sight.isComplete(state, loads, now))
+        return std::nullopt;
+    return m_sight.view(state, loads, now);
+}
+
+void planner_loop::plan(const fleet_state& state, std::uint64_t fence, monotonic_time now)
+{
+    const auto view = look(state, now);
+    if (!view)
+        return;
+    auto steps = m_planner.plan(*view, now);
+    auto record = makePlanRecord(state, fence, steps);
+    if (record.add.empty() && record.remove.empty())
+        return;
+    if (const auto offset = append(record))
+        m_written = written_plan { *offset, std::move(record), std::move(steps) };
+}
+
+std::optional<std::uint64_t> planner_loop::append(const record_body& body)
+{
+    try {
+        return m_log.append(m_settings.stream, { formatRecord({ makeRecordId(), newestRecordSchema, body }) })
+            .first;
+    } catch (const log_error& error) {
+        writeLog(log_level::Warning, "the planner cannot write to the log", { { "error", error.what() } });
+        m_pausedUntil = monotonicNow() + pauseAfterFailure;
+        return std::nullopt;
+    }
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Entry/planner_sight.cpp
@@ -0,0 +1,137 @@
+#include "Entry/planner_sight.h"
+
+#include <algorithm>
+
+namespace sagesaddle {
+
+namespace {
+
+void carryOut(const plan_step& step, const placement_map& declared, placement_map& plan)
+{
+    const std::pair key(step.model, step.upstream);
+    switch (step.action) {
+    case plan_action::Add:
+        plan[key] = { step.model, step.upstream, false };
+        break;
+    case plan_action::Pin:
+        plan[key] = { step.model, step.upstream, true };
+        break;
+    case plan_action::Unpin:
+        if (declared.contains(key))
+            plan.erase(key);
+        else
+            plan[key].pinned = false;
+        break;
+    case plan_action::Remove:
+        plan.erase(key);
+        break;
+    }
+}
+
+} // namespace
+
+planner_sight::planner_sight(options settings)
+    : m_settings(settings)
+{
+}
+
+void planner_sight::onLink(const std::string& upstream, bool up, monotonic_time now)
+{
+    link& known = m_links.try_emplace(upstream, link { up, now }).first->second;
+    if (known.up != up)
+        known = { up, now };
+}
+
+void planner_sight::onLeaving(const std::string& upstream)
+{
+    m_leaving.insert(upstream);
+}
+
+bool planner_sight::isComplete(const fleet_state& state, const load_map& loads, monotonic_time now)
+{
+    if (!m_started) {
+        m_started = true;
+        m_startedAt = now;
+    }
+    if (now - m_startedAt >= m_settings.warmUp)
+        return true;
+    return std::all_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto& item) {
+        const auto& [name, record] = item;
+        const auto found = m_links.find(name);
+        return record.kind != upstream_kind::Engine || record.leaving
+            || (found != m_links.end() && found->second.up && loads.contains(name));
+    });
+}
+
+plan_upstream planner_sight::upstreamOf(const upstream& record, const load_map& loads, monotonic_time now)
+{
+    plan_upstream result { record.name, record.zone, record.memoryMb, true, {} };
+    const link& known = m_links.try_emplace(record.name, link { false, now }).first->second;
+    const bool isGone = !known.up && now - known.since >= m_settings.downFor;
+    result.usable = !isGone && !record.leaving && !m_leaving.contains(record.name);
+    const auto load = loads.find(record.name);
+    if (load == loads.end())
+        return result;
+    const bool isSilent = milliseconds(load->second.reportAgeMs) >= m_settings.engineSilence;
+    result.usable = result.usable && !load->second.draining && !isSilent;
+    result.resident = { load->second.residentModels.begin(), load->second.residentModels.end() };
+    return result;
+}
+
+// What was asked of an upstream that is gone is asked of the others since.
+std::map<std::string, double> planner_sight::demands(const load_map& loads) const
+{
+    std::map<std::string, double> sums;
+    for (const auto& [name, load] : loads) {
+        const auto found = m_links.find(name);
+        if (found == m_links.end() || !found->second.up)
+            continue;
+        for (const model_use& use : load.modelUses)
+            sums[use.model] += use.tokensPerSecond;
+    }
+    return sums;
+}
+
+plan_view planner_sight::view(const fleet_state& state, const load_map& loads, monotonic_time now)
+{
+    plan_view result;
+    auto demand = demands(loads);
+    for (const auto& [name, record] : state.models)
+        result.models.push_back({ name, record.base, record.memoryMb, demand[name] });
+    for (const auto& [name, record] : state.upstreams)
+        if (record.kind == upstream_kind::Engine)
+            result.upstreams.push_back(upstreamOf(record, loads, now));
+    for (const auto& [key, copy] : effectivePlacements(state))
+        result.copies.push_back({ copy.model, copy.upstream, copy.pinned, state.placements.contains(key) });
+    return result;
+}
+
+plan_record makePlanRecord(const fleet_state& state, std::uint64_t fence, const std::vector<plan_step>& steps)
+{
+    placement_map plan = state.plan;
+    for (const plan_step& step : steps)
+        carryOut(step, state.placements, plan);
+    plan_record record { fence, {}, {} };
+    for (const auto& [key, copy] : plan) {
+        const auto before = state.plan.find(key);
+        if (before == state.plan.end() || before->second != copy)
+            record.add.push_back(copy);
+    }
+    for (const auto& [key, copy] : state.plan)
+        if (!plan.contains(key))
+            record.remove.push_back(key);
+    return record;
+}
+
+bool isCarriedOut(const fleet_state& state, const plan_record& record)
+{
+    const auto isThere = [&](const placement& copy) {
+        const auto found = state.plan.find({ copy.model, copy.upstream });
+        return found != state.plan.end() && found->second == copy;
+    };
+    return std::all_of(record.add.begin(), record.add.end(), isThere)
+        && std::none_of(record.remove.begin(), record.remove.end(),
+            [&](const auto& key) { return state.plan.contains(key); });
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Entry/planner_sight.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Plan/plan_types.h"
+#include "Record/fleet_state.h"
+#include "Record/log_record.h"
+#include "Wire/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \brief Makes the planner's view of the fleet out of the records, the links and the load reports; pure.
+///
+/// An upstream whose link broke is given up only after a while, so that a side that restarts costs no load.
+class planner_sight {
+public:
+    struct options {
+        /// How long a link must be down before its upstream is given up.
+        milliseconds downFor { 2000 };
+        /// Age of an engine's last word at which it is given up though its side is linked.
+        milliseconds engineSilence { 5000 };
+        /// How long links and reports that have not come yet are waited for at the start.
+        milliseconds warmUp { 5000 };
+    };
+    using load_map = std::map<std::string, load_report>;
+
+    explicit planner_sight(options settings);
+
+    void onLink(const std::string& upstream, bool up, monotonic_time now);
+    void onLeaving(const std::string& upstream);
+
+    /// \return whether every engine is linked and has reported, or the wait for them is over.
+    bool isComplete(const fleet_state& state, const load_map& loads, monotonic_time now);
+
+    plan_view view(const fleet_state& state, const load_map& loads, monotonic_time now);
+
+private:
+    struct link {
+        bool up { false };
+        monotonic_time since;
+    };
+
+    plan_upstream upstreamOf(const upstream& record, const load_map& loads, monotonic_time now);
+    std::map<std::string, double> demands(const load_map& loads) const;
+
+    options m_settings;
+    std::map<std::string, link> m_links;
+    std::set<std::string> m_leaving;
+    bool m_started { false };
+    monotonic_time m_startedAt;
+};
+
+/// \return the record that carries out the steps on the state's plan; without copies where they change
+/// nothing.
+plan_record makePlanRecord(
+    const fleet_state& state, std::uint64_t fence, const std::vector<plan_step>& steps);
+
+/// \return whether the state's plan is as the record leaves it.
+bool isCarriedOut(const fleet_state& state, const plan_record& record);
+
+} // namespace sagesaddle
--- a/Source/Plan/placement_planner.h
+++ b/Source/Plan/placement_planner.h
@@ -28,7 +28,7 @@
         /// A copy is given up where the others would still be less busy than this.
         double removeBelow { 0.4 };
         /// How long demand must stay low before a copy is given up.
-        seconds coolDown { 120 };
+        milliseconds coolDown { 120000 };
         /// Loads that the weight store serves at once at full speed.
         std::size_t maxLoading { 16 };
     };
--- a/Tests/Entry/entry_parts_tests.cpp
+++ b/Tests/Entry/entry_parts_tests.cpp
@@ -167,19 +167,24 @@
         "8\n"
         "certificate_file=\"c.pem\"\nmax_body_bytes=2048\n[admin]\nlisten=\"127.0.0.1:2\"\n"
         "[peers]\nlisten=\"127.0.0.1:3\"\nseeds=[\"127.0.0.1:9\"]\n[log]\naddress=\"127.0.0.1:4\"\n"
-        "[hosts]\naddress=\"127.0.0.1:5\"\n[traces]\naddress=\"127.0.0.1:6\"\n[logging]\nlevel=\"debug\"\n");
+        "[hosts]\naddress=\"127.0.0.1:5\"\n[traces]\naddress=\"127.0.0.1:6\"\n[logging]\nlevel=\"debug\"\n"
+        "[planner]\ncopy_tokens_per_s=90\ncool_down_ms=2000\n");
     const entry_settings settings = parseEntrySettings(good);
+    CHECK(settings.plans);
+    CHECK(settings.planner.copyTokensPerSecond == 90);
+    CHECK(settings.planner.coolDown == seconds(2));
     CHECK(settings.limits.maxBodyBytes == 2048);
     CHECK(settings.hosts == address { "127.0.0.1", 5 });
     CHECK(settings.peerSeeds == std::vector<address> { { "127.0.0.1", 9 } });
-    settings_reader bad("e.toml", "[callers]\nworkers = 1\nseeds = 3\n");
+    settings_reader bad("e.toml", "[callers]\nworkers = 1\nseeds = 3\n[planner]\nadd_above = 2\n");
     try {
         parseEntrySettings(bad);
         FAIL("took wrong settings");
     } catch (const settings_error& error) {
         const std::string text = error.what();
         for (const char* part : { "[process] name: is missing", "[log] address: is missing",
-                 "workers: 1 is out of range; allowed: 2 to 2048", "[callers] seeds: unknown key" }) {
+                 "workers: 1 is out of range; allowed: 2 to 2048", "[callers] seeds: unknown key",
+                 "add_above: 2" }) {
             CAPTURE(part);
             CHECK(text.find(part) != std::string::npos);
         }
