--- /dev/null
+++ b/Tests/Entry/planner_sight_tests.cpp
@@ -0,0 +1,121 @@
+#include "Entry/planner_sight.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start { seconds(1000) };
+
+// Model `draft` declared on engine `a`; engine `b` is empty.
+fleet_state twoEngines()
+{
+    fleet_state state;
+    state.models["draft"] = { "draft", 100, "" };
+    for (const char* name : { "a", "b" }) {
+        state.upstreams[name].name = name;
+        state.upstreams[name].memoryMb = 150;
+    }
+    state.placements[{ "draft", "a" }] = { "draft", "a", false };
+    return state;
+}
+
+planner_sight::load_map loadsOf(double tokensPerSecond)
+{
+    planner_sight::load_map loads;
+    for (const char* name : { "a", "b" }) {
+        loads[name].upstream = name;
+        loads[name].residentModels = { "draft" };
+        loads[name].modelUses = { { "draft", tokensPerSecond } };
+    }
+    return loads;
+}
+
+struct linked_sight {
+    planner_sight sight { {} };
+    fleet_state state = twoEngines();
+    planner_sight::load_map loads = loadsOf(50);
+
+    linked_sight()
+    {
+        for (const char* name : { "a", "b" })
+            sight.onLink(name, true, start);
+    }
+    bool isUsable(std::size_t index, monotonic_time now)
+    {
+        return sight.view(state, loads, now).upstreams.at(index).usable;
+    }
+};
+
+} // namespace
+
+TEST_CASE("planner sight: an upstream is given up only after its link was down for a while")
+{
+    linked_sight fleet;
+    fleet.sight.onLink("a", false, start + seconds(1));
+    fleet.sight.onLink("a", false, start + seconds(2));
+    CHECK(fleet.isUsable(0, start + milliseconds(2999)));
+    CHECK_FALSE(fleet.isUsable(0, start + seconds(3)));
+    fleet.sight.onLink("a", true, start + seconds(4));
+    CHECK(fleet.isUsable(0, start + seconds(4)));
+}
+
+TEST_CASE("planner sight: an upstream that leaves, drains or whose engine is silent is given up at once")
+{
+    linked_sight fleet;
+    fleet.sight.onLeaving("b");
+    CHECK_FALSE(fleet.isUsable(1, start));
+    fleet.loads["a"].reportAgeMs = 4999;
+    CHECK(fleet.isUsable(0, start));
+    fleet.loads["a"].reportAgeMs = 5000;
+    CHECK_FALSE(fleet.isUsable(0, start));
+    fleet.loads["a"].reportAgeMs = 0;
+    fleet.loads["a"].draining = true;
+    CHECK_FALSE(fleet.isUsable(0, start));
+    fleet.loads["a"].draining = false;
+    fleet.state.upstreams["a"].leaving = true;
+    CHECK_FALSE(fleet.isUsable(0, start));
+}
+
+TEST_CASE("planner sight: at the start links and reports are waited for, but not forever")
+{
+    linked_sight fleet;
+    CHECK(fleet.sight.isComplete(fleet.state, fleet.loads, start));
+    fleet.loads.erase("b");
+    CHECK_FALSE(fleet.sight.isComplete(fleet.state, fleet.loads, start));
+    CHECK_FALSE(fleet.sight.isComplete(fleet.state, fleet.loads, start + milliseconds(4999)));
+    CHECK(fleet.sight.isComplete(fleet.state, fleet.loads, start + seconds(5)));
+}
+
+TEST_CASE(
+    "planner sight: demand is added up over the upstreams that are linked, and declared copies are fixed")
+{
+    linked_sight fleet;
+    fleet.state.plan[{ "draft", "b" }] = { "draft", "b", true };
+    const plan_view view = fleet.sight.view(fleet.state, fleet.loads, start);
+    CHECK(view.models.at(0).demand == 100);
+    const std::vector<plan_copy> copies { { "draft", "a", false, true }, { "draft", "b", true, false } };
+    CHECK((view.copies == copies));
+    fleet.sight.onLink("b", false, start);
+    CHECK(fleet.sight.view(fleet.state, fleet.loads, start).models.at(0).demand == 50);
+}
+
+TEST_CASE("planner sight: steps become one record of what changes beyond the declared copies")
+{
+    fleet_state state = twoEngines();
+    state.plan[{ "brief", "b" }] = { "brief", "b", false };
+    const plan_record record = makePlanRecord(state, 7,
+        { { plan_action::Pin, "draft", "a", "unreachable" }, { plan_action::Remove, "brief", "b", "room" },
+            { plan_action::Add, "draft", "b", "hot" } });
+    CHECK(record.fence == 7);
+    const std::vector<placement> add { { "draft", "a", true }, { "draft", "b", false } };
+    CHECK((record.add == add));
+    CHECK((record.remove == std::vector<std::pair<std::string, std::string>> { { "brief", "b" } }));
+    CHECK_FALSE(isCarriedOut(state, record));
+    state.plan = { { { "draft", "a" }, add[0] }, { { "draft", "b" }, add[1] } };
+    CHECK(isCarriedOut(state, record));
+    const plan_record unpinned = makePlanRecord(state, 7, { { plan_action::Unpin, "draft", "a", "spare" } });
+    CHECK(unpinned.add.empty());
+    CHECK(unpinned.remove.size() == 1);
+}
