Entry: Forget what links and host list said of upstreams that were removed

The load report of an upstream that is no longer in the records would have counted as demand for good, and a host that left and came back under its name would never have been planned on again by a running entry; both now go by the records. Each guard is in one test of planner_sight.

Route: where a newer state has the same placements and plan (each renewal of a lease makes one) the copies are not joined.

--- a/Source/Entry/planner_sight.cpp
+++ b/Source/Entry/planner_sight.cpp
@@ -79,12 +79,12 @@
 }
 
 // What was asked of an upstream that is gone is asked of the others since.
-std::map<std::string, double> planner_sight::demands(const load_map& loads) const
+std::map<std::string, double> planner_sight::demands(const fleet_state& state, const load_map& loads) const
 {
     std::map<std::string, double> sums;
     for (const auto& [name, load] : loads) {
         const auto found = m_links.find(name);
-        if (found == m_links.end() || !found->second.up)
+        if (!state.upstreams.contains(name) || found == m_links.end() || !found->second.up)
             continue;
         for (const model_use& use : load.modelUses)
             sums[use.model] += use.tokensPerSecond;
@@ -94,8 +94,10 @@
 
 plan_view planner_sight::view(const fleet_state& state, const load_map& loads, monotonic_time now)
 {
+    // A host that comes back under its name was taken out of the records before.
+    std::erase_if(m_leaving, [&](const std::string& name) { return !state.upstreams.contains(name); });
     plan_view result;
-    auto demand = demands(loads);
+    auto demand = demands(state, loads);
     for (const auto& [name, record] : state.models)
         result.models.push_back({ name, record.base, record.memoryMb, demand[name] });
     for (const auto& [name, record] : state.upstreams)
--- a/Source/Entry/planner_sight.h
+++ b/Source/Entry/planner_sight.h
@@ -46,7 +46,7 @@
     };
 
     plan_upstream upstreamOf(const upstream& record, const load_map& loads, monotonic_time now);
-    std::map<std::string, double> demands(const load_map& loads) const;
+    std::map<std::string, double> demands(const fleet_state& state, const load_map& loads) const;
 
     options m_settings;
     std::map<std::string, link> m_links;
--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -237,6 +237,8 @@
             copies.placed.erase(id);
         copies.stale = true;
     };
+    if (state->placements == next.placements && state->plan == next.plan)
+        return;
     const placement_map before = effectivePlacements(*state);
     const placement_map after = effectivePlacements(next);
     for (const auto& [key, value] : before)
--- a/Tests/Entry/planner_sight_tests.cpp
+++ b/Tests/Entry/planner_sight_tests.cpp
@@ -66,6 +66,10 @@
     linked_sight fleet;
     fleet.sight.onLeaving("b");
     CHECK_FALSE(fleet.isUsable(1, start));
+    const auto gone = fleet.state.upstreams.extract("b");
+    CHECK(fleet.sight.view(fleet.state, fleet.loads, start).models.at(0).demand == 50);
+    fleet.state.upstreams[gone.key()] = gone.mapped();
+    CHECK(fleet.isUsable(1, start));
     fleet.loads["a"].reportAgeMs = 4999;
     CHECK(fleet.isUsable(0, start));
     fleet.loads["a"].reportAgeMs = 5000;
