Tests: Plan through changes with declared copies too

The properties of the planner began without copies. They now begin with some that operators declared, and no step may remove one.

--- a/Tests/Plan/placement_planner_properties.cpp
+++ b/Tests/Plan/placement_planner_properties.cpp
@@ -57,6 +57,20 @@
     return sum;
 }
 
+// Adds copies that operators declared, as far as they fit.
+void declareSome(plan_view& view)
+{
+    for (const plan_model& model : view.models) {
+        for (const plan_upstream& upstream : view.upstreams) {
+            if (*rc::gen::inRange(0, 4) > 0)
+                continue;
+            view.copies.push_back({ model.name, upstream.name, *rc::gen::inRange(0, 2) == 0, true });
+            if (plannedMemory(view, upstream.name) > upstream.memoryMb)
+                view.copies.pop_back();
+        }
+    }
+}
+
 void carryOut(plan_view& view, const plan_step& step)
 {
     const auto same
@@ -68,6 +82,7 @@
         return;
     }
     RC_ASSERT(found != view.copies.end());
+    RC_ASSERT_FALSE(step.action == plan_action::Remove && found->fixed);
     if (step.action == plan_action::Remove)
         view.copies.erase(found);
     else
@@ -130,6 +145,7 @@
 {
     CHECK(rc::check("plans through changes", [] {
         plan_view view = drawView();
+        declareSome(view);
         placement_planner planner({});
         planThroughChanges(view, planner);
     }));
@@ -139,6 +155,7 @@
 {
     CHECK(rc::check("plans settle", [] {
         plan_view view = drawView();
+        declareSome(view);
         placement_planner planner({ .maxLoading = 1000 });
         for (int round = 0; round < 3; ++round) {
             for (const plan_step& step : planner.plan(view, start))
