--- a/Utilities/measure/measure_fleet.cpp
+++ b/Utilities/measure/measure_fleet.cpp
@@ -104,7 +104,8 @@
     };
     plan.adjustRecords = [of, given](testing::fleet_records& records) { declare(records, of, given); };
     if (baseline) {
-        plan.entrySettings = "[baseline]\nrates = \"static\"\nrouting = \"round_robin\"\n";
+        plan.entrySettings = "[baseline]\nrates = \"static\"\nrouting = \"round_robin\"\n"
+                             "placement = \"static\"\n";
         plan.sideSettings = "[baseline]\nqueue = \"fifo\"\n";
     }
     return plan;
