--- a/Tests/Failure/placement_tests.cpp
+++ b/Tests/Failure/placement_tests.cpp
@@ -68,13 +68,18 @@
 
 } // namespace
 
-TEST_CASE("placement: a model whose host was killed is pinned on another engine and answers again")
+TEST_CASE("placement: a model whose host was killed is pinned on another engine and answers, until its host "
+          "is back")
 {
     fleet fleet(threeEngines());
     awaitPlanner(fleet, 0);
     killHost(fleet);
     checkReachable(fleet, 0, generousBound);
     CHECK(until([&] { return isPinnedElsewhere(fleet, 1); }));
+    // Once the declared copy is loaded again the other one need not be pinned.
+    fleet.restart(fleet.engine(0));
+    fleet.restart(fleet.engineSide(0));
+    CHECK(until([&] { return !isPinnedElsewhere(fleet, 0); }));
 }
 
 TEST_CASE("placement: another entry plans after the planning one was killed")
