--- a/Tests/Agree/peer_rotation_tests.cpp
+++ b/Tests/Agree/peer_rotation_tests.cpp
@@ -49,7 +49,7 @@
     constexpr std::size_t logReadBytes = 600;
     const std::size_t ask = encodeFrame(tail_ask { 1U << 30U, 1U << 30U }).size();
     const std::size_t answer
-        = encodeFrame(tail_answer { 1U << 30U, 1U << 30U, 1U << 30U, 1000, true, {}, {} }).size();
+        = encodeFrame(tail_answer { 1U << 30U, 1U << 30U, 1U << 30U, 1000, true, {}, {}, 1U << 30U }).size();
     const std::size_t exchange = ask + answer + 2 * packetHeaders;
     MESSAGE("an ask has " << ask << " bytes, an answer " << answer);
     CHECK(2 * peer_rotation::mostAsksPerSecond * exchange + logReadsPerSecond * logReadBytes <= budget);
