Entry: Lose the exchanges of a link that is given up

Cause: where the records declare an upstream's side at another address, the entry destroyed the old link without telling its open exchanges. A caller whose request had gone to a side that was then replaced waited for the whole of its deadline: in 'takeover: a deposit that runs while its side is frozen ...' the caller had no answer within 30 s.

Now takeGoneLinks() loses them under the stated lock order (this class, then the exchange table); the refusal says may_have_run. One line in side_links.cpp. Ruled out: waiting for the frozen side, which may never wake.

The two deposit tests freeze the side of a service with real processes, start a later one and wake the first: one execution each.

--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -74,6 +74,7 @@
             ++it;
             continue;
         }
+        m_exchanges.lose(it->first);
         gone.push_back(std::move(it->second.link));
         it = m_sides.erase(it);
     }
--- /dev/null
+++ b/Tests/Failure/side_takeover_tests.cpp
@@ -0,0 +1,113 @@
+#include "Support/calls.h"
+#include "Support/fleet.h"
+#include "Support/free_port.h"
+#include "Support/until.h"
+
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace sagesaddle;
+using namespace sagesaddle::testing;
+
+namespace {
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+// A side process of the same upstream at other addresses, while the first one is frozen.
+class later_side {
+public:
+    later_side(fleet& fleet, const fleet_member& first)
+        : m_listen(freeAddress())
+    {
+        const auto settings = fleet.folder() / "later.toml";
+        std::string text = readFile(first.command.back());
+        text = replaced(text, formatAddress(first.listen), formatAddress(m_listen));
+        const address admin = freeAddress();
+        text = replaced(text, formatAddress(first.admin), formatAddress(admin));
+        writeFile(settings, text);
+        m_process.emplace(std::vector<std::string> { first.command.front(), "--config", settings.string() },
+            fleet.folder() / "later.log");
+        for (upstream& declared : fleet.records().upstreams) {
+            if (declared.name == first.name)
+                declared.side = m_listen;
+        }
+        REQUIRE(fleet.apply().exitCode == 0);
+        // The only entry has brought it the records, and so sends it the requests from now on.
+        REQUIRE(until([&] { return statusOf(admin, "/readyz") == 200; }));
+    }
+
+private:
+    address m_listen;
+    std::optional<child_process> m_process;
+};
+
+std::uint64_t executionsOf(fleet& fleet, const std::string& key)
+{
+    return getJson(fleet.service(0).listen, "/admin/executions").at("by_key").value(key, 0);
+}
+
+http_response deposit(fleet& fleet, const std::string& key)
+{
+    return callService(fleet.entry(0).listen, "walkin", "/orders/deposits", key);
+}
+
+std::future<http_response> depositLater(fleet& fleet, const std::string& key)
+{
+    return std::async(std::launch::async, [&fleet, key] { return deposit(fleet, key); });
+}
+
+// Asks at the later process until the key is settled.
+std::uint16_t settledStatus(fleet& fleet, const std::string& key)
+{
+    http_response answer;
+    CHECK(until([&] {
+        answer = deposit(fleet, key);
+        return answer.status == 200 || answer.status == 409;
+    }));
+    return answer.status;
+}
+
+// Wakes the first process and waits until it has ended what it had taken on.
+void wakeAndFinish(fleet& fleet, std::future<http_response>& first)
+{
+    fleet.serviceSide(0).process->wake();
+    const http_response answer = first.get();
+    INFO(answer.body);
+    CHECK(answer.status != 0);
+    CHECK(until([&] { return getJson(fleet.serviceSide(0).admin, "/admin/status").at("running") == 0; }));
+}
+
+} // namespace
+
+TEST_CASE("takeover: a deposit that runs while its side is frozen does not run again at the next")
+{
+    fleet fleet({ .entries = 1, .engines = 0 });
+    setFaults(fleet.service(0).listen, { { "hold", true } });
+    auto first = depositLater(fleet, "deposit-1");
+    REQUIRE(until([&] { return executionsOf(fleet, "deposit-1") == 1; }));
+    fleet.serviceSide(0).process->freeze();
+    setFaults(fleet.service(0).listen, { { "hold", false } });
+    const later_side later(fleet, fleet.serviceSide(0));
+    CHECK(settledStatus(fleet, "deposit-1") == 409);
+    wakeAndFinish(fleet, first);
+    CHECK(executionsOf(fleet, "deposit-1") == 1);
+}
+
+TEST_CASE("takeover: a side frozen while it claims a deposit does not run it after the next one did")
+{
+    fleet fleet({ .entries = 1, .engines = 0 });
+    setFaults(fleet.log().listen, { { "away_for", { formatAddress(fleet.log().listen) } } });
+    auto first = depositLater(fleet, "deposit-1");
+    REQUIRE(until([&] { return getJson(fleet.serviceSide(0).admin, "/admin/status").at("running") == 1; }));
+    fleet.serviceSide(0).process->freeze();
+    setFaults(fleet.log().listen, { { "away_for", nlohmann::json::array() } });
+    const later_side later(fleet, fleet.serviceSide(0));
+    CHECK(settledStatus(fleet, "deposit-1") == 200);
+    wakeAndFinish(fleet, first);
+    CHECK(executionsOf(fleet, "deposit-1") == 1);
+}
