Place: A side that was frozen gives no order beside a later one's

Cause: before an engine that ignores fencing numbers only the start of a process was guarded. One that was frozen with a load in doubt sent it again when it woke, though a later process had given the room away: 400 of 350 MB at the stand-in ('takeover: a frozen side that wakes with an order in doubt ...', real processes). A report's age also counted from when it was read, so that a pause within the read made old content look fresh.

Without fencing numbers the ledger now ends its orders for good when a report lists one that is neither its own nor was listed when it opened; it sends only within half the settling time of asking for the newest report, judged again just before each send; a report counts from when it was asked for.

Not covered: two sides that order at the same time before either sees the other's order.

After: peak within 350 MB, no order too many, the woken side is fenced_off, for an order in doubt and one under way, with and without fencing checks.

--- a/Source/Place/memory_ledger.cpp
+++ b/Source/Place/memory_ledger.cpp
@@ -75,7 +75,7 @@
 std::vector<engine_order> memory_ledger::takeOrdersToSend(monotonic_time now)
 {
     std::vector<engine_order> orders;
-    if (m_isFencedOff)
+    if (!maySend(now))
         return orders;
     for (auto& [id, entry] : m_orders) {
         const bool isDue = !entry.isSent || now - entry.lastSent >= resendDelay;
@@ -120,23 +120,49 @@
     }
 }
 
-void memory_ledger::onReport(const engine_report& report, monotonic_time received)
+// Half of the settling time is left for the order's way to the engine.
+bool memory_ledger::maySend(monotonic_time now) const
 {
-    if (isStale(report, received))
+    if (m_isFencedOff)
+        return false;
+    return m_options.checksFencing || (m_reportMade && now - m_reportAsked < m_options.settling / 2);
+}
+
+void memory_ledger::onReport(const engine_report& report, monotonic_time asked)
+{
+    if (isStale(report, asked))
         return;
     m_report = report;
-    m_reportMade = received - report.age;
+    m_reportMade = asked - report.age;
+    m_reportAsked = asked;
     settleOrders();
+    checkSuperseded();
     checkOpening();
 }
 
+bool memory_ledger::isOwn(const std::string& orderId) const
+{
+    return orderId.starts_with(m_options.run + "-");
+}
+
+// All that earlier processes ordered is listed by the time of the opening: what shows later is a later one's.
+void memory_ledger::checkSuperseded()
+{
+    if (!m_isOpen || m_options.checksFencing)
+        return;
+    for (const auto& [id, outcome] : m_report.orders) {
+        if (!isOwn(id) && !m_earlierOrders.contains(id))
+            m_isFencedOff = true;
+    }
+}
+
 // An older report is of no use. One whose content is surely younger and whose sequence is lower comes from an
 // engine that began again.
-bool memory_ledger::isStale(const engine_report& report, monotonic_time received)
+bool memory_ledger::isStale(const engine_report& report, monotonic_time asked)
 {
     if (!m_reportMade || report.sequence >= m_report.sequence)
         return false;
-    if (received - report.age < *m_reportMade + m_options.settling)
+    if (asked - report.age < *m_reportMade + m_options.settling)
         return true;
     for (auto& [id, entry] : m_orders) {
         entry.acceptedAt.reset();
@@ -174,6 +200,8 @@
         m_isOpen = m_fenceAccepted && m_report.sequence >= *m_fenceAccepted;
     else
         m_isOpen = *m_reportMade >= m_started + m_options.settling;
+    for (const auto& [id, outcome] : m_report.orders)
+        m_earlierOrders.insert(id);
 }
 
 bool memory_ledger::hasForeignOrderRunning() const
--- a/Source/Place/memory_ledger.h
+++ b/Source/Place/memory_ledger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,8 +35,9 @@
 public:
     struct options {
         bool checksFencing { false };
-        /// An order of an earlier process takes effect within this time or never; counts only for engines
-        /// that do not check fencing numbers, and for telling a restarted engine from an old report.
+        /// An order of an earlier process takes effect within this time of the report that it was decided by,
+        /// or never; counts only for engines that do not check fencing numbers, and for telling a restarted
+        /// engine from an old report.
         milliseconds settling { 10000 };
         /// Starts the ids of this process's orders; unique to its run.
         std::string run;
@@ -64,7 +66,13 @@
     /// \param sequence of the engine, where it accepted the order
     void onReply(const std::string& orderId, order_reply reply, std::uint64_t sequence);
 
-    void onReport(const engine_report& report, monotonic_time received);
+    /// \param asked when the report was asked for: a pause may lie between that and its reading
+    void onReport(const engine_report& report, monotonic_time asked);
+
+    /// \return whether an order may leave now. Before an engine that ignores fencing numbers only a fresh
+    /// report
+    ///         tells that no later process orders, so that one that was paused must read another one first.
+    bool maySend(monotonic_time now) const;
 
     /// \return memory that no model holds or may yet take; 0 unless open.
     std::uint64_t freeMb() const;
@@ -102,7 +110,9 @@
 
     engine_order& add(order_action action, const std::string& model, std::uint64_t memoryMb);
     std::uint64_t committedMb() const;
-    bool isStale(const engine_report& report, monotonic_time received);
+    bool isStale(const engine_report& report, monotonic_time asked);
+    bool isOwn(const std::string& orderId) const;
+    void checkSuperseded();
     void settleOrders();
     bool isSettled(const outstanding_order& entry) const;
     void checkOpening();
@@ -122,6 +132,9 @@
     std::map<std::string, outstanding_order> m_orders;
     engine_report m_report;
     std::optional<monotonic_time> m_reportMade;
+    monotonic_time m_reportAsked;
+    /// Orders of other processes that the engine listed when the ledger opened.
+    std::set<std::string> m_earlierOrders;
 };
 
 } // namespace sagesaddle
--- a/Source/Side/engine_control.cpp
+++ b/Source/Side/engine_control.cpp
@@ -65,7 +65,7 @@
             readReport();
             readCacheEvents();
             for (const engine_order& order : decide())
-                give(order);
+                giveIfFresh(order);
             noteChanges();
             pause();
         }
@@ -108,10 +108,11 @@
     void readReport()
     {
         try {
+            const monotonic_time asked = monotonicNow();
             const engine_report report = client.report();
             const std::scoped_lock lock(mutex);
             if (ledger)
-                ledger->onReport(report, monotonicNow());
+                ledger->onReport(report, asked);
             reportFailed = false;
         } catch (const std::exception& error) {
             if (!std::exchange(reportFailed, true))
@@ -157,6 +158,17 @@
         return ledger->takeOrdersToSend(now);
     }
 
+    // A pause may have passed since the decision: the order then counts as lost and is decided anew.
+    void giveIfFresh(const engine_order& order)
+    {
+        {
+            const std::scoped_lock lock(mutex);
+            if (!ledger->maySend(monotonicNow()))
+                return ledger->onReply(order.id, order_reply::Lost, 0);
+        }
+        give(order);
+    }
+
     void give(const engine_order& order)
     {
         const order_answer answer = client.send(order);
--- a/Tests/Failure/side_takeover_tests.cpp
+++ b/Tests/Failure/side_takeover_tests.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+// Room for three models of 100 MB, of which two are loaded at the start.
+constexpr std::uint64_t tightMemoryMb = 350;
+// Shorter than the default, so that the later process soon orders where the engine ignores fencing.
+const std::string laterTarget = "[target]\norder_settling_ms = 3000\n";
+
 std::string replaced(std::string text, const std::string& from, const std::string& to)
 {
     const auto at = text.find(from);
@@ -29,7 +34,7 @@
         text = replaced(text, formatAddress(first.listen), formatAddress(m_listen));
         const address admin = freeAddress();
         text = replaced(text, formatAddress(first.admin), formatAddress(admin));
-        writeFile(settings, text);
+        writeFile(settings, replaced(text, "[target]\n", laterTarget));
         m_process.emplace(std::vector<std::string> { first.command.front(), "--config", settings.string() },
             fleet.folder() / "later.log");
         for (upstream& declared : fleet.records().upstreams) {
@@ -46,6 +51,62 @@
     std::optional<child_process> m_process;
 };
 
+// Declares a pinned model, in the place of another one where that is named.
+void pinModel(fleet& fleet, const std::string& name, const std::string& instead)
+{
+    fleet_records& records = fleet.records();
+    const auto isReplaced = [&](const auto& value) { return value == instead; };
+    std::erase_if(records.models, [&](const model& value) { return isReplaced(value.name); });
+    std::erase_if(records.placements, [&](const placement& value) { return isReplaced(value.model); });
+    records.models.push_back({ name, 100, "" });
+    records.placements.push_back({ name, "engine-1", true });
+}
+
+nlohmann::json engineStatus(fleet& fleet)
+{
+    return getJson(fleet.engineSide(0).admin, "/admin/status").at("engine");
+}
+
+// Freezes the first process while its order to load a model meets the faults.
+void freezeWithOrder(fleet& fleet, nlohmann::json orderFaults)
+{
+    orderFaults["refuse_overcommit"] = false;
+    setFaults(fleet.engine(0).listen, orderFaults);
+    pinModel(fleet, "second", "");
+    REQUIRE(fleet.apply().exitCode == 0);
+    REQUIRE(until([&] { return engineStatus(fleet).at("orders_outstanding") == 1; }));
+    fleet.engineSide(0).process->freeze();
+    setFaults(fleet.engine(0).listen, { { "lose_orders", 0 }, { "delay_orders_ms", 0 } });
+}
+
+void checkMemory(fleet& fleet)
+{
+    const auto stats = getJson(fleet.engine(0).listen, "/admin/stats");
+    CHECK(stats.at("peak_memory_mb") <= tightMemoryMb);
+    CHECK(stats.at("overcommit_orders") == 0);
+}
+
+// Wakes the first process when the later one has loaded another model in the same place.
+void checkTakeover(bool checksFencing, const nlohmann::json& orderFaults)
+{
+    INFO("checks fencing: " << checksFencing << ", faults: " << orderFaults.dump());
+    fleet fleet({ .entries = 1,
+        .engines = 1,
+        .services = 0,
+        .engineMemoryMb = tightMemoryMb,
+        .checksFencing = checksFencing });
+    freezeWithOrder(fleet, orderFaults);
+    pinModel(fleet, "third", "second");
+    const later_side later(fleet, fleet.engineSide(0));
+    const auto isServed
+        = [&] { return chat(fleet.entry(0).listen, "walkin", { .model = "third" }).status == 200; };
+    REQUIRE(until(isServed));
+    fleet.engineSide(0).process->wake();
+    CHECK(until([&] { return engineStatus(fleet).at("orders") == "fenced_off"; }));
+    CHECK(isServed());
+    checkMemory(fleet);
+}
+
 std::uint64_t executionsOf(fleet& fleet, const std::string& key)
 {
     return getJson(fleet.service(0).listen, "/admin/executions").at("by_key").value(key, 0);
@@ -84,6 +145,18 @@
 
 } // namespace
 
+TEST_CASE("takeover: a frozen side that wakes with an order in doubt overcommits nothing")
+{
+    for (const bool checksFencing : { true, false })
+        checkTakeover(checksFencing, { { "lose_orders", 1000000 } });
+}
+
+TEST_CASE("takeover: a side frozen while its order is under way overcommits nothing")
+{
+    for (const bool checksFencing : { true, false })
+        checkTakeover(checksFencing, { { "delay_orders_ms", 2000 } });
+}
+
 TEST_CASE("takeover: a deposit that runs while its side is frozen does not run again at the next")
 {
     fleet fleet({ .entries = 1, .engines = 0 });
--- a/Tests/Place/memory_ledger_tests.cpp
+++ b/Tests/Place/memory_ledger_tests.cpp
@@ -168,3 +168,31 @@
     CHECK(ledger.ordersOutstanding() == 0);
     CHECK(ledger.freeMb() == 400);
 }
+
+TEST_CASE("memory ledger: on an engine without fencing an order of a later process ends this one's for good")
+{
+    memory_ledger ledger({ false, settling, "run" }, start);
+    const std::map<std::string, order_outcome> earlier { { "before-1", order_outcome::Settled } };
+    ledger.onReport(reportOf(1, {}, earlier), start + settling);
+    REQUIRE(ledger.reserveLoad("a", 100));
+    ledger.onReport(reportOf(2, {}, { { "run-1", order_outcome::Running } }), start + settling);
+    CHECK(ledger.phase() == ledger_phase::Open);
+    ledger.onReport(reportOf(3, {}, earlier), start + settling);
+    CHECK(ledger.phase() == ledger_phase::Open);
+    ledger.onReport(reportOf(4, {}, { { "after-1", order_outcome::Settled } }), start + settling);
+    CHECK(ledger.phase() == ledger_phase::FencedOff);
+    CHECK(ledger.takeOrdersToSend(start + settling).empty());
+}
+
+TEST_CASE(
+    "memory ledger: after a pause nothing is sent before a new report, unless the engine checks fencing")
+{
+    memory_ledger ledger = openLedger();
+    REQUIRE(ledger.reserveLoad("a", 100));
+    CHECK(ledger.takeOrdersToSend(start + settling * 2).empty());
+    ledger.onReport(reportOf(0), start + settling * 2);
+    CHECK(ledger.takeOrdersToSend(start + settling * 2).size() == 1);
+    memory_ledger fenced({ true, settling, "run" }, start);
+    fenced.setFence(1);
+    CHECK(fenced.maySend(start + settling * 2));
+}
