Tests: Check claims where retention passes a running process, and share the gate's set-up

'claim gate: a claim is known after its record has lapsed' and '... keys that may belong to lapsed claims are refused' covered processes that start. New: retention passes the claims of a process that runs: the key it held is refused as too old, so is a key that tells an early time, and a later key is granted once.

The load-report test of the side now takes an engine that checks fencing, for without it a slow machine would let the side order the second model.

--- a/Tests/Once/claim_gate_tests.cpp
+++ b/Tests/Once/claim_gate_tests.cpp
@@ -3,13 +3,15 @@
 #include "Agree/log_client.h"
 #include "Fakes/fake_log.h"
 #include "Once/claim_record.h"
-#include "Serve/http_client.h"
 #include "Serve/http_server.h"
+#include "Support/calls.h"
 #include "Support/free_port.h"
+#include "Support/until.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <future>
 #include <optional>
 
@@ -18,55 +20,68 @@
 namespace {
 
 constexpr seconds patience { 20 };
+constexpr const char* stream = "claims.orders";
+// Version 7 UUIDs: one tells a time long past, one a time to come.
+constexpr const char* earlyKey = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+constexpr const char* lateKey = "fffffffe-79b0-7cc3-98c4-dc0c0c07398f";
 
-monotonic_time within(milliseconds span)
-{
-    return monotonicNow() + span;
-}
-
-// The stand-in log on a free port, and a client of it.
-struct log_bench {
+// The stand-in log on a free port, a client of it, and the gate of a process.
+struct gate_bench {
     address listen { testing::freeAddress() };
     testing::fake_log log;
     http_server server { { .listen = listen }, [this](http_call& call) { log.handle(call, listen); } };
     log_client client { listen, milliseconds(500) };
+    std::optional<claim_gate> gate { std::in_place, client, "orders", "run-1" };
+
+    void fault(const nlohmann::json& switches) const { testing::setFaults(listen, switches); }
 
-    void setFaults(const std::string& document) const
+    void restartGate()
     {
-        http_client http;
-        http_request request;
-        request.method = "POST";
-        request.server = listen;
-        request.target = "/admin/faults";
-        request.body = document;
-        REQUIRE(http.send(request).status / 100 == 2);
+        gate.reset();
+        gate.emplace(client, "orders", "run-2");
     }
-};
 
-// Tries again while the key looks taken, until it is granted or the patience ends.
-claim_outcome claimUntilGranted(claim_gate& gate, const std::string& key)
-{
-    const monotonic_time end = within(patience);
-    claim_outcome outcome = claim_outcome::Unavailable;
-    while (outcome != claim_outcome::Granted && monotonicNow() < end)
-        outcome = gate.claim("ledger", key, end).outcome;
-    return outcome;
-}
+    std::string ask(const std::string& key, milliseconds bound = patience)
+    {
+        constexpr std::array names { "granted", "taken", "too_old", "unavailable" };
+        const claim_outcome outcome = gate->claim("ledger", key, monotonicNow() + bound).outcome;
+        return names.at(static_cast<std::size_t>(outcome));
+    }
+
+    // Tries again while the key looks taken.
+    bool isGrantedInTheEnd(const std::string& key)
+    {
+        return testing::until([&] { return ask(key) == "granted"; }, patience);
+    }
+
+    // Appends claims of another process, as its gate would.
+    void appendOthers(int count)
+    {
+        std::vector<std::string> records;
+        for (int i = 0; i < count; ++i) {
+            const std::string id = std::to_string(filler++);
+            records.push_back(
+                formatClaimRecord(key_claim { "other/" + id, hashClaimKey("ledger", "filler-" + id), 1 }));
+        }
+        client.append(stream, records);
+    }
+
+    int filler { 0 };
+};
 
 } // namespace
 
 TEST_CASE("claim gate: of many claims for a key in two processes one is granted")
 {
-    log_bench bench;
-    claim_gate first(bench.client, "orders", "run-1");
+    gate_bench bench;
     claim_gate second(bench.client, "orders", "run-2");
     for (const char* key : { "a", "b", "c" }) {
         std::vector<std::future<claim_outcome>> outcomes;
         outcomes.reserve(6);
         for (int i = 0; i < 6; ++i) {
-            claim_gate& gate = i % 2 == 0 ? first : second;
+            claim_gate& gate = i % 2 == 0 ? *bench.gate : second;
             outcomes.push_back(std::async(std::launch::async,
-                [&gate, key] { return gate.claim("ledger", key, within(patience)).outcome; }));
+                [&gate, key] { return gate.claim("ledger", key, monotonicNow() + patience).outcome; }));
         }
         std::vector<claim_outcome> results;
         results.reserve(outcomes.size());
@@ -79,93 +94,90 @@
 
 TEST_CASE("claim gate: an append whose answer is lost is granted once")
 {
-    log_bench bench;
-    claim_gate gate(bench.client, "orders", "run-1");
-    REQUIRE((claimUntilGranted(gate, "warm-up") == claim_outcome::Granted));
-    bench.setFaults(R"({"lose_answers":2})");
-    CHECK((gate.claim("ledger", "a", within(patience)).outcome == claim_outcome::Granted));
-    CHECK((gate.claim("ledger", "a", within(patience)).outcome == claim_outcome::Taken));
+    gate_bench bench;
+    REQUIRE(bench.isGrantedInTheEnd("warm-up"));
+    bench.fault({ { "lose_answers", 2 } });
+    CHECK(bench.ask("a") == "granted");
+    CHECK(bench.ask("a") == "taken");
 }
 
 TEST_CASE("claim gate: nothing is granted while the log is away, and the key is free afterwards")
 {
-    log_bench bench;
-    claim_gate gate(bench.client, "orders", "run-1");
-    REQUIRE((claimUntilGranted(gate, "warm-up") == claim_outcome::Granted));
-    bench.setFaults(R"({"away":true})");
-    CHECK((gate.claim("ledger", "a", within(milliseconds(300))).outcome == claim_outcome::Unavailable));
-    bench.setFaults(R"({"away":false})");
-    CHECK((claimUntilGranted(gate, "a") == claim_outcome::Granted));
+    gate_bench bench;
+    REQUIRE(bench.isGrantedInTheEnd("warm-up"));
+    bench.fault({ { "away", true } });
+    CHECK(bench.ask("a", milliseconds(300)) == "unavailable");
+    bench.fault({ { "away", false } });
+    CHECK(bench.isGrantedInTheEnd("a"));
 }
 
 TEST_CASE("claim gate: a claim given up on after it took effect is released")
 {
-    log_bench bench;
-    claim_gate gate(bench.client, "orders", "run-1");
-    REQUIRE((claimUntilGranted(gate, "warm-up") == claim_outcome::Granted));
-    bench.setFaults(R"({"lose_answers":1000})");
-    REQUIRE((gate.claim("ledger", "a", within(milliseconds(300))).outcome == claim_outcome::Unavailable));
-    bench.setFaults(R"({"lose_answers":0})");
-    CHECK((claimUntilGranted(gate, "a") == claim_outcome::Granted));
+    gate_bench bench;
+    REQUIRE(bench.isGrantedInTheEnd("warm-up"));
+    bench.fault({ { "lose_answers", 1000 } });
+    REQUIRE(bench.ask("a", milliseconds(300)) == "unavailable");
+    bench.fault({ { "lose_answers", 0 } });
+    CHECK(bench.isGrantedInTheEnd("a"));
 }
 
 TEST_CASE("claim gate: a released claim frees the key, for another process too")
 {
-    log_bench bench;
-    claim_gate first(bench.client, "orders", "run-1");
-    claim_gate second(bench.client, "orders", "run-2");
-    const claim_result granted = first.claim("ledger", "a", within(patience));
+    gate_bench bench;
+    claim_gate first(bench.client, "orders", "run-0");
+    const claim_result granted = first.claim("ledger", "a", monotonicNow() + patience);
     REQUIRE((granted.outcome == claim_outcome::Granted));
-    REQUIRE((second.claim("ledger", "a", within(patience)).outcome == claim_outcome::Taken));
+    REQUIRE(bench.ask("a") == "taken");
     first.release(granted);
-    CHECK((claimUntilGranted(second, "a") == claim_outcome::Granted));
+    CHECK(bench.isGrantedInTheEnd("a"));
 }
 
 TEST_CASE("claim gate: a restarted process knows the claims of the one before it")
 {
-    log_bench bench;
-    std::optional<claim_gate> gate(std::in_place, bench.client, "orders", "run-1");
-    REQUIRE((gate->claim("ledger", "a", within(patience)).outcome == claim_outcome::Granted));
-    gate.emplace(bench.client, "orders", "run-2");
-    CHECK((gate->claim("ledger", "a", within(patience)).outcome == claim_outcome::Taken));
+    gate_bench bench;
+    REQUIRE(bench.ask("a") == "granted");
+    bench.restartGate();
+    CHECK(bench.ask("a") == "taken");
 }
 
 TEST_CASE("claim gate: a claim is known after its record has lapsed")
 {
-    log_bench bench;
-    std::optional<claim_gate> gate(std::in_place, bench.client, "orders", "run-1");
-    REQUIRE((gate->claim("ledger", "a", within(patience)).outcome == claim_outcome::Granted));
-    for (int batch = 0; batch < 6; ++batch) {
-        std::vector<std::string> records;
-        for (int i = 0; i < 1000; ++i) {
-            const std::string id = std::to_string(batch * 1000 + i);
-            records.push_back(
-                formatClaimRecord(key_claim { "other/" + id, hashClaimKey("ledger", "filler-" + id), 1 }));
-        }
-        bench.client.append("claims.orders", records);
-    }
-    REQUIRE((claimUntilGranted(*gate, "b") == claim_outcome::Granted));
+    gate_bench bench;
+    REQUIRE(bench.ask("a") == "granted");
+    for (int batch = 0; batch < 6; ++batch)
+        bench.appendOthers(1000);
+    REQUIRE(bench.isGrantedInTheEnd("b"));
     const auto hasSnapshot
-        = [&] { return bench.client.read("claims.orders", 6002, 10, milliseconds(1000)).next > 6002; };
-    const monotonic_time end = within(patience);
-    bool written = hasSnapshot();
-    while (!written && monotonicNow() < end)
-        written = hasSnapshot();
-    REQUIRE(written);
-    bench.setFaults(R"({"retain":8})");
-    gate.emplace(bench.client, "orders", "run-2");
-    CHECK((gate->claim("ledger", "a", within(patience)).outcome == claim_outcome::Taken));
-    CHECK((gate->claim("ledger", "c", within(patience)).outcome == claim_outcome::Granted));
+        = [&] { return bench.client.read(stream, 6002, 10, milliseconds(1000)).next > 6002; };
+    REQUIRE(testing::until(hasSnapshot, patience));
+    bench.fault({ { "retain", 8 } });
+    bench.restartGate();
+    CHECK(bench.ask("a") == "taken");
+    CHECK(bench.ask("c") == "granted");
 }
 
 TEST_CASE("claim gate: keys that may belong to lapsed claims are refused")
 {
-    log_bench bench;
-    bench.client.append("claims.orders", { "one", "two", "three" });
-    bench.setFaults(R"({"retain":1})");
-    bench.client.append("claims.orders", { "four" });
-    claim_gate gate(bench.client, "orders", "run-1");
-    CHECK((gate.claim("ledger", "a", within(patience)).outcome == claim_outcome::TooOld));
-    CHECK((gate.claim("ledger", "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", within(patience)).outcome
-        == claim_outcome::TooOld));
+    gate_bench bench;
+    bench.gate.reset();
+    bench.client.append(stream, { "one", "two", "three" });
+    bench.fault({ { "retain", 1 } });
+    bench.client.append(stream, { "four" });
+    bench.restartGate();
+    CHECK(bench.ask("a") == "too_old");
+    CHECK(bench.ask(earlyKey) == "too_old");
+}
+
+TEST_CASE("claim gate: where retention passes a running process, what it held and forgot is refused")
+{
+    gate_bench bench;
+    REQUIRE(bench.ask("a") == "granted");
+    REQUIRE(bench.ask("a") == "taken");
+    // The stand-in drops the claims before the process can read on.
+    bench.fault({ { "retain", 8 } });
+    bench.appendOthers(20);
+    CHECK(testing::until([&] { return bench.ask("a") == "too_old"; }, patience));
+    CHECK(bench.ask(earlyKey) == "too_old");
+    CHECK(bench.ask(lateKey) == "granted");
+    CHECK(bench.ask(lateKey) == "taken");
 }
--- a/Tests/Side/side_process_tests.cpp
+++ b/Tests/Side/side_process_tests.cpp
@@ -142,7 +142,10 @@
 
 TEST_CASE("side: what requests ask of each model is reported, also where they are refused")
 {
-    engine_path path;
+    // Without a log nothing is ordered on such an engine.
+    side_view view = engineView();
+    view.upstream.checksFencing = true;
+    engine_path path(view);
     path.entry.send(chatRequest(1));
     CHECK(path.entry.answerTo(1).end);
     path.entry.send(chatRequest(2, "third"));
