Tests: Share the side process's set-ups, and let a replaced order be under way

Found by its time (6.4 s in some runs, 12.4 s in others): 'side orders: a process that replaces one whose order is still under way ...' took the order that takes the fencing number for the load it waits for, so that the load was then not delayed and the case with fencing checks proved nothing in those runs.

--- a/Tests/Side/engine_orders_tests.cpp
+++ b/Tests/Side/engine_orders_tests.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-fake_engine::options engineOptions(bool checksFencing)
-{
-    fake_engine::options options;
-    options.memory.totalMb = 1000;
-    options.memory.checksFencing = checksFencing;
-    options.memory.preload = { "small=400" };
-    return options;
-}
-
 side_view viewOf(bool checksFencing, std::vector<placement> placements = {})
 {
     side_view view = engineView();
@@ -31,17 +22,11 @@
     return std::find(models.begin(), models.end(), model) != models.end();
 }
 
-// A side process before an engine that gives it orders.
-struct order_path {
+// A side process that gives its engine orders.
+struct order_path : engine_path {
     explicit order_path(const side_view& view, bool withLog = true)
-        : engine(engineOptions(view.upstream.checksFencing))
-        , settings(sideSettings(engine.at))
+        : engine_path(view, withLog)
     {
-        if (withLog)
-            settings.log = log.at;
-        side.emplace(settings);
-        entry.emplace(settings.frames);
-        entry->send(side_view_message { view.offset, formatSideView(view) });
     }
 
     bool waitUntilOpen()
@@ -54,47 +39,19 @@
         return entry->waitForLoad([&](const load_report& load) { return isResident(load, model); });
     }
 
-    // Waits until the engine works on a load.
-    bool waitForRunningOrder() const
+    bool hasRunningOrder() const
     {
-        const auto end = monotonicNow() + waitBound;
-        while (monotonicNow() < end) {
-            const nlohmann::json report = get(engine.at, "/control/report");
-            for (const auto& order : report["recent_orders"]) {
-                if (order["outcome"] == "running")
-                    return true;
-            }
-        }
-        return false;
+        const auto orders = getJson(upstream.at, "/control/report").at("recent_orders");
+        return std::any_of(
+            orders.begin(), orders.end(), [](const auto& order) { return order.at("outcome") == "running"; });
     }
 
     bool waitForLoadOf(const std::string& model) const
     {
-        const auto end = monotonicNow() + waitBound;
-        while (monotonicNow() < end) {
-            if (get(engine.at, "/admin/stats")["loads"].contains(model))
-                return true;
-        }
-        return false;
+        return until([&] { return getJson(upstream.at, "/admin/stats")["loads"].contains(model); });
     }
 
-    // Puts a new process in the place of the one that runs, without a drain.
-    void restart(const side_view& view)
-    {
-        entry.reset();
-        side.reset();
-        side.emplace(settings);
-        entry.emplace(settings.frames);
-        entry->send(side_view_message { view.offset, formatSideView(view) });
-    }
-
-    std::uint64_t peakMb() const { return get(engine.at, "/admin/stats")["peak_memory_mb"]; }
-
-    served<fake_engine> engine;
-    served<fake_log_at> log;
-    side_settings settings;
-    std::optional<side_process> side;
-    std::optional<entry_player> entry;
+    std::uint64_t peakMb() const { return getJson(upstream.at, "/admin/stats")["peak_memory_mb"]; }
 };
 
 } // namespace
@@ -112,8 +69,7 @@
 {
     order_path path(viewOf(true, { { "other", "up-1", true } }));
     REQUIRE(path.waitForModel("other"));
-    path.entry->send(chatRequest(1, "third"));
-    const seen_answer answer = path.entry->answerTo(1);
+    const seen_answer answer = path.ask(chatRequest(1, "third"));
     REQUIRE(answer.end);
     CHECK(isResident(answer.end->load, "third"));
     CHECK_FALSE(isResident(answer.end->load, "small"));
@@ -124,8 +80,7 @@
 {
     order_path path(viewOf(false, { { "other", "up-1", true }, { "small", "up-1", true } }));
     REQUIRE(path.waitForModel("other"));
-    path.entry->send(chatRequest(1, "third"));
-    const seen_answer answer = path.entry->answerTo(1);
+    const seen_answer answer = path.ask(chatRequest(1, "third"));
     REQUIRE(answer.refusal);
     CHECK(answer.refusal->reason == "no_memory");
     CHECK(answer.refusal->verdict == verdict::NotRun);
@@ -138,8 +93,7 @@
     REQUIRE(path.waitUntilOpen());
     request_message request = chatRequest(1, "other");
     request.deadlineMs = 50;
-    path.entry->send(request);
-    const seen_answer answer = path.entry->answerTo(1);
+    const seen_answer answer = path.ask(request);
     REQUIRE(answer.refusal);
     CHECK(answer.refusal->reason == "model_loading");
     CHECK(answer.refusal->verdict == verdict::NotRun);
@@ -151,26 +105,22 @@
 {
     order_path path(viewOf(true, { { "other", "up-1", true } }), false);
     REQUIRE(path.waitForModel("small"));
-    path.entry->send(chatRequest(1, "small"));
-    CHECK(path.entry->answerTo(1).end);
-    path.entry->send(chatRequest(2, "third"));
-    CHECK(path.entry->answerTo(2).refusal->reason == "model_not_loaded");
-    CHECK(get(path.settings.admin, "/admin/status")["engine"]["orders"] == "no_fence");
-    CHECK(get(path.engine.at, "/admin/stats")["loads"].empty());
+    CHECK(path.ask(chatRequest(1, "small")).end);
+    CHECK(path.ask(chatRequest(2, "third")).refusal->reason == "model_not_loaded");
+    CHECK(getJson(path.settings.admin, "/admin/status")["engine"]["orders"] == "no_fence");
+    CHECK(getJson(path.upstream.at, "/admin/stats")["loads"].empty());
 }
 
 TEST_CASE("side orders: lost orders and lost answers lead to one load and no overcommit")
 {
     order_path path(viewOf(true));
     REQUIRE(path.waitUntilOpen());
-    post(path.engine.at, "/admin/faults", R"({"lose_orders":1})");
-    path.entry->send(chatRequest(1, "other"));
-    CHECK(path.entry->answerTo(1).end);
-    post(path.engine.at, "/admin/faults", R"({"lose_order_answers":1,"delay_orders_ms":50})");
-    path.entry->send(chatRequest(2, "third"));
-    CHECK(path.entry->answerTo(2).end);
-    CHECK(get(path.engine.at, "/admin/stats")["loads"]["other"] == 1);
-    CHECK(get(path.engine.at, "/admin/stats")["overcommit_orders"] == 0);
+    setFaults(path.upstream.at, { { "lose_orders", 1 } });
+    CHECK(path.ask(chatRequest(1, "other")).end);
+    setFaults(path.upstream.at, { { "lose_order_answers", 1 }, { "delay_orders_ms", 50 } });
+    CHECK(path.ask(chatRequest(2, "third")).end);
+    CHECK(getJson(path.upstream.at, "/admin/stats")["loads"]["other"] == 1);
+    CHECK(getJson(path.upstream.at, "/admin/stats")["overcommit_orders"] == 0);
     CHECK(path.peakMb() <= 1000);
 }
 
@@ -178,14 +128,17 @@
 {
     order_path path(viewOf(true));
     REQUIRE(path.waitUntilOpen());
-    post(path.engine.at, "/control/orders",
-        R"({"order_id":"later","fence":1000000,"action":"unload","model":"none","memory_mb":0})");
-    path.entry->send(chatRequest(1, "other"));
-    const seen_answer answer = path.entry->answerTo(1);
+    http_request later;
+    later.method = "POST";
+    later.server = path.upstream.at;
+    later.target = "/control/orders";
+    later.body = R"({"order_id":"later","fence":1000000,"action":"unload","model":"none","memory_mb":0})";
+    http_client().send(later);
+    const seen_answer answer = path.ask(chatRequest(1, "other"));
     REQUIRE(answer.refusal);
     CHECK(answer.refusal->verdict == verdict::NotRun);
-    CHECK(get(path.settings.admin, "/admin/status")["engine"]["orders"] == "fenced_off");
-    CHECK(get(path.engine.at, "/admin/stats")["loads"].empty());
+    CHECK(getJson(path.settings.admin, "/admin/status")["engine"]["orders"] == "fenced_off");
+    CHECK(getJson(path.upstream.at, "/admin/stats")["loads"].empty());
 }
 
 TEST_CASE("side orders: a process that replaces one whose order is still under way overcommits nothing")
@@ -193,11 +146,13 @@
     for (const bool checksFencing : { false, true }) {
         order_path path(viewOf(checksFencing));
         REQUIRE(path.waitUntilOpen());
-        post(path.engine.at, "/admin/faults", R"({"delay_orders_ms":6000,"refuse_overcommit":false})");
+        // The order that takes the fencing number is not the one that is replaced.
+        REQUIRE(until([&] { return !path.hasRunningOrder(); }));
+        setFaults(path.upstream.at, { { "delay_orders_ms", 6000 }, { "refuse_overcommit", false } });
         path.entry->send(chatRequest(1, "other"));
-        REQUIRE(path.waitForRunningOrder());
-        post(path.engine.at, "/admin/faults", R"({"delay_orders_ms":0})");
-        path.restart(viewOf(checksFencing, { { "third", "up-1", true } }));
+        REQUIRE(until([&] { return path.hasRunningOrder(); }));
+        setFaults(path.upstream.at, { { "delay_orders_ms", 0 } });
+        path.start(viewOf(checksFencing, { { "third", "up-1", true } }));
         CHECK(path.waitForModel("third"));
         CHECK(path.waitForLoadOf("other"));
         CHECK(path.peakMb() <= 1000);
--- a/Tests/Side/request_dispatcher_tests.cpp
+++ b/Tests/Side/request_dispatcher_tests.cpp
@@ -78,11 +78,11 @@
 // What the dispatcher takes for the wait while another request holds the only slot.
 std::uint32_t waitBehindOne(dispatcher_path& path)
 {
-    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    setFaults(path.service.at, { { "hold", true } });
     path.dispatcher.onRequest(1, lookup(100));
     REQUIRE(until([&] { return path.dispatcher.load().running == 1; }));
     const std::uint32_t waitMs = path.dispatcher.load().waitMs;
-    post(path.service.at, "/admin/faults", R"({"hold":false})");
+    setFaults(path.service.at, { { "hold", false } });
     path.dispatcher.waitIdle();
     return waitMs;
 }
@@ -106,12 +106,12 @@
 {
     dispatcher_path path;
     path.dispatcher.setView(serviceView(), nullptr, {});
-    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    setFaults(path.service.at, { { "hold", true } });
     path.dispatcher.onRequest(1, lookup(1));
     path.dispatcher.onRequest(1, lookup(1));
-    post(path.service.at, "/admin/faults", R"({"hold":false})");
+    setFaults(path.service.at, { { "hold", false } });
     path.dispatcher.waitIdle();
-    CHECK(get(path.service.at, "/admin/executions")["total"] == 1);
+    CHECK(getJson(path.service.at, "/admin/executions")["total"] == 1);
     std::size_t ends = 0;
     for (const message& frame : path.frames())
         ends += std::holds_alternative<answer_end>(frame) ? 1 : 0;
@@ -124,15 +124,15 @@
     side_view view = serviceView();
     view.upstream.slots = 1;
     path.dispatcher.setView(view, nullptr, {});
-    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    setFaults(path.service.at, { { "hold", true } });
     path.dispatcher.onRequest(1, lookup(1));
     path.dispatcher.onRequest(2, lookup(1));
     path.dispatcher.onRequest(2, lookup(2));
     path.dispatcher.onCancel(2, 2);
     path.dispatcher.onConnectionClosed(2);
-    post(path.service.at, "/admin/faults", R"({"hold":false})");
+    setFaults(path.service.at, { { "hold", false } });
     path.dispatcher.waitIdle();
-    CHECK(get(path.service.at, "/admin/executions")["total"] == 1);
+    CHECK(getJson(path.service.at, "/admin/executions")["total"] == 1);
 }
 
 TEST_CASE("request dispatcher: only what the upstream served or kept too long tells how fast it is")
@@ -156,13 +156,13 @@
     path.dispatcher.setView(view, nullptr, {});
     path.isFull = true;
     path.dispatcher.onRequest(1, lookup(1));
-    REQUIRE(until([&] { return get(path.service.at, "/admin/executions")["total"] == 1; }));
+    REQUIRE(until([&] { return getJson(path.service.at, "/admin/executions")["total"] == 1; }));
     std::this_thread::sleep_for(lateness);
     path.isFull = false;
     path.dispatcher.waitIdle();
-    post(path.service.at, "/admin/faults", R"({"hold":true})");
+    setFaults(path.service.at, { { "hold", true } });
     path.dispatcher.onRequest(1, lookup(2));
-    REQUIRE(until([&] { return get(path.service.at, "/admin/executions")["total"] == 2; }));
+    REQUIRE(until([&] { return getJson(path.service.at, "/admin/executions")["total"] == 2; }));
     std::this_thread::sleep_for(lateness);
     path.dispatcher.onCancel(1, 2);
     path.dispatcher.waitIdle();
--- a/Tests/Side/side_fixture.h
+++ b/Tests/Side/side_fixture.h
@@ -4,10 +4,11 @@
 #include "Fakes/fake_log.h"
 #include "Fakes/fake_service.h"
 #include "Record/side_view.h"
-#include "Serve/http_client.h"
 #include "Serve/http_server.h"
 #include "Side/side_process.h"
+#include "Support/calls.h"
 #include "Support/free_port.h"
+#include "Support/until.h"
 #include "Wire/frame_link.h"
 #include "Wire/wire_pool.h"
 
@@ -147,25 +148,6 @@
     fake_log log;
 };
 
-/// Sends a JSON document to a stand-in.
-inline void post(const address& server, const std::string& target, const std::string& body)
-{
-    http_request request;
-    request.method = "POST";
-    request.server = server;
-    request.target = target;
-    request.body = body;
-    http_client().send(request);
-}
-
-inline nlohmann::json get(const address& server, const std::string& target)
-{
-    http_request request;
-    request.server = server;
-    request.target = target;
-    return nlohmann::json::parse(http_client().send(request).body);
-}
-
 inline side_settings sideSettings(const address& target)
 {
     side_settings settings;
@@ -225,4 +207,67 @@
     return request;
 }
 
+inline fake_engine::options engineOptions(bool checksFencing)
+{
+    fake_engine::options options;
+    options.memory.totalMb = 1000;
+    options.memory.checksFencing = checksFencing;
+    options.memory.preload = { "small=400" };
+    return options;
+}
+
+/// \brief A side process between an entry and a stand-in, with the stand-in log or none.
+template <typename Fake> struct side_path {
+    template <typename Options>
+    side_path(const Options& options, const side_view& view, bool withLog)
+        : upstream(options)
+        , settings(sideSettings(upstream.at))
+    {
+        if (withLog)
+            settings.log = log.at;
+        start(view);
+    }
+
+    /// Starts a process with the records, in the place of the one that runs, without a drain.
+    void start(const side_view& view)
+    {
+        entry.reset();
+        side.reset();
+        side.emplace(settings);
+        entry.emplace(settings.frames);
+        entry->send(side_view_message { view.offset, formatSideView(view) });
+    }
+
+    /// \return what came back for the request.
+    seen_answer ask(const request_message& request)
+    {
+        entry->send(request);
+        return entry->answerTo(request.id);
+    }
+
+    served<Fake> upstream;
+    served<fake_log_at> log;
+    side_settings settings;
+    std::optional<side_process> side;
+    std::optional<entry_player> entry;
+};
+
+/// \brief Before an engine that holds the model "small".
+struct engine_path : side_path<fake_engine> {
+    explicit engine_path(const side_view& view = engineView(), bool withLog = false)
+        : side_path(engineOptions(view.upstream.checksFencing), view, withLog)
+    {
+    }
+};
+
+/// \brief Before a plain service.
+struct service_path : side_path<fake_service> {
+    explicit service_path(bool withLog)
+        : side_path("ledger", serviceView(), withLog)
+    {
+    }
+
+    std::uint64_t executions() const { return getJson(upstream.at, "/admin/executions")["total"]; }
+};
+
 } // namespace sagesaddle::testing
