Tests: Fill all workers but two with silent senders while a caller is answered

Bounding the workers that wait for bodies was looked at and is not done. A read blocks in CivetWeb's worker for the server's one request timeout, so neither a shorter wait for some connections nor a look at what has arrived is possible from outside; refusing bodies once a share of the workers waits would refuse ordinary callers while there are free workers, and so cost them more than it does now.

The senders of the three tests are one class now; of the checks none is lost: the slow sender still sends part of a body that never comes whole, its announced length is 100000 for 100 in one of them.

--- a/Tests/Entry/edge_fixture.h
+++ b/Tests/Entry/edge_fixture.h
@@ -30,6 +30,8 @@
 public:
     using side = std::function<void(exchange_table&, const std::string& upstream, const request_message&)>;
 
+    static constexpr std::uint32_t workers = 8;
+
     explicit edge_fixture(side answers, request_limits limits = {})
         : m_side(std::move(answers))
     {
@@ -42,7 +44,7 @@
         handler = std::make_unique<request_handler>(settings, services());
         server = std::make_unique<http_server>(
             http_server::options {
-                .listen = settings.callers, .workers = 8, .requestTimeout = milliseconds(500) },
+                .listen = settings.callers, .workers = workers, .requestTimeout = milliseconds(500) },
             [this](http_call& call) { handler->handle(call); });
     }
 
--- a/Tests/Entry/edge_tests.cpp
+++ b/Tests/Entry/edge_tests.cpp
@@ -1,6 +1,8 @@
 #include "Entry/edge_fixture.h"
+#include "Support/until.h"
 
 #include <doctest/doctest.h>
+#include <list>
 #include <thread>
 
 using namespace sagesaddle;
@@ -28,6 +30,34 @@
         upstream, request.id, refusal_message { request.id, ran, "queue_full", "full", 700, {} });
 }
 
+// A caller that announces a body and keeps its connection.
+class silent_sender {
+public:
+    explicit silent_sender(const edge_fixture& edge)
+    {
+        m_socket.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
+        asio::write(m_socket, asio::buffer(head));
+    }
+
+    asio::ip::tcp::socket& socket() { return m_socket; }
+
+    std::string answer()
+    {
+        std::string text;
+        std::error_code error;
+        asio::read(m_socket, asio::dynamic_buffer(text), error);
+        return text;
+    }
+
+    static constexpr std::string_view head
+        = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+          "Bearer secret\r\nContent-Length: 100000\r\n\r\n{";
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket { m_context };
+};
+
 // A head and one piece, then the link breaks.
 void breakOff(exchange_table& exchanges, const std::string& upstream, const request_message& request,
     const std::string& type)
@@ -227,37 +257,39 @@
 TEST_CASE("edge: a slow or half-closed sender is cut off and others are served meanwhile")
 {
     edge_fixture edge(answerOk);
-    const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-                             "secret\r\nContent-Length: 100\r\n\r\n{";
-    CHECK_FALSE(has(edge.rawCall(head, true), "HTTP/1.1 200"));
-    asio::io_context context;
-    asio::ip::tcp::socket slow(context);
-    slow.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
-    asio::write(slow, asio::buffer(head));
+    CHECK_FALSE(has(edge.rawCall(std::string(silent_sender::head), true), "HTTP/1.1 200"));
+    silent_sender slow(edge);
     CHECK(has(edge.chat(), "{\"ok\":true}"));
-    std::string answer;
-    std::error_code error;
-    asio::read(slow, asio::dynamic_buffer(answer), error);
-    CHECK(has(answer, "\"reason\":\"body_incomplete\""));
+    CHECK(has(slow.answer(), "\"reason\":\"body_incomplete\""));
+    CHECK(edge.sent().size() == 1);
+}
+
+TEST_CASE("edge: silent senders on all workers but two cost others nothing")
+{
+    edge_fixture edge(answerOk);
+    std::list<silent_sender> silent;
+    for (std::uint32_t i = 0; i + 2 < edge_fixture::workers; ++i)
+        silent.emplace_back(edge);
+    REQUIRE(testing::until([&] { return edge.handler->inFlight() == silent.size(); }));
+    CHECK(has(edge.chat(), "{\"ok\":true}"));
+    // Answered while all of them still hold their workers.
+    CHECK(edge.handler->inFlight() == silent.size());
+    for (silent_sender& each : silent)
+        CHECK(has(each.answer(), "\"reason\":\"body_incomplete\""));
     CHECK(edge.sent().size() == 1);
 }
 
 TEST_CASE("edge: a sender that drips its body or stops in its head is cut off")
 {
     edge_fixture edge(answerOk);
-    asio::io_context context;
-    asio::ip::tcp::socket slow(context);
-    slow.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
-    asio::write(slow,
-        asio::buffer(std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-                                 "secret\r\nContent-Length: 100000\r\n\r\n")));
+    silent_sender slow(edge);
     std::error_code error;
-    while (slow.available() == 0 && !error) {
-        asio::write(slow, asio::buffer(" ", 1), error);
+    while (slow.socket().available() == 0 && !error) {
+        asio::write(slow.socket(), asio::buffer(" ", 1), error);
         std::this_thread::sleep_for(milliseconds(20));
     }
     std::string answer(512, '\0');
-    answer.resize(slow.read_some(asio::buffer(answer), error));
+    answer.resize(slow.socket().read_some(asio::buffer(answer), error));
     CHECK(has(answer, "\"reason\":\"body_incomplete\""));
     CHECK_FALSE(has(edge.rawCall("GET /v1/models HTTP/1.1\r\nHo"), "HTTP/1.1 200"));
     CHECK(edge.sent().empty());
