Tests: Write a fleet's records with the program's own formatter

The test's TOML writer repeated every field of the records. The path, drain and memory tests pass with it.

--- a/Tests/Support/fleet_records.cpp
+++ b/Tests/Support/fleet_records.cpp
@@ -1,66 +1,27 @@
 #include "Support/fleet_records.h"
 
-#include <array>
-#include <iomanip>
-#include <openssl/sha.h>
-#include <sstream>
+#include "Record/json_text.h"
+#include "Record/object_json.h"
+
+#include <nlohmann/json.hpp>
 
 namespace sagesaddle::testing {
 
 namespace {
 
-std::string sha256Of(const std::string& text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
-    std::ostringstream hex;
-    for (const unsigned char byte : digest)
-        hex << std::hex << std::setw(2) << std::setfill('0') << static_cast<int>(byte);
-    return hex.str();
-}
+constexpr std::uint32_t writtenSchema = 1;
 
-std::string quoted(const std::string& text)
+// JSON texts, numbers and truth values are TOML's too.
+template <typename Object> std::string formatTables(const std::vector<Object>& objects)
 {
-    return '"' + text + '"';
-}
-
-// Writes one table of an array of tables.
-class table_writer {
-public:
-    table_writer(std::ostream& out, const char* kind)
-        : m_out(out)
-    {
-        m_out << "[[" << kind << "]]\n";
-    }
-
-    table_writer& text(const char* name, const std::string& value) { return raw(name, quoted(value)); }
-    table_writer& flag(const char* name, bool value) { return raw(name, value ? "true" : "false"); }
-    template <typename Number> table_writer& number(const char* name, Number value)
-    {
-        return raw(name, std::to_string(value));
-    }
-
-private:
-    table_writer& raw(const char* name, const std::string& value)
-    {
-        m_out << name << " = " << value << '\n';
-        return *this;
+    std::string text;
+    for (const Object& object : objects) {
+        text.append("[[").append(nameOf(refOf(object).kind)).append("]]\n");
+        const nlohmann::json fields = formatObject({ object, {} }, writtenSchema);
+        for (const auto& [name, value] : fields.items())
+            text.append(name).append(" = ").append(value.dump()).append("\n");
     }
-
-    std::ostream& m_out;
-};
-
-void writeUpstream(std::ostream& out, const upstream& value)
-{
-    table_writer table(out, "upstream");
-    table.text("name", value.name).text("region", value.region).text("zone", value.zone);
-    table.text("kind", value.kind == upstream_kind::Engine ? "engine" : "service");
-    table.text("side", formatAddress(value.side)).text("target", formatAddress(value.target));
-    table.number("slots", value.slots).flag("leaving", value.leaving);
-    if (value.kind == upstream_kind::Engine)
-        table.number("memory_mb", value.memoryMb).flag("checks_fencing", value.checksFencing);
-    else
-        table.text("service", value.service);
+    return text;
 }
 
 } // namespace
@@ -68,7 +29,7 @@
 void fleet_records::addTeam(const std::string& name, double rate, double burst)
 {
     teams.push_back({ name, rate, burst });
-    keys.push_back({ name + "-key", name, sha256Of(secretOf(name)), false });
+    keys.push_back({ name + "-key", name, sha256Hex(secretOf(name)), false });
 }
 
 void fleet_records::withdrawKeys(const std::string& teamName)
@@ -86,42 +47,9 @@
 
 std::string formatToml(const fleet_records& records)
 {
-    std::ostringstream out;
-    out << "schema = 1\n";
-    for (const team& value : records.teams)
-        table_writer(out, "team")
-            .text("name", value.name)
-            .number("rate_tokens_per_s", value.rateTokensPerSecond)
-            .number("burst_tokens", value.burstTokens);
-    for (const api_key& value : records.keys)
-        table_writer(out, "key")
-            .text("id", value.id)
-            .text("team", value.team)
-            .text("secret_sha256", value.secretSha256)
-            .flag("withdrawn", value.withdrawn);
-    for (const model& value : records.models)
-        table_writer(out, "model").text("name", value.name).number("memory_mb", value.memoryMb);
-    for (const upstream& value : records.upstreams)
-        writeUpstream(out, value);
-    for (const route& value : records.routes)
-        table_writer(out, "route")
-            .text("path_prefix", value.pathPrefix)
-            .text("service", value.service)
-            .flag("open", value.open)
-            .flag("idempotent", value.idempotent);
-    for (const placement& value : records.placements)
-        table_writer(out, "placement")
-            .text("model", value.model)
-            .text("upstream", value.upstream)
-            .flag("pinned", value.pinned);
-    for (const entry_host& value : records.entries)
-        table_writer(out, "entry")
-            .text("name", value.name)
-            .text("region", value.region)
-            .text("zone", value.zone)
-            .text("peer", formatAddress(value.peer))
-            .text("admin", formatAddress(value.admin));
-    return out.str();
+    return "schema = " + std::to_string(writtenSchema) + "\n" + formatTables(records.teams)
+        + formatTables(records.keys) + formatTables(records.models) + formatTables(records.upstreams)
+        + formatTables(records.routes) + formatTables(records.placements) + formatTables(records.entries);
 }
 
 } // namespace sagesaddle::testing
