Tests: Ask for two cold models at once, kill a side during a cold load, and drain longer streams

The streams are 4 s long now. Two memory tests ask for two models that nothing holds while there is room for one and orders come late.

--- a/Tests/Failure/drain_tests.cpp
+++ b/Tests/Failure/drain_tests.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t streams = 8;
 constexpr seconds leavingBound { 4 };
 
-const chat_call slowStream { .model = "model-1", .tokens = 30, .stream = true };
+// 4 s long, so that they outlast the entry's wait for the balancer and the side's shortest drain.
+const chat_call slowStream { .model = "model-1", .tokens = 80, .stream = true };
 
 std::vector<std::future<http_response>> startStreams(fleet& fleet)
 {
--- a/Tests/Failure/memory_tests.cpp
+++ b/Tests/Failure/memory_tests.cpp
@@ -3,6 +3,7 @@
 #include "Support/until.h"
 
 #include <doctest/doctest.h>
+#include <future>
 
 using namespace sagesaddle;
 using namespace sagesaddle::testing;
@@ -51,6 +52,39 @@
     CHECK(stats.at("overcommit_orders") == 0);
 }
 
+bool isOrderRunning(fleet& fleet)
+{
+    const auto orders = getJson(fleet.engine(0).listen, "/control/report").at("recent_orders");
+    return !orders.empty() && orders.back().at("outcome") == "running";
+}
+
+std::uint64_t overcommitsOf(fleet& fleet)
+{
+    return getJson(fleet.engine(0).listen, "/admin/stats").at("overcommit_orders");
+}
+
+fleet_plan roomForOneMore()
+{
+    fleet_plan plan = tightPlan(true);
+    plan.engineMemoryMb += 100;
+    return plan;
+}
+
+// Declares two models that nothing holds, and makes orders late.
+void addColdModels(fleet& fleet)
+{
+    for (const char* name : { "second", "third" })
+        fleet.records().models.push_back({ name, 100, "" });
+    REQUIRE(fleet.apply().exitCode == 0);
+    trustOrders(fleet, { { "delay_orders_ms", 300 }, { "report_lag_ms", 300 } });
+}
+
+std::future<bool> servedLater(fleet& fleet, const std::string& model)
+{
+    return std::async(std::launch::async,
+        [&fleet, model] { return chat(fleet.entry(0).listen, "walkin", { .model = model }).status == 200; });
+}
+
 } // namespace
 
 TEST_CASE("memory: orders that are lost, late or unanswered never overcommit an engine")
@@ -71,12 +105,44 @@
         fleet fleet(tightPlan(checksFencing));
         trustOrders(fleet, { { "delay_orders_ms", 500 }, { "report_lag_ms", 300 } });
         swapModel(fleet, "shared", "second");
-        REQUIRE(until([&] {
-            const auto orders = getJson(fleet.engine(0).listen, "/control/report").at("recent_orders");
-            return !orders.empty() && orders.back().at("outcome") == "running";
-        }));
+        REQUIRE(until([&] { return isOrderRunning(fleet); }));
         fleet.engineSide(0).process->kill();
         fleet.restart(fleet.engineSide(0));
         checkServedWithinMemory(fleet, "second");
     }
 }
+
+TEST_CASE("memory: of two cold models asked for at once, with room for one, only one is loaded")
+{
+    fleet fleet(roomForOneMore());
+    addColdModels(fleet);
+    CHECK(until([&] {
+        auto second = servedLater(fleet, "second");
+        auto third = servedLater(fleet, "third");
+        const bool secondServed = second.get();
+        return third.get() || secondServed;
+    }));
+    CHECK(overcommitsOf(fleet) == 0);
+}
+
+TEST_CASE("memory: a side killed while a cold load is under way leaves the load its room")
+{
+    fleet fleet(roomForOneMore());
+    addColdModels(fleet);
+    auto lost = servedLater(fleet, "second");
+    REQUIRE(until([&] {
+        // Refused until the entry and the side know the model.
+        if (lost.wait_for(milliseconds(0)) == std::future_status::ready)
+            lost = servedLater(fleet, "second");
+        return isOrderRunning(fleet);
+    }));
+    fleet.engineSide(0).process->kill();
+    CHECK_FALSE(lost.get());
+    fleet.restart(fleet.engineSide(0));
+    CHECK(until([&] {
+        auto third = servedLater(fleet, "third");
+        const bool secondServed = servedLater(fleet, "second").get();
+        return third.get() || secondServed;
+    }));
+    CHECK(overcommitsOf(fleet) == 0);
+}
