Tests: Share the records of the command's tests and the sides of the edge's

record_fixture uses the temporary folder and the records that the fleet tests have; the sides of the edge tests that refuse or break off are named functions. The key of a team's file is called gold-key, as in the fleet tests, for gold-1.

--- a/Tests/Command/command_tests.cpp
+++ b/Tests/Command/command_tests.cpp
@@ -10,8 +10,7 @@
 
 TEST_CASE("check: says whether a folder is valid, references included")
 {
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     CHECK(runCommand(check_request { records.path() }).code == exit_code::Done);
     records.write("schema = 1\n[[placement]]\nmodel = \"m\"\nupstream = \"u\"\n");
     const command_report report = runCommand(check_request { records.path() });
@@ -23,8 +22,7 @@
 TEST_CASE("apply: puts the folder in force, and a second time changes nothing")
 {
     running_log log;
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     const command_report first = runCommand(records.applyTo(log.first(), "ann"));
     CHECK(first.code == exit_code::Done);
     CHECK(first.document.at("outcome") == "accepted");
@@ -37,8 +35,7 @@
 TEST_CASE("apply: the operator who loses a race is told who won")
 {
     running_log log;
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     runCommand(records.applyTo(log.first(), "ann"));
     records.write(teamFile("tin"));
     apply_request late = records.applyTo(log.first(), "bob");
@@ -53,8 +50,7 @@
 {
     running_log log;
     log.setFaults(R"({"lose_answers":2})");
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     const command_report report = runCommand(records.applyTo(log.first(), "ann"));
     CHECK(report.code == exit_code::Done);
     CHECK(report.document.at("offset") == 0);
@@ -65,8 +61,7 @@
 {
     running_log log;
     log.setFaults(R"({"away":true})");
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     const command_report report = runCommand(records.applyTo(log.first(), "ann"));
     CHECK(report.code == exit_code::LogAway);
     CHECK(report.document.at("error").get<std::string>().find("away") != std::string::npos);
@@ -75,8 +70,7 @@
 TEST_CASE("apply: records that the fleet cannot accept are not appended")
 {
     running_log log;
-    const record_fixture records;
-    records.write("schema = 1\n[[route]]\npath_prefix = \"/x\"\nservice = \"none\"\n");
+    const record_fixture records("schema = 1\n[[route]]\npath_prefix = \"/x\"\nservice = \"none\"\n");
     CHECK(runCommand(records.applyTo(log.first(), "ann")).code == exit_code::InvalidRecords);
     CHECK(log.end() == 0);
 }
@@ -84,8 +78,7 @@
 TEST_CASE("diff: shows what apply would do and against which revision")
 {
     running_log log;
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     runCommand(records.applyTo(log.first(), "ann"));
     records.write(teamFile("tin"));
     const command_report report = runCommand(diff_request { records.path(), log.first() });
@@ -108,10 +101,9 @@
 TEST_CASE("keys: a withdrawn key is listed as such, and a stale folder cannot bring it back")
 {
     running_log log;
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     runCommand(records.applyTo(log.first(), "ann"));
-    const keys_withdraw_request withdraw { "gold-1", log.first(), "bob", {} };
+    const keys_withdraw_request withdraw { "gold-key", log.first(), "bob", {} };
     CHECK(runCommand(withdraw).code == exit_code::Done);
     CHECK(runCommand(withdraw).document.at("outcome") == "unchanged");
     CHECK(runCommand(keys_list_request { log.first() }).document.at("keys").at(0).at("withdrawn") == true);
--- a/Tests/Command/entry_command_tests.cpp
+++ b/Tests/Command/entry_command_tests.cpp
@@ -44,8 +44,7 @@
 TEST_CASE("apply: confirms the entries where the change is in force and names those where it could not")
 {
     running_log log;
-    const record_fixture records;
-    records.write(teamFile("gold"));
+    const record_fixture records(teamFile("gold"));
     const admin_stand_in current(1);
     const admin_stand_in behind(0);
     apply_request request = records.applyTo(log.first(), "ann");
--- a/Tests/Command/record_fixture.cpp
+++ b/Tests/Command/record_fixture.cpp
@@ -1,27 +1,17 @@
 #include "Command/record_fixture.h"
 
-#include "Record/json_text.h"
-#include "Record/log_record.h"
-
-#include <fstream>
+#include "Support/fleet_records.h"
 
 namespace sagesaddle::testing {
 
-record_fixture::record_fixture()
-    : m_path(std::filesystem::temp_directory_path() / ("sagesaddle-records-" + makeRecordId()))
-{
-    std::filesystem::create_directory(m_path);
-}
-
-record_fixture::~record_fixture()
+record_fixture::record_fixture(const std::string& text)
 {
-    std::error_code ignored;
-    std::filesystem::remove_all(m_path, ignored);
+    write(text);
 }
 
 void record_fixture::write(const std::string& text) const
 {
-    std::ofstream(m_path / "fleet.toml") << text;
+    writeFile(m_folder.path() / "fleet.toml", text);
 }
 
 apply_request record_fixture::applyTo(const address& log, const std::string& operatorName) const
@@ -31,9 +21,9 @@
 
 std::string teamFile(const std::string& name)
 {
-    return "schema = 1\n[[team]]\nname = \"" + name
-        + "\"\nrate_tokens_per_s = 1\nburst_tokens = 1\n[[key]]\nid = \"" + name + "-1\"\nteam = \"" + name
-        + "\"\nsecret_sha256 = \"" + sha256Hex(name) + "\"\n";
+    fleet_records records;
+    records.addTeam(name, 1, 1);
+    return formatToml(records);
 }
 
 } // namespace sagesaddle::testing
--- a/Tests/Command/record_fixture.h
+++ b/Tests/Command/record_fixture.h
@@ -2,8 +2,8 @@
 
 #include "Base/address.h"
 #include "Command/command_line.h"
+#include "Support/temp_folder.h"
 
-#include <filesystem>
 #include <string>
 
 namespace sagesaddle::testing {
@@ -11,13 +11,10 @@
 /// \brief A folder of records that is removed at the end of a test.
 class record_fixture {
 public:
-    record_fixture();
-    ~record_fixture();
+    /// \param text what the folder's only file holds
+    explicit record_fixture(const std::string& text);
 
-    record_fixture(const record_fixture&) = delete;
-    record_fixture& operator=(const record_fixture&) = delete;
-
-    std::string path() const { return m_path.string(); }
+    std::string path() const { return m_folder.path().string(); }
 
     /// Replaces the folder's only file.
     void write(const std::string& text) const;
@@ -26,7 +23,7 @@
     apply_request applyTo(const address& log, const std::string& operatorName) const;
 
 private:
-    std::filesystem::path m_path;
+    temp_folder m_folder;
 };
 
 /// \return a file with one team of that name and a key of it.
--- a/Tests/Entry/edge_tests.cpp
+++ b/Tests/Entry/edge_tests.cpp
@@ -23,11 +23,12 @@
     answerWhole(exchanges, upstream, request, "{\"ok\":true}");
 }
 
-void refuse(
-    exchange_table& exchanges, const std::string& upstream, const request_message& request, verdict ran)
+edge_fixture::side refuses(verdict ran)
 {
-    exchanges.deliver(
-        upstream, request.id, refusal_message { request.id, ran, "queue_full", "full", 700, {} });
+    return [ran](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
+        exchanges.deliver(
+            upstream, request.id, refusal_message { request.id, ran, "queue_full", "full", 700, {} });
+    };
 }
 
 // A caller that announces a body and keeps its connection.
@@ -59,12 +60,14 @@
 };
 
 // A head and one piece, then the link breaks.
-void breakOff(exchange_table& exchanges, const std::string& upstream, const request_message& request,
-    const std::string& type)
+edge_fixture::side breaksOff(const std::string& type)
 {
-    exchanges.deliver(upstream, request.id, answer_head { request.id, 200, { { "Content-Type", type } } });
-    exchanges.deliver(upstream, request.id, answer_data { request.id, 0, "data: 1\n\ndata: {\"cut" });
-    exchanges.lose(upstream);
+    return [type](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
+        exchanges.deliver(
+            upstream, request.id, answer_head { request.id, 200, { { "Content-Type", type } } });
+        exchanges.deliver(upstream, request.id, answer_data { request.id, 0, "data: 1\n\ndata: {\"cut" });
+        exchanges.lose(upstream);
+    };
 }
 
 } // namespace
@@ -98,10 +101,7 @@
 
 TEST_CASE("edge: a broken stream ends with an error event and never looks complete")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            breakOff(exchanges, upstream, request, eventStream);
-        });
+    edge_fixture edge(breaksOff(eventStream));
     const std::string answer = edge.chat(R"(,"stream":true)");
     CHECK(has(answer, "data: 1\n\n"));
     CHECK(has(answer, "event: error\ndata: {"));
@@ -132,7 +132,7 @@
     edge_fixture edge(
         [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
             if (request.id == 1)
-                breakOff(exchanges, upstream, request, "application/json");
+                breaksOff("application/json")(exchanges, upstream, request);
             else
                 answerOk(exchanges, upstream, request);
         });
@@ -142,10 +142,7 @@
 
 TEST_CASE("edge: a plain answer that breaks at every upstream is refused, never cut")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            breakOff(exchanges, upstream, request, "application/json");
-        });
+    edge_fixture edge(breaksOff("application/json"));
     const std::string answer = edge.chat();
     CHECK(answer.starts_with("HTTP/1.1 502 "));
     CHECK(has(answer, "application/problem+json"));
@@ -155,10 +152,7 @@
 
 TEST_CASE("edge: a call that may not be repeated is not tried again once it may have run")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            refuse(exchanges, upstream, request, verdict::MayHaveRun);
-        });
+    edge_fixture edge(refuses(verdict::MayHaveRun));
     edge.setState([](fleet_state& state) {
         state.upstreams["ledger-2"] = state.upstreams["ledger"];
         state.upstreams["ledger-2"].name = "ledger-2";
@@ -171,10 +165,7 @@
 
 TEST_CASE("edge: a refusal that was surely not run is tried elsewhere and told as not run")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            refuse(exchanges, upstream, request, verdict::NotRun);
-        });
+    edge_fixture edge(refuses(verdict::NotRun));
     const std::string answer = edge.chat();
     CHECK(answer.starts_with("HTTP/1.1 503 "));
     CHECK(has(answer, "Retry-After: 1\r\n"));
