Tests: Let an engine end a stream cleanly but too early, and lose orders of two cold models

Seen in a scratch copy: without the side's look for a stream's last event the test of broken streams passed, as the stand-in always broke the connection. It can end the body in order now (cut_cleanly), and the test does so at a second engine; its checks are the same for both. The second engine is needed because the router leaves one that failed alone for 100 ms.

--- a/Tests/Failure/answer_tests.cpp
+++ b/Tests/Failure/answer_tests.cpp
@@ -27,14 +27,18 @@
 
 TEST_CASE("answers: a stream that breaks ends with an error event and never looks complete")
 {
-    fleet fleet({ .engines = 1, .services = 0 });
-    setFaults(fleet.engine(0).listen, { { "cut_after_events", 3 } });
-    const http_response answer
-        = chat(fleet.entry(0).listen, "walkin", { .model = "model-1", .tokens = 20, .stream = true });
-    INFO(answer.body);
-    CHECK(answer.body.find("[DONE]") == std::string::npos);
-    CHECK(answer.body.find("event: error") != std::string::npos);
-    CHECK(answer.body.find("may_have_run") != std::string::npos);
+    fleet fleet({ .engines = 2, .services = 0 });
+    // The second engine ends its body as it should, only too early.
+    for (const std::size_t i : { 0, 1 }) {
+        setFaults(fleet.engine(i).listen, { { "cut_after_events", 3 }, { "cut_cleanly", i == 1 } });
+        const std::string model = "model-" + std::to_string(i + 1);
+        const http_response answer
+            = chat(fleet.entry(0).listen, "walkin", { .model = model, .tokens = 20, .stream = true });
+        INFO(answer.body);
+        CHECK(answer.body.find("[DONE]") == std::string::npos);
+        CHECK(answer.body.find("event: error") != std::string::npos);
+        CHECK(answer.body.find("may_have_run") != std::string::npos);
+    }
 }
 
 TEST_CASE("answers: late answers of many callers are not crossed")
--- a/Tests/Failure/memory_tests.cpp
+++ b/Tests/Failure/memory_tests.cpp
@@ -71,12 +71,13 @@
 }
 
 // Declares two models that nothing holds, and makes orders late.
-void addColdModels(fleet& fleet)
+void addColdModels(fleet& fleet, nlohmann::json faults = nlohmann::json::object())
 {
     for (const char* name : { "second", "third" })
         fleet.records().models.push_back({ name, 100, "" });
     REQUIRE(fleet.apply().exitCode == 0);
-    trustOrders(fleet, { { "delay_orders_ms", 300 }, { "report_lag_ms", 300 } });
+    faults.update({ { "delay_orders_ms", 300 }, { "report_lag_ms", 300 } });
+    trustOrders(fleet, faults);
 }
 
 std::future<bool> servedLater(fleet& fleet, const std::string& model)
@@ -115,7 +116,7 @@
 TEST_CASE("memory: of two cold models asked for at once, with room for one, only one is loaded")
 {
     fleet fleet(roomForOneMore());
-    addColdModels(fleet);
+    addColdModels(fleet, { { "lose_orders", 1 }, { "lose_order_answers", 2 } });
     CHECK(until([&] {
         auto second = servedLater(fleet, "second");
         auto third = servedLater(fleet, "third");
--- a/Tests/Fakes/fake_engine.cpp
+++ b/Tests/Fakes/fake_engine.cpp
@@ -203,9 +203,11 @@
 void fake_engine::answerStream(http_call& call, const completion& asked)
 {
     std::uint32_t eventsLeft = 0;
+    bool endsCleanly = false;
     {
         const std::lock_guard lock(m_mutex);
         eventsLeft = std::exchange(m_faults.cutAfterEvents, 0);
+        endsCleanly = m_faults.cutCleanly;
     }
     const bool cuts = eventsLeft > 0;
     bool open = call.startStream(200, { { "Content-Type", "text/event-stream" } });
@@ -225,7 +227,9 @@
     send(last.dump());
     send("[DONE]");
     open = open && call.endStream();
-    if (!open)
+    if (!open && endsCleanly)
+        call.endStream();
+    else if (!open)
         call.abandon();
     const std::lock_guard lock(m_mutex);
     ++(open ? m_completed : m_cancelled);
@@ -249,6 +253,7 @@
         const std::lock_guard lock(m_mutex);
         setSwitch(document, "hold", m_faults.hold);
         setSwitch(document, "cut_after_events", m_faults.cutAfterEvents);
+        setSwitch(document, "cut_cleanly", m_faults.cutCleanly);
         setSwitch(document, "cut_answers", m_faults.cutAnswers);
         setSwitch(document, "delay_answers_ms", m_faults.delayAnswersMs);
         setSwitch(document, "tokens_per_second", m_faults.tokensPerSecond);
--- a/Tests/Fakes/fake_engine.h
+++ b/Tests/Fakes/fake_engine.h
@@ -51,6 +51,8 @@
     struct faults {
         bool hold { false };
         std::uint32_t cutAfterEvents { 0 };
+        /// Whether a cut stream ends as a whole answer does.
+        bool cutCleanly { false };
         std::uint32_t cutAnswers { 0 };
         std::uint32_t delayAnswersMs { 0 };
         double tokensPerSecond { 0 };
