--- a/Tests/Entry/edge_tests.cpp
+++ b/Tests/Entry/edge_tests.cpp
@@ -1,6 +1,8 @@
 #include "Entry/edge_fixture.h"
+#include "Support/until.h"
 
 #include <doctest/doctest.h>
+#include <list>
 #include <thread>
 
 using namespace sagesaddle;
@@ -21,20 +23,51 @@
     answerWhole(exchanges, upstream, request, "{\"ok\":true}");
 }
 
-void refuse(
-    exchange_table& exchanges, const std::string& upstream, const request_message& request, verdict ran)
+edge_fixture::side refuses(verdict ran)
 {
-    exchanges.deliver(
-        upstream, request.id, refusal_message { request.id, ran, "queue_full", "full", 700, {} });
+    return [ran](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
+        exchanges.deliver(
+            upstream, request.id, refusal_message { request.id, ran, "queue_full", "full", 700, {} });
+    };
 }
 
+// A caller that announces a body and keeps its connection.
+class silent_sender {
+public:
+    explicit silent_sender(const edge_fixture& edge)
+    {
+        m_socket.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
+        asio::write(m_socket, asio::buffer(head));
+    }
+
+    asio::ip::tcp::socket& socket() { return m_socket; }
+
+    std::string answer()
+    {
+        std::string text;
+        std::error_code error;
+        asio::read(m_socket, asio::dynamic_buffer(text), error);
+        return text;
+    }
+
+    static constexpr std::string_view head
+        = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+          "Bearer secret\r\nContent-Length: 100000\r\n\r\n{";
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket { m_context };
+};
+
 // A head and one piece, then the link breaks.
-void breakOff(exchange_table& exchanges, const std::string& upstream, const request_message& request,
-    const std::string& type)
+edge_fixture::side breaksOff(const std::string& type)
 {
-    exchanges.deliver(upstream, request.id, answer_head { request.id, 200, { { "Content-Type", type } } });
-    exchanges.deliver(upstream, request.id, answer_data { request.id, 0, "data: 1\n\ndata: {\"cut" });
-    exchanges.lose(upstream);
+    return [type](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
+        exchanges.deliver(
+            upstream, request.id, answer_head { request.id, 200, { { "Content-Type", type } } });
+        exchanges.deliver(upstream, request.id, answer_data { request.id, 0, "data: 1\n\ndata: {\"cut" });
+        exchanges.lose(upstream);
+    };
 }
 
 } // namespace
@@ -68,10 +101,7 @@
 
 TEST_CASE("edge: a broken stream ends with an error event and never looks complete")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            breakOff(exchanges, upstream, request, eventStream);
-        });
+    edge_fixture edge(breaksOff(eventStream));
     const std::string answer = edge.chat(R"(,"stream":true)");
     CHECK(has(answer, "data: 1\n\n"));
     CHECK(has(answer, "event: error\ndata: {"));
@@ -102,7 +132,7 @@
     edge_fixture edge(
         [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
             if (request.id == 1)
-                breakOff(exchanges, upstream, request, "application/json");
+                breaksOff("application/json")(exchanges, upstream, request);
             else
                 answerOk(exchanges, upstream, request);
         });
@@ -112,10 +142,7 @@
 
 TEST_CASE("edge: a plain answer that breaks at every upstream is refused, never cut")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            breakOff(exchanges, upstream, request, "application/json");
-        });
+    edge_fixture edge(breaksOff("application/json"));
     const std::string answer = edge.chat();
     CHECK(answer.starts_with("HTTP/1.1 502 "));
     CHECK(has(answer, "application/problem+json"));
@@ -125,10 +152,7 @@
 
 TEST_CASE("edge: a call that may not be repeated is not tried again once it may have run")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            refuse(exchanges, upstream, request, verdict::MayHaveRun);
-        });
+    edge_fixture edge(refuses(verdict::MayHaveRun));
     edge.setState([](fleet_state& state) {
         state.upstreams["ledger-2"] = state.upstreams["ledger"];
         state.upstreams["ledger-2"].name = "ledger-2";
@@ -141,10 +165,7 @@
 
 TEST_CASE("edge: a refusal that was surely not run is tried elsewhere and told as not run")
 {
-    edge_fixture edge(
-        [](exchange_table& exchanges, const std::string& upstream, const request_message& request) {
-            refuse(exchanges, upstream, request, verdict::NotRun);
-        });
+    edge_fixture edge(refuses(verdict::NotRun));
     const std::string answer = edge.chat();
     CHECK(answer.starts_with("HTTP/1.1 503 "));
     CHECK(has(answer, "Retry-After: 1\r\n"));
@@ -227,37 +248,39 @@
 TEST_CASE("edge: a slow or half-closed sender is cut off and others are served meanwhile")
 {
     edge_fixture edge(answerOk);
-    const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-                             "secret\r\nContent-Length: 100\r\n\r\n{";
-    CHECK_FALSE(has(edge.rawCall(head, true), "HTTP/1.1 200"));
-    asio::io_context context;
-    asio::ip::tcp::socket slow(context);
-    slow.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
-    asio::write(slow, asio::buffer(head));
+    CHECK_FALSE(has(edge.rawCall(std::string(silent_sender::head), true), "HTTP/1.1 200"));
+    silent_sender slow(edge);
     CHECK(has(edge.chat(), "{\"ok\":true}"));
-    std::string answer;
-    std::error_code error;
-    asio::read(slow, asio::dynamic_buffer(answer), error);
-    CHECK(has(answer, "\"reason\":\"body_incomplete\""));
+    CHECK(has(slow.answer(), "\"reason\":\"body_incomplete\""));
+    CHECK(edge.sent().size() == 1);
+}
+
+TEST_CASE("edge: silent senders on all workers but two cost others nothing")
+{
+    edge_fixture edge(answerOk);
+    std::list<silent_sender> silent;
+    for (std::uint32_t i = 0; i + 2 < edge_fixture::workers; ++i)
+        silent.emplace_back(edge);
+    REQUIRE(testing::until([&] { return edge.handler->inFlight() == silent.size(); }));
+    CHECK(has(edge.chat(), "{\"ok\":true}"));
+    // Answered while all of them still hold their workers.
+    CHECK(edge.handler->inFlight() == silent.size());
+    for (silent_sender& each : silent)
+        CHECK(has(each.answer(), "\"reason\":\"body_incomplete\""));
     CHECK(edge.sent().size() == 1);
 }
 
 TEST_CASE("edge: a sender that drips its body or stops in its head is cut off")
 {
     edge_fixture edge(answerOk);
-    asio::io_context context;
-    asio::ip::tcp::socket slow(context);
-    slow.connect({ asio::ip::make_address(edge.settings.callers.ip), edge.settings.callers.port });
-    asio::write(slow,
-        asio::buffer(std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-                                 "secret\r\nContent-Length: 100000\r\n\r\n")));
+    silent_sender slow(edge);
     std::error_code error;
-    while (slow.available() == 0 && !error) {
-        asio::write(slow, asio::buffer(" ", 1), error);
+    while (slow.socket().available() == 0 && !error) {
+        asio::write(slow.socket(), asio::buffer(" ", 1), error);
         std::this_thread::sleep_for(milliseconds(20));
     }
     std::string answer(512, '\0');
-    answer.resize(slow.read_some(asio::buffer(answer), error));
+    answer.resize(slow.socket().read_some(asio::buffer(answer), error));
     CHECK(has(answer, "\"reason\":\"body_incomplete\""));
     CHECK_FALSE(has(edge.rawCall("GET /v1/models HTTP/1.1\r\nHo"), "HTTP/1.1 200"));
     CHECK(edge.sent().empty());
