Route: Send a cold model to an engine that may evict where no memory is free

Cause: on demand a model was loaded only where free memory was reported, so with idle models filling every engine a model without a copy was refused as no_upstream although a side process would have evicted one (seen: over 30 s on one engine). Ruled out: the side's eviction, which works once a request comes. Before: the new test gets no_upstream. After: the engines that agree on the model's place are tried in their order; one that can evict nothing says no_memory, and the next is tried under the retry budget.

--- a/Source/Route/router.cpp
+++ b/Source/Route/router.cpp
@@ -101,6 +101,13 @@
     bool byPrefix { false };
 };
 
+/// \brief What a model takes on an engine that loads it.
+struct load_need {
+    std::uint64_t memoryMb { 0 };
+    /// Whether memory counts that other models hold.
+    bool byEviction { false };
+};
+
 } // namespace
 
 struct router::impl {
@@ -137,10 +144,10 @@
         const id_list& from, std::size_t near, const route_request& request, monotonic_time now);
     best_candidate pickReady(const id_list& from, const route_request& request, monotonic_time now);
     const candidate* pickEased(const id_list& from, const route_request& request) const;
-    bool mayLoadOn(const candidate& value, std::uint64_t memoryMb, const route_request& request,
+    bool mayLoadOn(const candidate& value, const load_need& need, const route_request& request,
         monotonic_time now) const;
     best_candidate pickCold(
-        const id_list& preferred, std::uint64_t memoryMb, const route_request& request, monotonic_time now);
+        const id_list& preferred, const load_need& need, const route_request& request, monotonic_time now);
     bool comesBackSoon(const id_list& from, const route_request& request, monotonic_time now) const;
     route_choice chooseModel(const route_request& request, monotonic_time now);
     route_choice chooseService(const route_request& request, monotonic_time now);
@@ -418,18 +425,19 @@
 }
 
 bool router::impl::mayLoadOn(
-    const candidate& value, std::uint64_t memoryMb, const route_request& request, monotonic_time now) const
+    const candidate& value, const load_need& need, const route_request& request, monotonic_time now) const
 {
-    return value.known && value.record.kind == upstream_kind::Engine && value.freeMemoryMb >= memoryMb
+    const std::uint64_t memoryMb = need.byEviction ? value.record.memoryMb : value.freeMemoryMb;
+    return value.known && value.record.kind == upstream_kind::Engine && memoryMb >= need.memoryMb
         && usable(value, request, now);
 }
 
 /// Requests for one model meet on one engine, so that it is loaded once and not by each of them.
 best_candidate router::impl::pickCold(
-    const id_list& preferred, std::uint64_t memoryMb, const route_request& request, monotonic_time now)
+    const id_list& preferred, const load_need& need, const route_request& request, monotonic_time now)
 {
     for (upstream_id id : preferred)
-        if (mayLoadOn(upstreams[id], memoryMb, request, now) && !isFull(upstreams[id], request, now))
+        if (mayLoadOn(upstreams[id], need, request, now) && !isFull(upstreams[id], request, now))
             return { &upstreams[id], 0, false };
     best_candidate best;
     if (upstreams.empty())
@@ -440,7 +448,7 @@
         if (step >= coldSample && best.value)
             break;
         const candidate& value = upstreams[(start + step) % upstreams.size()];
-        if (mayLoadOn(value, memoryMb, request, now))
+        if (mayLoadOn(value, need, request, now))
             consider(best, value, request, 0, now);
     }
     return best;
@@ -495,8 +503,10 @@
         return refuse(copies.ready, request, now);
     copy_set& homes = models[home];
     refreshCold(home, homes);
-    if (best_candidate best = pickCold(homes.cold, memoryMb, request, now); best.value)
-        return { best.value->name, "cold_load", 0 };
+    // Without free memory anywhere a side process may still evict what nobody uses, and else says so.
+    for (const bool byEviction : { false, true })
+        if (best_candidate best = pickCold(homes.cold, { memoryMb, byEviction }, request, now); best.value)
+            return { best.value->name, "cold_load", 0 };
     return refuse(copies.ready, request, now);
 }
 
--- a/Tests/Route/router_properties.cpp
+++ b/Tests/Route/router_properties.cpp
@@ -89,6 +89,16 @@
         return names;
     }
 
+    std::set<std::string> bigEnough(std::uint64_t memoryMb, const route_request& request) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, record] : state.upstreams)
+            if (takesWork(name, request) && record.kind == upstream_kind::Engine
+                && record.memoryMb >= memoryMb)
+                names.insert(name);
+        return names;
+    }
+
     /// \return the upstreams of the best kind that there is.
     std::set<std::string> allowed(const route_request& request) const
     {
@@ -104,8 +114,10 @@
             kinds.push_back(loading(base->first, request));
             memoryMb += base->second.memoryMb;
         }
-        if (request.mayLoad)
+        if (request.mayLoad) {
             kinds.push_back(withRoom(memoryMb, request));
+            kinds.push_back(bigEnough(memoryMb, request));
+        }
         const auto best = std::ranges::find_if(kinds, [](const auto& names) { return !names.empty(); });
         return best == kinds.end() ? std::set<std::string> {} : *best;
     }
@@ -135,6 +147,7 @@
     record.region = *rc::gen::element<std::string>("r1", "r2");
     record.zone = *rc::gen::element<std::string>("z1", "z2");
     record.slots = *rc::gen::inRange<std::uint32_t>(1, 5);
+    record.memoryMb = *rc::gen::inRange<std::uint64_t>(0, 1200);
     record.leaving = *rc::gen::inRange(0, 8) == 0;
     return record;
 }
--- a/Tests/Route/router_tests.cpp
+++ b/Tests/Route/router_tests.cpp
@@ -326,3 +326,21 @@
     chooser.onLink("e0", true, later);
     CHECK(chooser.choose(requestFor("rare"), later).upstream == "e0");
 }
+
+TEST_CASE(
+    "router: where no memory is free a cold model goes to an engine that may evict, if it is big enough")
+{
+    router chooser("south", "z1", 1);
+    fleet_state state = emptyFleet(4);
+    state.upstreams["e0"].memoryMb = 400;
+    chooser.update(std::make_shared<const fleet_state>(state));
+    reportFree(chooser, state, 0);
+    route_request request = requestFor("rare");
+    for (int refused = 0; refused < 3; ++refused) {
+        const route_choice choice = chooser.choose(request, start);
+        CHECK(choice.reason == "cold_load");
+        CHECK(choice.upstream != "e0");
+        request.tried.insert(choice.upstream);
+    }
+    CHECK(chooser.choose(request, start).reason == "no_upstream");
+}
