Tests: Wait until the entry has read that a killed side's link is gone

Cause: the request could leave before the entry had read the end of the killed side's link; it then says may_have_run, as it must (seen once in a run of 80 tests at once). Ruled out: the verdict; nothing ran and nothing said otherwise. The test now waits for the entry's status to show the link as down, and asks for not_run as before.

--- a/Tests/Failure/verdict_tests.cpp
+++ b/Tests/Failure/verdict_tests.cpp
@@ -24,6 +24,12 @@
     return getJson(fleet.engine(engine).listen, "/admin/stats").at("by_team").value(team, 0);
 }
 
+bool isLinked(fleet& fleet, std::size_t engine)
+{
+    const auto status = getJson(fleet.entry(0).admin, "/admin/status");
+    return status.at("upstreams").at(engine).at("link_up");
+}
+
 std::future<http_response> chatLater(fleet& fleet, const chat_call& call)
 {
     return std::async(
@@ -58,6 +64,8 @@
 {
     fleet fleet({ .engines = 1, .services = 0 });
     fleet.engineSide(0).process->kill();
+    // Before the entry has read that the link is gone, it can only say that a request may have run.
+    REQUIRE(until([&] { return !isLinked(fleet, 0); }));
     checkRefused(chat(fleet.entry(0).listen, "walkin", onlyOnFirst), "not_run");
     CHECK(runsOn(fleet, 0, "walkin") == 0);
 }
