--- a/Utilities/bench/bench_decisions.cpp
+++ b/Utilities/bench/bench_decisions.cpp
@@ -76,6 +76,26 @@
         benchmark::DoNotOptimize(fleet.chooser.choose(request, start));
 }
 
+/// Models without a copy: each is loaded where all entries of the region would load it.
+void routeToColdModels(benchmark::State& run)
+{
+    const bench::fleet_size size = bench::sizeOf(static_cast<int>(run.range(0)));
+    fleet_state state = bench::makeFleet(size);
+    state.placements.clear();
+    router chooser("region-10000", "zone-10000", 7);
+    chooser.update(std::make_shared<const fleet_state>(state));
+    for (load_report& report : bench::makeReports(state)) {
+        report.residentModels.clear();
+        report.freeMemoryMb = std::uint64_t { 1 } << 40U;
+        chooser.onReport(report, start);
+    }
+    int next = 0;
+    for (auto _ : run) {
+        const route_request request = routed_fleet::requestFor(bench::modelName(next++ % size.models));
+        benchmark::DoNotOptimize(chooser.choose(request, start));
+    }
+}
+
 void takeReport(benchmark::State& run)
 {
     routed_fleet fleet(static_cast<int>(run.range(0)));
@@ -234,6 +254,7 @@
 
 BENCHMARK(routeRequest)->Arg(10)->Arg(50)->Arg(100);
 BENCHMARK(routeToFullCopies)->Arg(10)->Arg(50)->Arg(100);
+BENCHMARK(routeToColdModels)->Arg(10)->Arg(50)->Arg(100);
 BENCHMARK(takeReport)->Arg(10)->Arg(50)->Arg(100);
 BENCHMARK(updateRouter)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
 BENCHMARK(checkRate)->Arg(10)->Arg(50)->Arg(100);
--- /dev/null
+++ b/Utilities/bench/bench_planning.cpp
@@ -0,0 +1,60 @@
+#include "Entry/planner_sight.h"
+#include "Plan/placement_planner.h"
+#include "bench_fleet.h"
+
+#include <benchmark/benchmark.h>
+#include <map>
+
+using namespace sagesaddle;
+
+namespace {
+
+const monotonic_time start = monotonic_time {} + seconds(1000);
+constexpr double tokensPerSecond = 100;
+
+/// \brief A planner's sight of a fleet whose engines are all linked and report what they hold.
+struct planned_fleet {
+    fleet_state state;
+    planner_sight::load_map loads;
+    planner_sight sight { {} };
+
+    explicit planned_fleet(int percent)
+        : state(bench::makeFleet(bench::sizeOf(percent)))
+    {
+        for (load_report& report : bench::makeReports(state))
+            loads[report.upstream] = std::move(report);
+        for (const auto& [key, placed] : state.placements) {
+            loads[placed.upstream].residentModels.push_back(placed.model);
+            loads[placed.upstream].modelUses.push_back({ placed.model, tokensPerSecond });
+        }
+        for (const auto& [name, record] : state.upstreams)
+            sight.onLink(name, true, start);
+    }
+};
+
+void lookAtFleet(benchmark::State& run)
+{
+    planned_fleet fleet(static_cast<int>(run.range(0)));
+    for (auto _ : run)
+        benchmark::DoNotOptimize(fleet.sight.view(fleet.state, fleet.loads, start));
+}
+
+/// A pass with nothing to do, and one after a host was lost.
+void planPass(benchmark::State& run, bool lost)
+{
+    planned_fleet fleet(static_cast<int>(run.range(0)));
+    if (lost)
+        fleet.sight.onLink(bench::upstreamName(0), false, start);
+    const plan_view view = fleet.sight.view(fleet.state, fleet.loads, start + seconds(10));
+    placement_planner planner({});
+    std::size_t steps = 0;
+    for (auto _ : run)
+        steps = planner.plan(view, start + seconds(10)).size();
+    run.counters["steps"] = static_cast<double>(steps);
+}
+
+BENCHMARK(lookAtFleet)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(planPass, settled, false)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(planPass, host_lost, true)->Arg(10)->Arg(50)->Arg(100)->Unit(benchmark::kMicrosecond);
+
+} // namespace
