--- /dev/null
+++ b/Source/Route/copy_map.cpp
@@ -0,0 +1,241 @@
+#include "Route/copy_map.h"
+
+#include <algorithm>
+#include <tuple>
+#include <xxhash.h>
+
+namespace sagesaddle {
+
+namespace {
+
+constexpr std::size_t maxPrefixes = 256;
+/// Engines that are kept by model as the first ones for a cold load.
+constexpr std::size_t coldChoices = 16;
+
+} // namespace
+
+copy_map::copy_map(std::string region, std::string zone, std::uint64_t seed)
+    : m_region(std::move(region))
+    , m_zone(std::move(zone))
+    , m_seed(seed)
+{
+}
+
+void copy_map::update(fleet_state_ptr next)
+{
+    updateUpstreams(*next);
+    updatePlacements(*next);
+    m_state = std::move(next);
+}
+
+void copy_map::onReport(const load_report& report)
+{
+    const upstream_id id = idOf(report.upstream);
+    route_candidate& value = m_upstreams[id];
+    value.draining = report.draining;
+    value.freeMemoryMb = report.freeMemoryMb;
+    const auto kept = std::min(report.cachedPrefixes.size(), maxPrefixes);
+    value.prefixes.assign(
+        report.cachedPrefixes.begin(), report.cachedPrefixes.begin() + static_cast<std::ptrdiff_t>(kept));
+    std::sort(value.prefixes.begin(), value.prefixes.end());
+    setCopies(id, report);
+    if (std::exchange(value.reported, true))
+        return;
+    for (auto& [model, copies] : m_models)
+        copies.stale = copies.stale || copies.placed.contains(id);
+}
+
+const copy_set& copy_map::ofModel(const std::string& name)
+{
+    copy_set& copies = m_models[name];
+    refresh(copies);
+    return copies;
+}
+
+const copy_set& copy_map::ofService(const std::string& name)
+{
+    copy_set& instances = m_services[name];
+    refresh(instances);
+    return instances;
+}
+
+const id_list& copy_map::coldHomesOf(const std::string& model)
+{
+    copy_set& copies = m_models[model];
+    refreshCold(model, copies);
+    return copies.cold;
+}
+
+upstream_id copy_map::idOf(const std::string& name)
+{
+    const auto [found, added] = m_ids.emplace(name, static_cast<upstream_id>(m_upstreams.size()));
+    if (added) {
+        route_candidate& fresh = m_upstreams.emplace_back();
+        fresh.name = name;
+        fresh.rank = XXH3_64bits_withSeed(name.data(), name.size(), m_seed);
+        fresh.modelSeed = XXH3_64bits(name.data(), name.size());
+    }
+    return found->second;
+}
+
+route_candidate* copy_map::find(const std::string& name)
+{
+    const auto found = m_ids.find(name);
+    return found == m_ids.end() ? nullptr : &m_upstreams[found->second];
+}
+
+zone_distance copy_map::distanceTo(const upstream& value) const
+{
+    if (value.region != m_region)
+        return zone_distance::OtherRegion;
+    return value.zone == m_zone ? zone_distance::SameZone : zone_distance::SameRegion;
+}
+
+void copy_map::leaveService(upstream_id id)
+{
+    const route_candidate& value = m_upstreams[id];
+    if (!value.known || value.record.kind != upstream_kind::Service)
+        return;
+    copy_set& instances = m_services[value.record.service];
+    instances.placed.erase(id);
+    instances.stale = true;
+}
+
+void copy_map::setRecord(const std::string& name, const upstream* record)
+{
+    const upstream_id id = idOf(name);
+    leaveService(id);
+    route_candidate& value = m_upstreams[id];
+    const bool moved = record && (value.record.region != record->region || value.record.zone != record->zone);
+    value.known = record != nullptr;
+    value.leaving = value.leaving && record;
+    if (!record)
+        return;
+    value.record = *record;
+    value.distance = distanceTo(*record);
+    if (record->kind == upstream_kind::Service) {
+        m_services[record->service].placed.insert(id);
+        m_services[record->service].stale = true;
+    }
+    if (!moved)
+        return;
+    for (auto& [model, copies] : m_models)
+        copies.stale = copies.stale || copies.placed.contains(id) || copies.resident.contains(id);
+}
+
+void copy_map::updateUpstreams(const fleet_state& next)
+{
+    bool changed = false;
+    for (const auto& [name, record] : m_state->upstreams) {
+        if (next.upstreams.contains(name))
+            continue;
+        setRecord(name, nullptr);
+        changed = true;
+    }
+    for (const auto& [name, record] : next.upstreams) {
+        const auto old = m_state->upstreams.find(name);
+        if (old != m_state->upstreams.end() && old->second == record)
+            continue;
+        setRecord(name, &record);
+        changed = true;
+    }
+    if (!changed)
+        return;
+    for (auto& [model, copies] : m_models)
+        copies.coldStale = true;
+}
+
+void copy_map::updatePlacements(const fleet_state& next)
+{
+    const auto change = [this](const placement& value, bool present) {
+        copy_set& copies = m_models[value.model];
+        const upstream_id id = idOf(value.upstream);
+        if (present)
+            copies.placed.insert(id);
+        else
+            copies.placed.erase(id);
+        copies.stale = true;
+    };
+    if (m_state->placements == next.placements && m_state->plan == next.plan)
+        return;
+    const placement_map before = effectivePlacements(*m_state);
+    const placement_map after = effectivePlacements(next);
+    for (const auto& [key, value] : before)
+        if (!after.contains(key))
+            change(value, false);
+    for (const auto& [key, value] : after)
+        if (!before.contains(key))
+            change(value, true);
+}
+
+void copy_map::setCopies(upstream_id id, const load_report& report)
+{
+    route_candidate& value = m_upstreams[id];
+    const auto replace = [&](std::vector<std::string>& known, const std::vector<std::string>& reported,
+                             std::set<upstream_id> copy_set::*copies) {
+        if (known == reported)
+            return;
+        for (const std::string& name : known) {
+            (m_models[name].*copies).erase(id);
+            m_models[name].stale = true;
+        }
+        known = reported;
+        for (const std::string& name : reported) {
+            (m_models[name].*copies).insert(id);
+            m_models[name].stale = true;
+        }
+    };
+    replace(value.residentModels, report.residentModels, &copy_set::resident);
+    replace(value.loadingModels, report.loadingModels, &copy_set::loading);
+}
+
+void copy_map::refreshCold(const std::string& model, copy_set& copies) const
+{
+    if (!copies.coldStale)
+        return;
+    copies.coldStale = false;
+    using ranked = std::tuple<bool, std::uint64_t, upstream_id>;
+    std::vector<ranked> engines;
+    for (upstream_id id = 0; id < m_upstreams.size(); ++id) {
+        const route_candidate& value = m_upstreams[id];
+        if (!value.known || value.record.kind != upstream_kind::Engine)
+            continue;
+        const std::uint64_t rank = XXH3_64bits_withSeed(model.data(), model.size(), value.modelSeed);
+        engines.emplace_back(value.distance == zone_distance::OtherRegion, rank, id);
+    }
+    const std::size_t kept = std::min(engines.size(), coldChoices);
+    std::partial_sort(engines.begin(), engines.begin() + static_cast<std::ptrdiff_t>(kept), engines.end());
+    copies.cold.clear();
+    for (std::size_t at = 0; at < kept; ++at)
+        copies.cold.push_back(std::get<upstream_id>(engines[at]));
+}
+
+void copy_map::refresh(copy_set& copies) const
+{
+    if (!copies.stale)
+        return;
+    copies.stale = false;
+    copies.ready.assign(copies.resident.begin(), copies.resident.end());
+    copies.coming.clear();
+    copies.unloaded.clear();
+    for (upstream_id id : copies.loading)
+        if (!copies.resident.contains(id))
+            copies.coming.push_back(id);
+    for (upstream_id id : copies.placed) {
+        if (copies.resident.contains(id) || copies.loading.contains(id))
+            continue;
+        const route_candidate& value = m_upstreams[id];
+        const bool mayBeLoaded = !value.reported || value.record.kind == upstream_kind::Service;
+        (mayBeLoaded ? copies.ready : copies.unloaded).push_back(id);
+    }
+    const auto closer = [this](upstream_id left, upstream_id right) {
+        const route_candidate& one = m_upstreams[left];
+        const route_candidate& other = m_upstreams[right];
+        return std::tie(one.distance, one.rank, left) < std::tie(other.distance, other.rank, right);
+    };
+    std::sort(copies.ready.begin(), copies.ready.end(), closer);
+    std::sort(copies.coming.begin(), copies.coming.end(), closer);
+    std::sort(copies.unloaded.begin(), copies.unloaded.end(), closer);
+}
+
+} // namespace sagesaddle
