Tests: Let retention drop the claim before a gate starts after it

Cause: the stand-in log drops records with the next append only, so the new gate could still start at the first record; its own append then dropped what it had not read, and the claim was void (unavailable, which is true: nothing ran). Ruled out: the gate; it neither granted the key nor forgot it. The test now also shows that the claim's record has lapsed, which it only assumed.

--- a/Tests/Once/claim_gate_tests.cpp
+++ b/Tests/Once/claim_gate_tests.cpp
@@ -151,6 +151,9 @@
         = [&] { return bench.client.read(stream, 6002, 10, milliseconds(1000)).next > 6002; };
     REQUIRE(testing::until(hasSnapshot, patience));
     bench.fault({ { "retain", 8 } });
+    // The stand-in drops records with the next append; before, the claim is still there to be read.
+    bench.appendOthers(1);
+    REQUIRE_THROWS_AS(bench.client.read(stream, 0, 1, milliseconds(0)), log_error);
     bench.restartGate();
     CHECK(bench.ask("a") == "taken");
     CHECK(bench.ask("c") == "granted");
