Plan: Space planning passes to at most a fiftieth of the time

Cause: a pass looks at the whole fleet. Ruled out here: planning only what changed, which is the better way and a larger change. The pure pacer has a test.

--- a/Source/Entry/planner_loop.cpp
+++ b/Source/Entry/planner_loop.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds appendTimeout { 1000 };
 constexpr milliseconds pauseAfterFailure { 2000 };
+// Part of a core that planning may take.
+constexpr double planningShare = 0.02;
 
 std::string_view nameOf(plan_action action)
 {
@@ -35,6 +37,7 @@
     , m_log(settings.log, appendTimeout)
     , m_planner(settings.planner)
     , m_lease({ .self = settings.self })
+    , m_pacer(planningShare)
 {
 }
 
@@ -67,7 +70,7 @@
         return;
     }
     const auto fence = m_lease.fence(now);
-    if (fence && !m_written)
+    if (fence && !m_written && m_pacer.isDue(now))
         plan(*state, *fence, now);
 }
 
@@ -106,6 +109,7 @@
     if (!view)
         return;
     auto steps = m_planner.plan(*view, now);
+    m_pacer.onPass(now, monotonicNow());
     auto record = makePlanRecord(state, fence, steps);
     if (record.add.empty() && record.remove.empty())
         return;
--- a/Source/Entry/planner_loop.h
+++ b/Source/Entry/planner_loop.h
@@ -4,6 +4,7 @@
 #include "Agree/log_client.h"
 #include "Base/address.h"
 #include "Entry/planner_sight.h"
+#include "Plan/pass_pacer.h"
 #include "Plan/placement_planner.h"
 #include "Plan/planner_lease.h"
 
@@ -67,6 +68,7 @@
     planner_sight m_sight { {} };
     placement_planner m_planner;
     planner_lease m_lease;
+    pass_pacer m_pacer;
     std::optional<written_plan> m_written;
     monotonic_time m_pausedUntil;
 };
--- /dev/null
+++ b/Tests/Plan/pass_pacer_tests.cpp
@@ -0,0 +1,22 @@
+#include "Plan/pass_pacer.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+TEST_CASE("pass pacer: passes take at most their share of the time, however long one takes")
+{
+    pass_pacer pacer(0.02);
+    monotonic_time now = monotonic_time {} + seconds(1000);
+    const monotonic_time start = now;
+    CHECK(pacer.isDue(now));
+    milliseconds worked { 0 };
+    for (const int took : { 1, 40, 0, 200, 5 }) {
+        pacer.onPass(now, now + milliseconds(took));
+        worked += milliseconds(took);
+        while (!pacer.isDue(now))
+            now += milliseconds(1);
+        CHECK(worked <= 0.0201 * (now - start));
+        CHECK(now - start <= 50 * worked + milliseconds(5));
+    }
+}
