Tests: Let the stand-in engine wait for its threads before it goes

Cause: the stand-in's orders ran on detached threads, which used its memory after a test had destroyed it. Ruled out: the test's own checks, and the daemons, which do not link the stand-in.

--- a/Tests/Fakes/engine_memory.cpp
+++ b/Tests/Fakes/engine_memory.cpp
@@ -4,7 +4,6 @@
 #include "Serve/http_client.h"
 
 #include <algorithm>
-#include <thread>
 
 namespace sagesaddle::testing {
 
@@ -51,10 +50,10 @@
         return call.abandon();
     if (answerLost) {
         // The order is still on its way while its sender already knows that the answer is lost.
-        std::thread([this, asked, delay] {
-            std::this_thread::sleep_for(delay);
-            accept(asked);
-        }).detach();
+        m_workers.run([this, asked, delay] {
+            if (m_workers.pause(delay))
+                accept(asked);
+        });
         return call.abandon();
     }
     const acceptance answer = accept(asked);
@@ -87,15 +86,17 @@
     const milliseconds delay(m_faults.delayOrdersMs);
     if (!order.load && delay.count() == 0 && m_models.contains(order.model))
         m_models[order.model].state = "unloading";
-    std::thread([this, order, delay] { runOrder(order, delay); }).detach();
+    m_workers.run([this, order, delay] { runOrder(order, delay); });
 }
 
 void engine_memory::runOrder(const order_document& order, milliseconds delay)
 {
-    std::this_thread::sleep_for(delay);
+    if (!m_workers.pause(delay))
+        return;
     if (!order.load) {
-        std::this_thread::sleep_for(unloadTime);
-        return settle(order, "unloaded");
+        if (m_workers.pause(unloadTime))
+            settle(order, "unloaded");
+        return;
     }
     if (delay.count() > 0) {
         const std::lock_guard lock(m_mutex);
@@ -132,8 +133,10 @@
 
 void engine_memory::fetchWeights(const order_document& order)
 {
-    if (!m_options.store)
-        return std::this_thread::sleep_for(milliseconds(m_options.loadMs));
+    if (!m_options.store) {
+        m_workers.pause(milliseconds(m_options.loadMs));
+        return;
+    }
     http_request request;
     request.method = "POST";
     request.server = *m_options.store;
--- a/Tests/Fakes/engine_memory.h
+++ b/Tests/Fakes/engine_memory.h
@@ -2,6 +2,7 @@
 
 #include "Base/address.h"
 #include "Base/clock.h"
+#include "Fakes/worker_set.h"
 
 #include <cstdint>
 #include <deque>
@@ -102,6 +103,8 @@
     std::uint64_t m_overcommits { 0 };
     std::uint64_t m_fencedOff { 0 };
     std::map<std::string, std::uint64_t> m_loads;
+    // Last, so that it ends first: its threads use the others.
+    worker_set m_workers;
 };
 
 } // namespace sagesaddle::testing
