--- a/Utilities/check-models.sh
+++ b/Utilities/check-models.sh
@@ -4,12 +4,18 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 readonly depth=2000000
+# Verifiers that run at once; each takes at most 2048 MB.
+readonly atOnce=4
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
-# verify MODEL [VARIANT]: prints the number of errors the verifier found.
+# folderOf MODEL [VARIANT]: where a verification is worked on.
+folderOf() { printf '%s/%s-%s' "$work" "$(basename "$1" .pml)" "${2:-whole}"; }
+
+# verify MODEL [VARIANT]: leaves the number of errors that the verifier found in its folder.
 verify() {
-    local folder="$work/$(basename "$1" .pml)-${2:-whole}"
+    local folder
+    folder=$(folderOf "$@")
     mkdir -p "$folder"
     cp "$1" "$folder/model.pml"
     (
@@ -21,28 +27,44 @@
             echo incomplete
         else
             sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log
-        fi
+        fi > errors
     )
 }
 
+variantsOf() { sed -n '1s|^// variants:||p' "$1"; }
+
+running=0
+for model in Tests/Model/*.pml; do
+    [ -e "$model" ] || continue
+    for variant in '' $(variantsOf "$model"); do
+        if [ "$running" -ge "$atOnce" ]; then
+            wait -n || true
+            running=$((running - 1))
+        fi
+        verify "$model" ${variant:+"$variant"} &
+        running=$((running + 1))
+    done
+done
+wait
+
 holding=0
 caught=0
 variants=0
 failures=0
 for model in Tests/Model/*.pml; do
     [ -e "$model" ] || continue
-    errors=$(verify "$model")
+    errors=$(cat "$(folderOf "$model")/errors" || true)
     if [ "$errors" = 0 ]; then
         holding=$((holding + 1))
         echo "$model: holds"
     else
         failures=$((failures + 1))
         echo "$model: FAILS (errors: ${errors:-none reported})"
-        cat "$work/$(basename "$model" .pml)-whole/"{spin,pan}.log
+        cat "$(folderOf "$model")/"{spin,pan}.log
     fi
-    for variant in $(sed -n '1s|^// variants:||p' "$model"); do
+    for variant in $(variantsOf "$model"); do
         variants=$((variants + 1))
-        errors=$(verify "$model" "$variant")
+        errors=$(cat "$(folderOf "$model" "$variant")/errors" || true)
         if [ -n "$errors" ] && [ "$errors" != 0 ] && [ "$errors" != incomplete ]; then
             caught=$((caught + 1))
             echo "$model without its guard ($variant): caught"
--- a/Utilities/measure-all.sh
+++ b/Utilities/measure-all.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Compares the policies over several seeds, and prints median, least and most of each measure.
 # usage: Utilities/measure-all.sh RESULTS [SEED...]
-# The JSON line of each run is added to the file RESULTS. The two policies of a seed run side by side, so that
-# whatever else the machine does disturbs both. The build folder is taken as by measure.sh.
+# The JSON line of each run is added to the file RESULTS. The four runs of a seed (two deployments, two policies)
+# go side by side, so that whatever else the machine does disturbs all. The build folder is taken as by measure.sh.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 results=${1:?usage: Utilities/measure-all.sh RESULTS [SEED...]}
@@ -11,15 +11,15 @@
 [ ${#seeds[@]} -gt 0 ] || seeds=(1 2 3 4 5)
 runs=$(mktemp)
 trap 'rm -f "$runs"' EXIT
-for deployment in consortium kuusela; do
-    for seed in "${seeds[@]}"; do
+for seed in "${seeds[@]}"; do
+    for deployment in consortium kuusela; do
         for policy in naive current; do
             Utilities/measure.sh --deployment "$deployment" --policy "$policy" --seed "$seed" >> "$runs" &
         done
-        wait
     done
+    wait
+    tail -n 4 "$runs" >> "$results"
 done
-cat "$runs" >> "$results"
 
 # The value of a number member of a JSON line.
 valuesOf() { # deployment policy measure
