Record: Look up one upstream's copies without joining all of them

Cause: a side's view joined the declared and planned copies of the whole fleet to keep those of one upstream, for each view that is due; side_links indexed all copies of both states with every record folded, also for a lease's renewal every 5 s, while the router's look for the same copies stood beside it; and a side asked for each request which models must yield, through all models, although no pinned one was missing. Ruled out: changing what is sent or decided. The copies of an upstream, which views are due and who yields are as before.

--- a/Source/Entry/side_links.cpp
+++ b/Source/Entry/side_links.cpp
@@ -27,8 +27,12 @@
 std::set<std::string> changedViews(const fleet_state* before, const fleet_state& after)
 {
     const bool sameModels = before && before->models == after.models;
-    placement_index oldPlacements = before ? byUpstream(*before) : placement_index {};
-    placement_index newPlacements = byUpstream(after);
+    placement_index oldPlacements;
+    placement_index newPlacements;
+    if (before && !haveSamePlacements(*before, after)) {
+        oldPlacements = byUpstream(*before);
+        newPlacements = byUpstream(after);
+    }
     std::set<std::string> changed;
     for (const auto& [name, record] : after.upstreams) {
         const bool modelsMatter = record.kind == upstream_kind::Engine && !sameModels;
--- a/Source/Place/order_planner.cpp
+++ b/Source/Place/order_planner.cpp
@@ -71,6 +71,8 @@
     // Whether the model is among those in use that pins missing here need the memory of.
     bool mustYield(const std::string& name) const
     {
+        if (m_pinsMissingMb == 0)
+            return false;
         std::uint64_t gained = m_freeMb + m_ledger.unloadingMb();
         for (const std::string& idle : evictable({ {}, true, false }))
             gained += m_ledger.models().at(idle).memoryMb;
--- a/Source/Record/fleet_state.h
+++ b/Source/Record/fleet_state.h
@@ -83,6 +83,12 @@
 /// \return the declared and the planned copies; one is pinned if either says so.
 placement_map effectivePlacements(const fleet_state& state);
 
+/// \return those of an upstream, by model.
+std::vector<placement> effectivePlacementsOn(const fleet_state& state, const std::string& upstream);
+
+/// \return whether the declared and the planned copies are the same in both states.
+bool haveSamePlacements(const fleet_state& one, const fleet_state& other);
+
 /// \return the route with the longest prefix of the path, or nothing where none fits.
 const route* findRoute(const fleet_state& state, const std::string& path);
 
--- a/Source/Record/side_view.cpp
+++ b/Source/Record/side_view.cpp
@@ -49,9 +49,7 @@
     view.upstream = found->second;
     if (view.upstream.kind == upstream_kind::Engine)
         view.models = state.models;
-    for (const auto& [key, value] : effectivePlacements(state))
-        if (value.upstream == upstreamName)
-            view.placements.push_back(value);
+    view.placements = effectivePlacementsOn(state, upstreamName);
     return view;
 }
 
--- a/Source/Route/copy_map.cpp
+++ b/Source/Route/copy_map.cpp
@@ -156,7 +156,7 @@
             copies.placed.erase(id);
         copies.stale = true;
     };
-    if (m_state->placements == next.placements && m_state->plan == next.plan)
+    if (haveSamePlacements(*m_state, next))
         return;
     const placement_map before = effectivePlacements(*m_state);
     const placement_map after = effectivePlacements(next);
