--- a/Source/Agree/fleet_follower.h
+++ b/Source/Agree/fleet_follower.h
@@ -4,6 +4,7 @@
 #include "Base/address.h"
 #include "Base/clock.h"
 #include "Record/fleet_state.h"
+#include "Record/log_record.h"
 #include "Wire/messages.h"
 
 #include <functional>
@@ -21,7 +22,7 @@
 public:
     struct options {
         address log;
-        std::string stream { "config" };
+        std::string stream { configStream };
         /// Name of this entry in the records.
         std::string self;
         /// Number of this process among those of the name, for the epochs; 0 where it has none.
--- a/Source/Agree/peer_rotation.cpp
+++ b/Source/Agree/peer_rotation.cpp
@@ -20,7 +20,7 @@
 std::vector<std::string> peer_rotation::due(
     monotonic_time now, const std::vector<std::string>& peers, bool logAway)
 {
-    const double elapsed = std::chrono::duration<double>(now - m_lastRound).count();
+    const double elapsed = secondsBetween(m_lastRound, now);
     m_allowance = std::min<double>(mostAsksPerSecond, m_allowance + elapsed * mostAsksPerSecond);
     m_lastRound = now;
     std::erase_if(
--- a/Source/Base/clock.h
+++ b/Source/Base/clock.h
@@ -16,6 +16,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// \return seconds from one time to another, negative where the other is earlier.
+inline double secondsBetween(monotonic_time from, monotonic_time to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
 /// \return the time on this process's monotonic clock; for the shells around the decision code.
 inline monotonic_time monotonicNow()
 {
--- a/Source/Command/config_writer.cpp
+++ b/Source/Command/config_writer.cpp
@@ -12,7 +12,6 @@
 constexpr milliseconds callTimeout { 3000 };
 constexpr int mostTries = 6;
 constexpr milliseconds retryPause { 250 };
-const std::string configStream = "config";
 
 std::optional<accepted_change> acceptedChange(
     std::uint64_t offset, const std::string& text, const fold_result& result)
--- a/Source/Entry/main.cpp
+++ b/Source/Entry/main.cpp
@@ -1,12 +1,11 @@
+#include "Base/stop_signals.h"
 #include "Entry/entry_process.h"
 #include "Entry/entry_settings.h"
 #include "Settings/settings_reader.h"
 #include "Watch/log.h"
 
-#include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
-#include <pthread.h>
 #include <string>
 #include <vector>
 
@@ -32,25 +31,12 @@
 constexpr int failed = 1;
 constexpr int wrongSettings = 2;
 
-// Blocked in every thread, so that only waitForStop() receives them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 int serve(const sagesaddle::entry_settings& settings)
 {
-    const sigset_t signals = blockStopSignals();
+    const sagesaddle::stop_signals signals;
     sagesaddle::configureLog(settings.logging);
     sagesaddle::entry_process process(settings);
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     process.drain();
     return 0;
 }
--- a/Source/Entry/planner_loop.h
+++ b/Source/Entry/planner_loop.h
@@ -7,6 +7,7 @@
 #include "Plan/pass_pacer.h"
 #include "Plan/placement_planner.h"
 #include "Plan/planner_lease.h"
+#include "Record/log_record.h"
 
 #include <functional>
 #include <mutex>
@@ -28,7 +29,7 @@
         /// Name of this entry in the records.
         std::string self;
         address log;
-        std::string stream { "config" };
+        std::string stream { configStream };
         placement_planner::options planner;
     };
     struct services {
--- a/Source/Limit/rate_member.cpp
+++ b/Source/Limit/rate_member.cpp
@@ -24,7 +24,7 @@
 
 double decayed(double value, monotonic_time since, monotonic_time now)
 {
-    const double elapsed = std::chrono::duration<double>(now - since).count();
+    const double elapsed = secondsBetween(since, now);
     return value * std::exp(-std::max(elapsed, 0.0) / recentUseSeconds);
 }
 
--- a/Source/Place/use_meter.cpp
+++ b/Source/Place/use_meter.cpp
@@ -7,10 +7,7 @@
 
 namespace {
 
-double secondsOf(monotonic_time::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
+constexpr double fadingSeconds = std::chrono::duration<double>(use_meter::fading).count();
 
 } // namespace
 
@@ -19,7 +16,7 @@
     if (!m_uses.contains(model))
         forgetUnused(now);
     use& noted = m_uses[model];
-    noted.tokens = rateOf(noted, now) * secondsOf(fading) + tokens;
+    noted.tokens = rateOf(noted, now) * fadingSeconds + tokens;
     noted.at = now;
 }
 
@@ -40,7 +37,7 @@
 
 double use_meter::rateOf(const use& of, monotonic_time now)
 {
-    return of.tokens / secondsOf(fading) * std::exp(-secondsOf(now - of.at) / secondsOf(fading));
+    return of.tokens / fadingSeconds * std::exp(-secondsBetween(of.at, now) / fadingSeconds);
 }
 
 void use_meter::forgetUnused(monotonic_time now)
--- a/Source/Record/log_record.h
+++ b/Source/Record/log_record.h
@@ -18,6 +18,9 @@
 /// Schema version of epoch records that name runs: programs that do not know runs skip the field.
 inline constexpr std::uint32_t epochRunsSchema = 3;
 
+/// Stream of the log that holds these records.
+inline constexpr const char* configStream = "config";
+
 /// Duty whose holder may write plan records.
 inline constexpr const char* plannerDuty = "planner";
 
--- a/Source/Route/fair_queue.cpp
+++ b/Source/Route/fair_queue.cpp
@@ -135,11 +135,6 @@
     monotonic_time started;
 };
 
-double secondsBetween(monotonic_time from, monotonic_time to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 milliseconds toMilliseconds(double seconds)
 {
     return milliseconds(static_cast<milliseconds::rep>(std::min(seconds, 86400.0) * 1000.0));
--- a/Source/Route/upstream_load.cpp
+++ b/Source/Route/upstream_load.cpp
@@ -17,16 +17,16 @@
 constexpr milliseconds longestEasing { 10000 };
 constexpr std::uint32_t maxDoublings = 7;
 
-double secondsBetween(monotonic_time from, monotonic_time to)
+double secondsPassed(monotonic_time from, monotonic_time to)
 {
-    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+    return std::max(0.0, secondsBetween(from, to));
 }
 
 } // namespace
 
 void upstream_load::accumulate(monotonic_time now)
 {
-    m_tokenSeconds += m_ownTokens * secondsBetween(m_accumulatedUntil, now);
+    m_tokenSeconds += m_ownTokens * secondsPassed(m_accumulatedUntil, now);
     m_accumulatedUntil = std::max(m_accumulatedUntil, now);
 }
 
@@ -100,13 +100,13 @@
 {
     if (m_othersRequests == 0)
         return m_ownRequests;
-    const double age = secondsBetween(m_reportTaken, now);
+    const double age = secondsPassed(m_reportTaken, now);
     return m_ownRequests + m_othersRequests * std::exp2(-age / reportHalfLifeSeconds);
 }
 
 double upstream_load::meanSeconds(monotonic_time now) const
 {
-    const double spent = m_tokenSeconds + m_ownTokens * secondsBetween(m_accumulatedUntil, now);
+    const double spent = m_tokenSeconds + m_ownTokens * secondsPassed(m_accumulatedUntil, now);
     const double tokens = std::max(m_answeredTokens, m_ownTokens);
     return tokens > 0 ? spent / tokens : 0;
 }
--- a/Source/Side/claimed_exchange.cpp
+++ b/Source/Side/claimed_exchange.cpp
@@ -12,15 +12,6 @@
 // A log that takes longer counts as away: the call is refused rather than held back.
 constexpr milliseconds longestClaim { 2000 };
 
-exchange_outcome refused(verdict ran, std::string reason, std::string detail)
-{
-    exchange_outcome outcome;
-    outcome.ran = ran;
-    outcome.reason = std::move(reason);
-    outcome.detail = std::move(detail);
-    return outcome;
-}
-
 // A claim that failed in any way lets nothing run.
 claim_result tryClaim(const claim_hooks& claims, const request_message& request, monotonic_time deadline)
 {
@@ -41,17 +32,18 @@
     const request_message& request, const exchange_hooks& hooks, const claim_hooks& claims)
 {
     if (request.idempotencyKey.empty()) {
-        return refused(
+        return notAnswered(
             verdict::NotRun, "no_idempotency_key", "a call that may run once needs an Idempotency-Key");
     }
     const claim_result claimed = tryClaim(claims, request, terms.deadline);
     switch (claimed.outcome) {
     case claim_outcome::Taken:
-        return refused(verdict::MayHaveRun, "already_claimed", "an earlier call with this key may have run");
+        return notAnswered(
+            verdict::MayHaveRun, "already_claimed", "an earlier call with this key may have run");
     case claim_outcome::TooOld:
-        return refused(verdict::MayHaveRun, "key_too_old", "the key is older than what is remembered");
+        return notAnswered(verdict::MayHaveRun, "key_too_old", "the key is older than what is remembered");
     case claim_outcome::Unavailable:
-        return refused(verdict::NotRun, "log_unavailable", "the claim could not be settled in the log");
+        return notAnswered(verdict::NotRun, "log_unavailable", "the claim could not be settled in the log");
     case claim_outcome::Granted:
         break;
     }
--- a/Source/Side/main.cpp
+++ b/Source/Side/main.cpp
@@ -1,13 +1,12 @@
+#include "Base/stop_signals.h"
 #include "Settings/settings_reader.h"
 #include "Side/side_process.h"
 #include "Side/side_settings.h"
 #include "Watch/log.h"
 
-#include <csignal>
 #include <docopt/docopt.h>
 #include <exception>
 #include <iostream>
-#include <pthread.h>
 
 namespace {
 
@@ -31,27 +30,14 @@
 Exit codes: 0 drained, or settings in order; 1 could not run; 2 settings at fault.
 )";
 
-// Blocks the signals in all threads to come, so that one thread can wait for them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int runSide(const sagesaddle::side_settings& settings)
 {
-    const sigset_t signals = blockStopSignals();
-    std::signal(SIGPIPE, SIG_IGN);
+    const sagesaddle::stop_signals signals;
     sagesaddle::configureLog(settings.logging);
     sagesaddle::side_process process(settings);
     sagesaddle::writeLog(sagesaddle::log_level::Info, "started",
         { { "upstream", settings.name }, { "frames", formatAddress(process.framesAddress()) } });
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     process.drain();
     return exitOk;
 }
--- a/Source/Side/side_process.cpp
+++ b/Source/Side/side_process.cpp
@@ -31,7 +31,6 @@
 constexpr milliseconds closeLimit { 2000 };
 constexpr milliseconds sendGrace { 1 };
 constexpr milliseconds logTimeout { 2000 };
-constexpr const char* configStream = "config";
 
 span_exporter::options spanOptions(const side_settings& settings)
 {
--- a/Source/Side/upstream_exchange.cpp
+++ b/Source/Side/upstream_exchange.cpp
@@ -121,15 +121,6 @@
     return result;
 }
 
-exchange_outcome failed(verdict ran, std::string reason, std::string detail)
-{
-    exchange_outcome outcome;
-    outcome.ran = ran;
-    outcome.reason = std::move(reason);
-    outcome.detail = std::move(detail);
-    return outcome;
-}
-
 std::string reasonOf(const http_error& error, monotonic_time deadline, const exchange_hooks& hooks)
 {
     if (hooks.isCancelled())
@@ -141,6 +132,15 @@
 
 } // namespace
 
+exchange_outcome notAnswered(verdict ran, std::string reason, std::string detail)
+{
+    exchange_outcome outcome;
+    outcome.ran = ran;
+    outcome.reason = std::move(reason);
+    outcome.detail = std::move(detail);
+    return outcome;
+}
+
 bool tellsServiceTime(const exchange_outcome& outcome)
 {
     if (outcome.ran == verdict::Answered)
@@ -152,9 +152,9 @@
     const exchange_hooks& hooks)
 {
     if (hooks.isCancelled())
-        return failed(verdict::NotRun, "cancelled", "the caller left before the request was sent");
+        return notAnswered(verdict::NotRun, "cancelled", "the caller left before the request was sent");
     if (monotonicNow() >= terms.deadline)
-        return failed(verdict::NotRun, reasonDeadline, "no time was left to send the request");
+        return notAnswered(verdict::NotRun, reasonDeadline, "no time was left to send the request");
     answer_relay relay(request, terms.kind, hooks);
     http_sink sink;
     sink.onHead = [&](std::uint16_t status, const header_list& headers) { relay.onHead(status, headers); };
@@ -164,11 +164,11 @@
         client.stream(makeHttpRequest(terms, request), sink);
         return relay.finish();
     } catch (const exchange_stopped& stopped) {
-        return failed(stopped.ran(), stopped.reason(), stopped.what());
+        return notAnswered(stopped.ran(), stopped.reason(), stopped.what());
     } catch (const http_error& error) {
-        return failed(error.ran(), reasonOf(error, terms.deadline, hooks), error.what());
+        return notAnswered(error.ran(), reasonOf(error, terms.deadline, hooks), error.what());
     } catch (const std::exception& error) {
-        return failed(verdict::MayHaveRun, "upstream_broken", error.what());
+        return notAnswered(verdict::MayHaveRun, "upstream_broken", error.what());
     }
 }
 
--- a/Source/Side/upstream_exchange.h
+++ b/Source/Side/upstream_exchange.h
@@ -30,6 +30,9 @@
     auto operator<=>(const exchange_outcome&) const = default;
 };
 
+/// \return the outcome of a request that was not answered.
+exchange_outcome notAnswered(verdict ran, std::string reason, std::string detail);
+
 /// \brief Where an exchange gets its frames rid of, and learns that nobody waits any more.
 struct exchange_hooks {
     /// Sends a frame to the entry; false where it cannot be reached.
--- a/Tests/Agree/fleet_follower_tests.cpp
+++ b/Tests/Agree/fleet_follower_tests.cpp
@@ -1,13 +1,14 @@
 #include "Agree/fleet_follower.h"
 #include "Agree/running_log.h"
 #include "Record/state_json.h"
+#include "Support/until.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
-#include <thread>
 
 using namespace sagesaddle;
 using namespace sagesaddle::testing;
@@ -16,16 +17,9 @@
 
 constexpr seconds bound { 20 };
 
-// Waits until something holds.
-template <typename Condition> bool eventually(Condition holds)
+bool eventually(const std::function<bool()>& holds)
 {
-    const auto until = monotonicNow() + bound;
-    while (!holds()) {
-        if (monotonicNow() > until)
-            return false;
-        std::this_thread::sleep_for(milliseconds(10));
-    }
-    return true;
+    return until(holds, bound);
 }
 
 // Followers that reach each other by calls, unless one is cut off.
--- a/Tests/Fakes/fake_program.cpp
+++ b/Tests/Fakes/fake_program.cpp
@@ -1,8 +1,9 @@
 #include "Fakes/fake_program.h"
 
+#include "Base/stop_signals.h"
+
 #include <array>
 #include <civetweb.h>
-#include <csignal>
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
@@ -42,12 +43,6 @@
     }
 }
 
-void waitForTermination(const sigset_t& signals)
-{
-    int received = 0;
-    sigwait(&signals, &received);
-}
-
 } // namespace
 
 std::uint64_t fake_arguments::number(const std::string& name) const
@@ -58,12 +53,7 @@
 int runFake(
     int argc, char** argv, const char* usage, const std::function<fake_handler(const fake_arguments&)>& make)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const stop_signals signals;
     try {
         const fake_arguments arguments = parseArguments(argc, argv, usage);
         const fake_handler handle = make(arguments);
@@ -78,7 +68,7 @@
                 options, [handle, listener](http_call& call) { answerGuarded(handle, call, listener); }));
         }
         std::cout << R"({"level":"info","message":"stand-in started"})" << std::endl;
-        waitForTermination(signals);
+        signals.wait();
         // A stand-in keeps nothing and may be cut off at any point.
         std::_Exit(EXIT_SUCCESS);
     } catch (const std::exception& error) {
