--- /dev/null
+++ b/Source/Fleet/contact_clock.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/clock.h"
+
+#include <optional>
+
+namespace sagesaddle {
+
+/// \brief How old the evidence is that the newest configuration is known here; pure.
+///
+/// Times are those of a clock that counts suspension. A read that was answered proves what was acknowledged
+/// before it was sent, so its evidence dates from its sending.
+class contact_clock {
+public:
+    /// \param keysFor age of the evidence from which requests with keys are refused
+    explicit contact_clock(monotonic_span keysFor);
+
+    /// A read of the configuration that was sent at that time was answered and taken in.
+    void onProof(monotonic_time sentAt);
+
+    /// \return whether a request with a key may still be sent on.
+    bool mayUseKeys(monotonic_time now) const;
+
+    std::optional<monotonic_span> age(monotonic_time now) const;
+
+private:
+    monotonic_span m_keysFor;
+    std::optional<monotonic_time> m_provenAt;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Fleet/engine_report.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Fleet/upstream_list.h"
+
+namespace sagesaddle {
+
+/// \brief What an engine reports of its load; some hundred milliseconds old.
+struct engine_report {
+    int queued { 0 };
+    int running { 0 };
+    /// Memory that cannot be freed, in tokens.
+    double memoryUsed { 0 };
+    double memoryTotal { 0 };
+    /// Orders accepted since its start.
+    std::uint64_t orders { 0 };
+    /// An order is being carried out.
+    bool isBusy { false };
+    std::vector<held_model> models;
+    /// Adapters on their way, as `model/adapter`.
+    std::vector<std::string> coming;
+
+    auto operator<=>(const engine_report&) const = default;
+};
+
+/// \brief An order to an engine.
+struct engine_order {
+    enum class action {
+        Load,
+        Unload,
+    };
+
+    action what { action::Load };
+    std::string model;
+    /// Empty where the model itself is meant.
+    std::string adapter;
+    std::string holder;
+    std::uint64_t fence { 0 };
+    /// The engine declines where it accepted another number of orders.
+    std::uint64_t expectedOrders { 0 };
+
+    auto operator<=>(const engine_order&) const = default;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Fleet/upstream_list.cpp
@@ -0,0 +1,79 @@
+#include "Fleet/upstream_list.h"
+
+#include <set>
+
+namespace sagesaddle {
+
+upstream_list::upstream_list(milliseconds returnGrace)
+    : m_returnGrace(returnGrace)
+{
+}
+
+void upstream_list::remove(const std::string& id, monotonic_time now)
+{
+    if (!m_entries.contains(id))
+        return;
+    if (m_heldUntil && now < *m_heldUntil) {
+        m_removals.emplace(id, *m_heldUntil);
+        return;
+    }
+    m_entries.erase(id);
+    m_removals.erase(id);
+    ++m_revision;
+}
+
+void upstream_list::onRecord(const upstream_record& record, monotonic_time now)
+{
+    const auto known = m_offsets.find(record.id);
+    if (known != m_offsets.end() && known->second >= record.offset)
+        return;
+    m_offsets[record.id] = record.offset;
+    if (!record.entry) {
+        remove(record.id, now);
+        return;
+    }
+    m_removals.erase(record.id);
+    const auto [place, isNew] = m_entries.try_emplace(record.id, *record.entry);
+    if (!isNew && place->second == *record.entry)
+        return;
+    place->second = *record.entry;
+    ++m_revision;
+}
+
+void upstream_list::onListing(
+    const std::vector<upstream_record>& records, std::uint64_t end, monotonic_time now)
+{
+    std::set<std::string> listed;
+    for (const auto& record : records) {
+        listed.insert(record.id);
+        onRecord(record, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, entry] : m_entries) {
+        if (!listed.contains(id) && m_offsets[id] < end)
+            missing.push_back(id);
+    }
+    for (const auto& id : missing)
+        remove(id, now);
+}
+
+void upstream_list::onStoreReturned(monotonic_time now)
+{
+    m_heldUntil = now + m_returnGrace;
+}
+
+bool upstream_list::removeDue(monotonic_time now)
+{
+    const std::uint64_t before = m_revision;
+    for (auto entry = m_removals.begin(); entry != m_removals.end();) {
+        if (entry->second > now) {
+            ++entry;
+            continue;
+        }
+        m_revision += m_entries.erase(entry->first);
+        entry = m_removals.erase(entry);
+    }
+    return m_revision != before;
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/engine_orders.cpp
@@ -0,0 +1,125 @@
+#include "Gateway/engine_orders.h"
+
+#include "engine_calls.h"
+#include "upstream_reader.h"
+
+#include <stdexcept>
+
+namespace sagesaddle {
+
+namespace {
+
+// Time in which an engine answers a report or takes an order; it answers without a slot.
+constexpr milliseconds engineTimeout { 800 };
+
+} // namespace
+
+engine_orders::engine_orders(event_loop& loop, coordinator& plans, std::string holder,
+    std::function<const duty_tenure&()> tenure, decision_lines& lines, metric_registry& metrics)
+    : m_loop(loop)
+    , m_plans(plans)
+    , m_holder(std::move(holder))
+    , m_tenure(std::move(tenure))
+    , m_lines(lines)
+    , m_metrics(metrics)
+{
+}
+
+void engine_orders::onUpstreams(const std::map<std::string, upstream_entry>& entries)
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        const auto listed = entries.find(peer->first);
+        if (listed != entries.end() && listed->second.where == peer->second.entry.where
+            && listed->second.startedAt == peer->second.entry.startedAt) {
+            ++peer;
+            continue;
+        }
+        m_left.push_back(std::move(peer->second));
+        peer = m_peers.erase(peer);
+    }
+    for (const auto& [id, entry] : entries) {
+        auto& peer = m_peers[id];
+        peer.entry = entry;
+        if (!peer.caller)
+            peer.caller = std::make_unique<http_caller>(m_loop, entry.where);
+    }
+}
+
+void engine_orders::work()
+{
+    m_left.clear();
+    const monotonic_time now = monotonicNow();
+    if (!m_tenure().holds(suspendedNow()))
+        return;
+    for (auto& [id, book] : m_plans.books()) {
+        if (book.wantsReport(now))
+            askReport(id, book);
+    }
+    if (!m_tenure().mayOrder(suspendedNow()))
+        return;
+    for (const auto& planned : m_plans.plan(now))
+        give(planned);
+}
+
+void engine_orders::askReport(const std::string& id, engine_book& book)
+{
+    const auto peer = m_peers.find(id);
+    if (peer == m_peers.end())
+        return;
+    book.onReportAsked();
+    const monotonic_time askedAt = monotonicNow();
+    m_metrics.add("sagesaddle_engine_reports", "Reports asked of engines");
+    peer->second.caller->call(platform::writeReportCall(peer->second.entry.where), engineTimeout,
+        [this, id, askedAt](const std::optional<http_answer>& answer) {
+            const auto found = m_plans.books().find(id);
+            if (found == m_plans.books().end())
+                return;
+            if (!answer || answer->status != 200) {
+                found->second.onReportLost(monotonicNow());
+                return;
+            }
+            try {
+                found->second.onReport(platform::readReport(answer->body), askedAt, monotonicNow());
+            } catch (const std::exception& error) {
+                m_lines.write(log_level::Warning, "report_unreadable",
+                    { { "upstream", id }, { "error", error.what() } }, monotonicNow());
+                found->second.onReportLost(monotonicNow());
+            }
+        });
+}
+
+void engine_orders::give(const planned_order& planned)
+{
+    const auto peer = m_peers.find(planned.upstream);
+    const auto found = m_plans.books().find(planned.upstream);
+    if (peer == m_peers.end() || found == m_plans.books().end())
+        return;
+    // The process may have stood still since the plan was made.
+    if (!m_tenure().mayOrder(suspendedNow()))
+        return;
+    engine_book& book = found->second;
+    const engine_order order { planned.what, planned.model, planned.adapter, m_holder, m_tenure().fence(),
+        book.expectedOrders() };
+    const monotonic_time sentAt = monotonicNow();
+    book.onOrderSent(order, sentAt);
+    const bool isLoad = planned.what == engine_order::action::Load;
+    if (planned.adapter.empty() && isLoad)
+        m_plans.onModelOrdered(peer->second.entry.service, sentAt);
+    m_metrics.add("sagesaddle_engine_orders", "Orders given to engines",
+        { { "action", isLoad ? "load" : "unload" },
+            { "what", planned.adapter.empty() ? "model" : "adapter" } });
+    peer->second.caller->call(platform::writeOrderCall(peer->second.entry.where, planned.upstream, order),
+        engineTimeout, [this, planned, order, isLoad](const std::optional<http_answer>& answer) {
+            m_lines.write(answer && answer->status < 300 ? log_level::Info : log_level::Warning, "order",
+                { { "upstream", planned.upstream }, { "action", isLoad ? "load" : "unload" },
+                    { "holding", holdingName(planned.model, planned.adapter) }, { "fence", order.fence },
+                    { "expected", order.expectedOrders }, { "status", answer ? answer->status : 0 } },
+                monotonicNow());
+            const auto known = m_plans.books().find(planned.upstream);
+            if (known != m_plans.books().end())
+                known->second.onOrderAnswered(
+                    answer ? std::optional<int>(answer->status) : std::nullopt, monotonicNow());
+        });
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/engine_orders.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Fleet/duty_tenure.h"
+#include "Gateway/coordinator.h"
+#include "Loop/http_caller.h"
+#include "Watch/decision_lines.h"
+#include "Watch/metric_registry.h"
+
+namespace sagesaddle {
+
+/// \brief Asks engines for reports and gives them the coordinator's orders, while the duty lasts.
+class engine_orders {
+public:
+    engine_orders(event_loop& loop, coordinator& plans, std::string holder,
+        std::function<const duty_tenure&()> tenure, decision_lines& lines, metric_registry& metrics);
+
+    /// Follows the list of upstreams.
+    void onUpstreams(const std::map<std::string, upstream_entry>& entries);
+
+    /// Does what is due; called by the clock and when something is wanted.
+    void work();
+
+private:
+    /// Each call makes its connection anew once an engine's start changes.
+    struct engine_peer {
+        upstream_entry entry;
+        std::unique_ptr<http_caller> caller;
+    };
+
+    void askReport(const std::string& id, engine_book& book);
+    void give(const planned_order& planned);
+
+    event_loop& m_loop;
+    coordinator& m_plans;
+    std::string m_holder;
+    std::function<const duty_tenure&()> m_tenure;
+    decision_lines& m_lines;
+    metric_registry& m_metrics;
+    std::map<std::string, engine_peer> m_peers;
+    /// Peers that left; their handlers may be running.
+    std::vector<engine_peer> m_left;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/fleet_link.cpp
@@ -0,0 +1,101 @@
+#include "Gateway/fleet_link.h"
+
+#include "Watch/log.h"
+
+namespace sagesaddle {
+
+namespace {
+
+// Unacknowledged bytes for so long mean a lost path to the other gateway.
+constexpr milliseconds pathSilence { 600 };
+// Bytes that a gateway may leave unread before its connection is closed.
+constexpr std::size_t maxUnreadBytes = std::size_t { 1 } << 20U;
+
+} // namespace
+
+coordinator_link::coordinator_link(event_loop& loop, address peer, handlers value)
+    : m_peer(std::move(peer))
+    , m_handlers(std::move(value))
+    , m_stream(loop, m_peer, pathSilence)
+{
+    m_stream.handle({ [this] { m_connected = true; }, [this] { read(); }, {},
+        [this](stream_end) {
+            m_connected = false;
+            m_handlers.onLost();
+        } });
+}
+
+void coordinator_link::send(const fleet_report& report)
+{
+    m_stream.write(encodeFleetMessage(report));
+}
+
+void coordinator_link::read()
+{
+    try {
+        while (true) {
+            auto frame = decodeFleetMessage(m_stream.readable());
+            if (frame.size == 0)
+                return;
+            m_stream.consume(frame.size);
+            if (frame.message && std::holds_alternative<fleet_news>(*frame.message))
+                m_handlers.onNews(std::get<fleet_news>(std::move(*frame.message)));
+        }
+    } catch (const std::runtime_error& error) {
+        writeLog(log_level::Error, "peer_unreadable",
+            { { "peer", formatAddress(m_peer) }, { "error", error.what() } });
+        m_handlers.onLost();
+    }
+}
+
+report_server::report_server(event_loop& loop, const address& where, on_report handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_listener(loop, where, [this](evutil_socket_t socket) { accept(socket); })
+{
+}
+
+void report_server::accept(evutil_socket_t socket)
+{
+    auto made = std::make_shared<connection>();
+    connection* const raw = made.get();
+    made->stream = std::make_unique<tcp_stream>(m_loop, socket);
+    m_connections.emplace(raw, made);
+    made->stream->handle({ {}, [this, raw] { read(*raw); }, {}, [this, raw](stream_end) { drop(*raw); } });
+}
+
+void report_server::drop(const connection& which)
+{
+    const auto found = m_connections.find(&which);
+    if (found == m_connections.end())
+        return;
+    found->second->stream->handle({});
+    // Kept until the next one goes, since its own handler may be running.
+    m_dropped = std::move(found->second);
+    m_connections.erase(found);
+}
+
+void report_server::read(connection& which)
+{
+    try {
+        while (true) {
+            auto frame = decodeFleetMessage(which.stream->readable());
+            if (frame.size == 0)
+                return;
+            which.stream->consume(frame.size);
+            if (!frame.message || !std::holds_alternative<fleet_report>(*frame.message))
+                continue;
+            const auto news = m_handler(std::get<fleet_report>(*frame.message), &which);
+            if (!news || which.stream->unwritten() > maxUnreadBytes) {
+                drop(which);
+                return;
+            }
+            which.stream->write(encodeFleetMessage(*news));
+        }
+    } catch (const std::runtime_error& error) {
+        writeLog(log_level::Error, "peer_unreadable", { { "error", error.what() } });
+        drop(which);
+    }
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/fleet_share.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Gateway/coordinator.h"
+#include "Gateway/fleet_link.h"
+#include "Limit/credit_purse.h"
+#include "Loop/timer.h"
+#include "Relay/relay.h"
+
+#include <list>
+
+namespace sagesaddle {
+
+/// \brief This gateway's part in the fleet: reports to the coordinator, credit, and news for the relay.
+class fleet_share {
+public:
+    /// What it needs of the process.
+    struct hooks {
+        /// Answers a report in place, where this gateway coordinates itself; nothing where it does not.
+        std::function<std::optional<fleet_news>(const fleet_report&)> coordinateHere;
+        std::function<void()> askHolder;
+        /// Something is wanted that the coordinator should see to at once.
+        std::function<void()> onWanted;
+    };
+
+    fleet_share(event_loop& loop, std::string self, relay& relayed, decision_lines& lines, hooks value);
+
+    void start();
+    void onConfig(const fleet_config& config);
+    /// The coordinator's address, or nothing where none is known.
+    void onHolder(std::optional<address> where);
+
+    void askCredit(const exchange_ptr& request);
+    void onDemand(const exchange& request);
+    void onWanted(const std::string& service, const std::string& model, const std::string& adapter);
+
+private:
+    void report();
+    void reportSoon();
+    fleet_report makeReport();
+    void onNews(const fleet_news& news, monotonic_time askedAt);
+    void onLinkLost();
+    void setAlone(bool isAlone);
+    void settleCredit(const std::string& team, std::optional<milliseconds> retryAfter);
+
+    struct asked_report {
+        std::uint64_t number { 0 };
+        monotonic_time sentAt {};
+    };
+
+    struct waiting_credit {
+        exchange_ptr request;
+        monotonic_time since {};
+    };
+
+    event_loop& m_loop;
+    std::string m_self;
+    relay& m_relay;
+    decision_lines& m_lines;
+    hooks m_hooks;
+    credit_purse m_purse;
+    std::unique_ptr<coordinator_link> m_link;
+    std::unique_ptr<coordinator_link> m_lostLink;
+    timer m_reportTimer;
+    std::map<std::string, std::list<waiting_credit>> m_waiting;
+    std::map<std::string, model_demand> m_demand;
+    std::list<asked_report> m_asked;
+    std::uint64_t m_number { 0 };
+    monotonic_time m_newsAt {};
+    monotonic_time m_linkedAt {};
+    bool m_isAlone { true };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/gateway.cpp
@@ -0,0 +1,185 @@
+#include "Gateway/gateway.h"
+
+#include "caller_wire.h"
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+
+namespace sagesaddle {
+
+namespace {
+
+// Part of the time in which a withdrawn key must stop that the evidence may age; the rest covers the way of a
+// request and the look before each send.
+constexpr double keysPart = 0.86;
+// How much earlier the holder of the duty stops than the platform deals it anew.
+constexpr milliseconds dutyMargin { 300 };
+// Time beyond the lease from taking the duty to the first order, for orders that are still on their way.
+constexpr milliseconds settleReserve { 500 };
+// Pause between looks at what engines need.
+constexpr milliseconds orderPause { 50 };
+// Part of the fleet's bound on second sends that is used; the rest covers gateways that come and go.
+constexpr double retryPart = 0.6;
+// Time from not being ready to the end, for the platform to send callers elsewhere.
+constexpr milliseconds leastDrain { 2500 };
+constexpr milliseconds drainStepPause { 50 };
+// Time before the process is killed at which it ends by itself.
+constexpr milliseconds endReserve { 300 };
+// Descriptors kept for files, peers and upstreams; each caller may need one upstream connection.
+constexpr std::int64_t reservedDescriptors = 400;
+// What a connection to a member's name may be followed by: its start, which tells two starts apart.
+constexpr char startMark = '#';
+
+std::string memberName(const gateway_settings& settings)
+{
+    return formatAddress(settings.peers) + startMark
+        + std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "-"
+        + std::to_string(::getpid());
+}
+
+std::optional<address> addressOfMember(const std::optional<std::string>& member)
+{
+    if (!member)
+        return std::nullopt;
+    return parseAddress(member->substr(0, member->find(startMark)));
+}
+
+} // namespace
+
+gateway::gateway(event_loop& loop, gateway_settings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_member(memberName(m_settings))
+    , m_lines(STDOUT_FILENO, m_settings.level)
+    , m_watch { m_lines, m_metrics }
+    , m_relay(loop, relayOptions(), m_watch,
+          { [this](const exchange_ptr& request) { m_share.askCredit(request); },
+              [this](const std::string& service, const std::string& model, const std::string& adapter) {
+                  m_share.onWanted(service, model, adapter);
+              },
+              [this](const exchange& request) { m_share.onDemand(request); } })
+    , m_follower(loop, m_settings.store, m_member,
+          duty_tenure(m_settings.membership, dutyMargin, m_settings.lease + settleReserve),
+          m_settings.membership, m_lines,
+          { [this](const fleet_config_ptr& config) {
+               m_coordinator.onConfig(*config, monotonicNow());
+               m_share.onConfig(*config);
+               m_relay.onConfig(config);
+           },
+              [this](const std::map<std::string, upstream_entry>& entries) {
+                  m_coordinator.onUpstreams(entries);
+                  m_orders.onUpstreams(entries);
+                  m_relay.onUpstreams(entries);
+              },
+              [this](monotonic_time provenAt) { m_relay.onContact(provenAt); }, [this] { onDuty(); },
+              [this](const std::optional<std::string>& member) {
+                  if (member != m_member)
+                      m_share.onHolder(addressOfMember(member));
+              } })
+    , m_orders(
+          loop, m_coordinator, m_settings.name,
+          [this]() -> const duty_tenure& { return m_follower.tenure(); }, m_lines, m_metrics)
+    , m_share(loop, m_settings.name, m_relay, m_lines,
+          { [this](const fleet_report& report) { return answerReport(report, this); },
+              [this] { m_follower.askHolder(); }, [this] { m_orders.work(); } })
+    , m_reports(loop, m_settings.peers,
+          [this](const fleet_report& report, const void* link) { return answerReport(report, link); })
+    , m_readiness(loop, m_settings.readiness,
+          [this](const http_head& head) -> status_server::reply {
+              if (!platform::isReadinessCall(head))
+                  return { 404, {}, {} };
+              return { m_relay.isReady() ? 200 : 503, {}, {} };
+          })
+    , m_orderTimer(loop,
+          [this] {
+              m_orderTimer.start(orderPause);
+              m_orders.work();
+          })
+    , m_drainTimer(loop, [this] { drainStep(); })
+    , m_callers(loop, m_settings.callers, [this](evutil_socket_t socket) { m_relay.accept(socket); })
+{
+    if (m_settings.metrics)
+        m_metricsServer = std::make_unique<status_server>(
+            loop, *m_settings.metrics, [this](const http_head&) -> status_server::reply {
+                return { 200, metric_registry::contentType, m_metrics.serialize() };
+            });
+    m_lines.write(log_level::Info, "started",
+        { { "name", m_settings.name }, { "zone", m_settings.zone }, { "member", m_member } }, monotonicNow());
+    m_follower.start();
+    m_share.start();
+    m_orderTimer.start(orderPause);
+}
+
+relay_options gateway::relayOptions() const
+{
+    relay_options options;
+    options.zone = m_settings.zone;
+    options.keysFor
+        = milliseconds(static_cast<std::int64_t>(static_cast<double>(m_settings.revoke.count()) * keysPart));
+    options.retriesPerRequest = m_settings.retryRatio * retryPart;
+    options.retrySlack = m_settings.retrySlack * retryPart;
+    options.maxCallers = static_cast<std::size_t>(
+        std::max<std::int64_t>(16, (m_settings.descriptors - reservedDescriptors) / 2));
+    return options;
+}
+
+void gateway::onDuty()
+{
+    const bool coordinates = m_follower.tenure().holds(suspendedNow());
+    if (coordinates && !m_coordinates)
+        m_coordinator.begin(monotonicNow());
+    m_coordinates = coordinates;
+}
+
+std::optional<fleet_news> gateway::answerReport(const fleet_report& report, const void* link)
+{
+    if (!m_coordinates || !m_follower.tenure().holds(suspendedNow()))
+        return std::nullopt;
+    auto news = m_coordinator.onReport(report, link, monotonicNow());
+    const bool hasWanted = std::any_of(report.demand.begin(), report.demand.end(),
+        [](const model_demand& item) { return item.unplaced > 0; });
+    if (hasWanted)
+        m_orders.work();
+    return news;
+}
+
+void gateway::drain()
+{
+    if (m_relay.isDraining())
+        return;
+    const monotonic_time now = monotonicNow();
+    m_drainEnds = now + m_settings.grace - endReserve;
+    m_drainLeast = now + std::min(leastDrain, m_settings.grace / 2);
+    m_lines.write(log_level::Info, "draining", { { "name", m_settings.name } }, now);
+    m_relay.drain();
+    m_follower.resign();
+    m_coordinates = false;
+    drainStep();
+}
+
+void gateway::drainStep()
+{
+    const monotonic_time now = monotonicNow();
+    if (now < m_drainEnds && (now < m_drainLeast || !m_relay.isIdle())) {
+        m_drainTimer.start(drainStepPause);
+        return;
+    }
+    m_lines.write(
+        log_level::Info, "stopped", { { "name", m_settings.name }, { "idle", m_relay.isIdle() } }, now);
+    m_loop.stop();
+}
+
+void gateway::reload(const std::function<gateway_settings()>& read)
+{
+    try {
+        gateway_settings next = read();
+        m_settings.grace = next.grace;
+        m_lines.write(log_level::Info, "reloaded", { { "name", next.name } }, monotonicNow());
+    } catch (const std::exception& error) {
+        m_lines.write(log_level::Error, "reload_failed",
+            { { "error", error.what() }, { "kept", "the settings before" } }, monotonicNow());
+    }
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/gateway.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Gateway/coordinator.h"
+#include "Gateway/engine_orders.h"
+#include "Gateway/fleet_share.h"
+#include "Gateway/gateway_settings.h"
+#include "Gateway/store_follower.h"
+#include "Loop/status_server.h"
+#include "Relay/relay.h"
+
+namespace sagesaddle {
+
+/// \brief One gateway process: wires the relay, the store's follower and its part in the fleet together.
+class gateway {
+public:
+    gateway(event_loop& loop, gateway_settings settings);
+
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// Stops being ready, finishes what runs and ends the loop, within the grace of the settings.
+    void drain();
+
+    /// Takes in changed settings where they are valid; addresses need a restart.
+    void reload(const std::function<gateway_settings()>& read);
+
+private:
+    void onDuty();
+    void drainStep();
+    std::optional<fleet_news> answerReport(const fleet_report& report, const void* link);
+    relay_options relayOptions() const;
+
+    event_loop& m_loop;
+    gateway_settings m_settings;
+    std::string m_member;
+    metric_registry m_metrics;
+    decision_lines m_lines;
+    relay_watch m_watch;
+    coordinator m_coordinator;
+    bool m_coordinates { false };
+    relay m_relay;
+    store_follower m_follower;
+    engine_orders m_orders;
+    fleet_share m_share;
+    report_server m_reports;
+    status_server m_readiness;
+    std::unique_ptr<status_server> m_metricsServer;
+    timer m_orderTimer;
+    timer m_drainTimer;
+    monotonic_time m_drainEnds {};
+    monotonic_time m_drainLeast {};
+    tcp_listener m_callers;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/gateway_settings.cpp
@@ -0,0 +1,46 @@
+#include "Gateway/gateway_settings.h"
+
+#include "Settings/settings_reader.h"
+
+#include <algorithm>
+
+namespace sagesaddle {
+
+namespace {
+
+// An hour bounds every span, so that a slip of a unit shows.
+constexpr integer_range spanRange { 1, 3600000 };
+constexpr double mostRetrySlack = 100000;
+constexpr integer_range descriptorRange { 64, 1 << 20 };
+constexpr double mostGraceSeconds = 3600;
+
+} // namespace
+
+gateway_settings parseGatewaySettings(settings_reader& reader)
+{
+    const gateway_settings standard;
+    gateway_settings settings;
+    settings.name = reader.requiredName("process", "name");
+    settings.zone = reader.requiredText("process", "zone");
+    settings.callers = reader.requiredAddress("listen", "callers");
+    settings.readiness = reader.requiredAddress("listen", "readiness");
+    settings.peers = reader.requiredAddress("listen", "peers");
+    settings.metrics = reader.optionalAddress("listen", "metrics");
+    settings.store = reader.requiredAddress("store", "address");
+    const auto least = reader.duration("store", "least_membership_ms", standard.membership, spanRange);
+    settings.membership = std::max(least, standard.membership);
+    const auto standardGrace = static_cast<double>(standard.grace.count()) / 1000;
+    settings.grace = milliseconds(static_cast<std::int64_t>(
+        reader.number("bounds", "grace_s", standardGrace, 0.1, mostGraceSeconds) * 1000));
+    settings.revoke = reader.duration("bounds", "revoke_ms", standard.revoke, spanRange);
+    settings.lease = reader.duration("bounds", "lease_ms", standard.lease, spanRange);
+    settings.retryRatio = reader.number("bounds", "retry_ratio", standard.retryRatio, 0, 10);
+    settings.retrySlack = reader.number("bounds", "retry_slack", standard.retrySlack, 0, mostRetrySlack);
+    settings.descriptors = reader.integer("limits", "descriptors", standard.descriptors, descriptorRange);
+    settings.level = parseLogLevel(reader.choice(
+        "log", "level", std::string(nameOf(standard.level)), { "debug", "info", "warning", "error" }));
+    reader.finish();
+    return settings;
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/gateway_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Base/clock.h"
+#include "Watch/log.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace sagesaddle {
+
+class settings_reader;
+
+/// \brief The settings of a gateway.
+struct gateway_settings {
+    std::string name;
+    std::string zone;
+
+    address callers;
+    address readiness;
+    /// Where other gateways reach this one.
+    address peers;
+    std::optional<address> metrics;
+    address store;
+
+    log_level level { log_level::Info };
+
+    /// How long the platform keeps a silent member of the group.
+    milliseconds membership { 2000 };
+    /// From SIGTERM until the process is killed.
+    milliseconds grace { 8000 };
+    /// From a key's withdrawal until it must not work.
+    milliseconds revoke { 5000 };
+    /// Pause that must lie between the orders of two holders.
+    milliseconds lease { 3000 };
+    /// Second sends that the fleet may make for each request, and beyond that at once.
+    double retryRatio { 0.2 };
+    double retrySlack { 50 };
+    std::int64_t descriptors { 1024 };
+};
+
+/// Reads the settings of a gateway.
+/// \throws settings_error naming every fault
+gateway_settings parseGatewaySettings(settings_reader& reader);
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/main.cpp
@@ -0,0 +1,84 @@
+#include "Gateway/gateway.h"
+#include "Settings/settings_reader.h"
+#include "settings_place.h"
+
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr const char* usage
+    = R"(sagesaddle-gateway: takes callers' requests and relays them to upstreams, on the platform.
+
+Usage:
+  sagesaddle-gateway [--config=FILE] [--check]
+  sagesaddle-gateway (-h | --help)
+  sagesaddle-gateway --version
+
+Options:
+  --config=FILE  TOML settings of this process; without it, the path that the platform names.
+  --check        Only check the settings.
+  -h --help      Show this text.
+  --version      Show the version.
+
+SIGTERM or SIGINT drains: not ready first, then finish the running requests, then leave. SIGHUP reads the
+settings again.
+Exit codes: 0 ended as asked, 1 failed, 2 wrong settings or command line.
+)";
+
+constexpr int failed = 1;
+constexpr int wrongSettings = 2;
+
+sagesaddle::gateway_settings readSettings(const std::string& file)
+{
+    auto reader = sagesaddle::settings_reader::fromFile(file);
+    return sagesaddle::parseGatewaySettings(reader);
+}
+
+int serve(const std::string& file, const sagesaddle::gateway_settings& settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    sagesaddle::event_loop loop;
+    sagesaddle::gateway process(loop, settings);
+    loop.onSignal(SIGTERM, [&] { process.drain(); });
+    loop.onSignal(SIGINT, [&] { process.drain(); });
+    loop.onSignal(SIGHUP, [&] { process.reload([&] { return readSettings(file); }); });
+    loop.run();
+    return 0;
+}
+
+int runMain(const std::vector<std::string>& arguments)
+{
+    const auto options = docopt::docopt_parse(usage, arguments, true, true);
+    const auto& named = options.at("--config");
+    const std::string file = named ? named.asString() : sagesaddle::platform::settingsPath();
+    const auto settings = readSettings(file);
+    return options.at("--check").asBool() ? 0 : serve(file, settings);
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    try {
+        return runMain({ values + 1, values + count });
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return 0;
+    } catch (const docopt::DocoptExitVersion&) {
+        std::cout << "sagesaddle-gateway " SAGESADDLE_VERSION << std::endl;
+        return 0;
+    } catch (const docopt::DocoptArgumentError& error) {
+        std::cerr << error.what() << "\n" << usage;
+        return wrongSettings;
+    } catch (const sagesaddle::settings_error& error) {
+        std::cerr << error.what() << std::endl;
+        return wrongSettings;
+    } catch (const std::exception& error) {
+        std::cerr << "sagesaddle-gateway: " << error.what() << std::endl;
+        return failed;
+    }
+}
--- /dev/null
+++ b/Source/Gateway/store_follower.cpp
@@ -0,0 +1,311 @@
+#include "Gateway/store_follower.h"
+
+#include "config_reader.h"
+#include "upstream_reader.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace sagesaddle {
+
+namespace {
+
+// Longest wait of a read for news of the configuration; its answer is the evidence that keys rest on.
+constexpr milliseconds configWait { 1000 };
+// Time beyond the wait within which an answer comes, also from a slow store.
+constexpr milliseconds answerTimeout { 1000 };
+// Pause between looks at the list of upstreams; a leaving one must be known within two seconds.
+constexpr milliseconds listPause { 500 };
+// Pause after a call that was not answered or declined.
+constexpr milliseconds failurePause { 200 };
+// Joins in one membership time, so that one lost call does not lose the duty.
+constexpr int joinsPerMembership = 4;
+// Time after the store's return within which live upstreams are listed again.
+constexpr milliseconds returnGrace { 2300 };
+// Time without any answer after which the store counts as away.
+constexpr milliseconds awayAfter { 1500 };
+
+constexpr int recordsGone = 410;
+
+} // namespace
+
+store_follower::store_follower(event_loop& loop, const address& store, std::string member, duty_tenure tenure,
+    milliseconds membership, decision_lines& lines, follower_hooks hooks)
+    : m_loop(loop)
+    , m_store(loop, store)
+    , m_member(std::move(member))
+    , m_tenure(tenure)
+    , m_membership(membership)
+    , m_lines(lines)
+    , m_hooks(std::move(hooks))
+    , m_upstreams(returnGrace)
+    , m_operatorTimer(loop, [this] { readTable(m_operator); })
+    , m_serversTimer(loop,
+          [this] {
+              if (m_upstreams.removeDue(monotonicNow()))
+                  tellUpstreams();
+              readTable(m_servers);
+          })
+    , m_joinTimer(loop, [this] { join(); })
+{
+}
+
+void store_follower::start()
+{
+    m_answeredAt = monotonicNow();
+    readTable(m_operator);
+    readTable(m_servers);
+    join();
+}
+
+void store_follower::again(table_reading& reading, milliseconds delay)
+{
+    (&reading == &m_operator ? m_operatorTimer : m_serversTimer).start(delay);
+}
+
+void store_follower::onAnswered()
+{
+    const monotonic_time now = monotonicNow();
+    m_answeredAt = now;
+    if (!m_isAway)
+        return;
+    m_isAway = false;
+    m_upstreams.onStoreReturned(now);
+    m_lines.write(log_level::Warning, "store_back", {}, now);
+}
+
+void store_follower::onLost(std::string_view call)
+{
+    const monotonic_time now = monotonicNow();
+    if (m_isAway || now - m_answeredAt < awayAfter)
+        return;
+    m_isAway = true;
+    m_lines.write(log_level::Warning, "store_away",
+        { { "call", call }, { "seconds", secondsBetween(m_answeredAt, now) } }, now);
+}
+
+void store_follower::readTable(table_reading& reading)
+{
+    if (reading.next) {
+        readTail(reading);
+        return;
+    }
+    reading.pages.clear();
+    reading.listingEnd = 0;
+    readPage(reading, {});
+}
+
+void store_follower::readPage(table_reading& reading, const std::string& after)
+{
+    const monotonic_time sentAt = suspendedNow();
+    m_store.call(platform::writeNewestCall(m_store.peer(), reading.table, after), answerTimeout,
+        [this, &reading, sentAt](const std::optional<http_answer>& answer) {
+            if (!answer || answer->status != 200) {
+                onLost("newest");
+                again(reading, failurePause);
+                return;
+            }
+            onAnswered();
+            try {
+                onPage(reading, platform::readNewest(answer->body), sentAt);
+            } catch (const std::invalid_argument& error) {
+                m_lines.write(
+                    log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+                again(reading, failurePause);
+            }
+        });
+}
+
+void store_follower::onPage(table_reading& reading, const platform::table_page& page, monotonic_time sentAt)
+{
+    // Pages are no snapshot: only what was there when the first was made is complete.
+    if (reading.pages.empty())
+        reading.listingEnd = page.end;
+    reading.pages.insert(reading.pages.end(), page.records.begin(), page.records.end());
+    if (page.hasMore && !page.records.empty()) {
+        readPage(reading, page.records.back().key);
+        return;
+    }
+    reading.next = reading.listingEnd;
+    const auto records = std::exchange(reading.pages, {});
+    if (&reading == &m_servers) {
+        std::vector<upstream_record> decoded;
+        for (const auto& record : records) {
+            if (auto value = decode(record))
+                decoded.push_back(std::move(*value));
+        }
+        m_upstreams.onListing(decoded, reading.listingEnd, monotonicNow());
+        m_listed = true;
+        tellUpstreams();
+        again(reading, listPause);
+        return;
+    }
+    takeRecords(reading, records, sentAt);
+    again(reading, {});
+}
+
+void store_follower::readTail(table_reading& reading)
+{
+    const bool isConfig = &reading == &m_operator;
+    const milliseconds wait = isConfig ? configWait : milliseconds(0);
+    const monotonic_time sentAt = suspendedNow();
+    const std::uint64_t from = *reading.next;
+    m_store.call(platform::writeTailCall(m_store.peer(), reading.table, from, wait), wait + answerTimeout,
+        [this, &reading, sentAt, from, isConfig](const std::optional<http_answer>& answer) {
+            if (answer && answer->status == recordsGone) {
+                onAnswered();
+                reading.next.reset();
+                again(reading, {});
+                return;
+            }
+            if (!answer || answer->status != 200) {
+                onLost("tail");
+                again(reading, failurePause);
+                return;
+            }
+            onAnswered();
+            try {
+                const auto tail = platform::readTail(answer->body, from);
+                // An end before what was read is an answer from the past.
+                if (tail.end < from) {
+                    again(reading, failurePause);
+                    return;
+                }
+                reading.next = from + tail.records.size();
+                takeRecords(reading, tail.records, sentAt);
+                again(reading, isConfig || reading.next < tail.end ? milliseconds(0) : listPause);
+            } catch (const std::invalid_argument& error) {
+                m_lines.write(
+                    log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+                reading.next.reset();
+                again(reading, failurePause);
+            }
+        });
+}
+
+void store_follower::takeRecords(
+    table_reading& reading, const std::vector<platform::table_record>& records, monotonic_time sentAt)
+{
+    if (&reading == &m_operator) {
+        for (const auto& record : records) {
+            if (record.key == platform::configKey())
+                takeConfig(record);
+        }
+        if (m_configVersion > 0)
+            m_hooks.onContact(sentAt);
+        return;
+    }
+    for (const auto& record : records) {
+        if (const auto value = decode(record))
+            m_upstreams.onRecord(*value, monotonicNow());
+    }
+    m_upstreams.removeDue(monotonicNow());
+    tellUpstreams();
+}
+
+void store_follower::tellUpstreams()
+{
+    if (!m_listed || (m_toldRevision == m_upstreams.revision() && m_toldRevision != 0))
+        return;
+    m_toldRevision = m_upstreams.revision();
+    m_hooks.onUpstreams(m_upstreams.entries());
+}
+
+void store_follower::takeConfig(const platform::table_record& record)
+{
+    if (!record.value)
+        return;
+    try {
+        auto config = std::make_shared<const fleet_config>(platform::readConfig(*record.value));
+        if (config->version <= m_configVersion)
+            return;
+        m_configVersion = config->version;
+        m_hooks.onConfig(std::move(config));
+    } catch (const std::exception& error) {
+        m_lines.write(log_level::Error, "config_unreadable",
+            { { "offset", record.offset }, { "error", error.what() } }, monotonicNow());
+    }
+}
+
+std::optional<upstream_record> store_follower::decode(const platform::table_record& record)
+{
+    if (!record.value)
+        return upstream_record { record.key, record.offset, std::nullopt };
+    try {
+        return upstream_record { record.key, record.offset,
+            platform::readUpstream(record.key, *record.value) };
+    } catch (const std::exception& error) {
+        m_lines.write(log_level::Warning, "upstream_unreadable",
+            { { "upstream", record.key }, { "error", error.what() } }, monotonicNow());
+        return std::nullopt;
+    }
+}
+
+void store_follower::join()
+{
+    if (m_resigned)
+        return;
+    m_joinTimer.start(m_membership / joinsPerMembership);
+    const monotonic_time sentAt = suspendedNow();
+    m_store.call(platform::writeJoinCall(m_store.peer(), m_member, m_membership, m_tenure.generation()),
+        m_membership / 2, [this, sentAt](const std::optional<http_answer>& answer) {
+            if (m_resigned)
+                return;
+            if (!answer || answer->status != 200) {
+                onLost("join");
+                m_hooks.onDuty();
+                return;
+            }
+            onAnswered();
+            const monotonic_time now = suspendedNow();
+            const bool held = m_tenure.holds(now);
+            try {
+                const auto joined = platform::readJoin(answer->body);
+                m_tenure.onJoined(sentAt, joined.generation, joined.holdsDuty, now);
+            } catch (const std::invalid_argument& error) {
+                m_lines.write(
+                    log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+                return;
+            }
+            if (held != m_tenure.holds(now))
+                m_lines.write(log_level::Info, m_tenure.holds(now) ? "duty_taken" : "duty_lost",
+                    { { "fence", m_tenure.fence() }, { "generation", m_tenure.generation() } },
+                    monotonicNow());
+            m_hooks.onDuty();
+        });
+}
+
+void store_follower::askHolder()
+{
+    if (m_asksHolder)
+        return;
+    m_asksHolder = true;
+    m_store.call(platform::writeHolderCall(m_store.peer()), answerTimeout,
+        [this](const std::optional<http_answer>& answer) {
+            m_asksHolder = false;
+            if (!answer || answer->status != 200) {
+                onLost("holder");
+                return;
+            }
+            try {
+                m_hooks.onHolder(platform::readHolder(answer->body));
+            } catch (const std::invalid_argument& error) {
+                m_lines.write(
+                    log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+            }
+        });
+}
+
+void store_follower::resign()
+{
+    if (m_resigned)
+        return;
+    m_resigned = true;
+    m_tenure.resign();
+    m_store.call(platform::writeLeaveCall(m_store.peer(), m_member), answerTimeout,
+        [](const std::optional<http_answer>&) {
+            // Without an answer the membership times out.
+        });
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Gateway/store_follower.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Fleet/duty_tenure.h"
+#include "Fleet/fleet_config.h"
+#include "Fleet/upstream_list.h"
+#include "Loop/http_caller.h"
+#include "Watch/decision_lines.h"
+#include "store_calls.h"
+
+namespace sagesaddle {
+
+/// \brief What the follower tells.
+struct follower_hooks {
+    std::function<void(fleet_config_ptr)> onConfig;
+    /// The list of upstreams changed.
+    std::function<void(const std::map<std::string, upstream_entry>&)> onUpstreams;
+    /// The configuration was the newest at that time, on the clock that counts suspension.
+    std::function<void(monotonic_time)> onContact;
+    /// A join was answered or the duty ran out.
+    std::function<void()> onDuty;
+    /// Another member holds the duty.
+    std::function<void(std::optional<std::string>)> onHolder;
+};
+
+/// \brief Follows the platform's store: configuration, upstreams and this member's part in the group.
+class store_follower {
+public:
+    /// \param member this process's name in the group; another start has another one
+    store_follower(event_loop& loop, const address& store, std::string member, duty_tenure tenure,
+        milliseconds membership, decision_lines& lines, follower_hooks hooks);
+
+    void start();
+    /// Leaves the group; the follower goes on reading.
+    void resign();
+    /// Asks who holds the duty.
+    void askHolder();
+
+    const duty_tenure& tenure() const { return m_tenure; }
+    bool isStoreAway() const { return m_isAway; }
+
+private:
+    /// A table that is read from its newest records on.
+    struct table_reading {
+        platform::store_table table;
+        std::optional<std::uint64_t> next;
+        std::vector<platform::table_record> pages;
+        std::uint64_t listingEnd { 0 };
+    };
+
+    void readTable(table_reading& reading);
+    void readPage(table_reading& reading, const std::string& after);
+    void readTail(table_reading& reading);
+    void onPage(table_reading& reading, const platform::table_page& page, monotonic_time sentAt);
+    void takeRecords(
+        table_reading& reading, const std::vector<platform::table_record>& records, monotonic_time sentAt);
+    void takeConfig(const platform::table_record& record);
+    std::optional<upstream_record> decode(const platform::table_record& record);
+    void again(table_reading& reading, milliseconds delay);
+    void onAnswered();
+    void onLost(std::string_view call);
+    void join();
+    void tellUpstreams();
+
+    event_loop& m_loop;
+    http_caller m_store;
+    std::string m_member;
+    duty_tenure m_tenure;
+    milliseconds m_membership;
+    decision_lines& m_lines;
+    follower_hooks m_hooks;
+    upstream_list m_upstreams;
+    table_reading m_operator { platform::store_table::Operator, {}, {}, 0 };
+    table_reading m_servers { platform::store_table::Upstreams, {}, {}, 0 };
+    timer m_operatorTimer;
+    timer m_serversTimer;
+    timer m_joinTimer;
+    std::uint64_t m_configVersion { 0 };
+    std::uint64_t m_toldRevision { 0 };
+    monotonic_time m_answeredAt {};
+    bool m_isAway { false };
+    bool m_listed { false };
+    bool m_resigned { false };
+    bool m_asksHolder { false };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Limit/credit_bank.cpp
@@ -0,0 +1,53 @@
+#include "Limit/credit_bank.h"
+
+#include <algorithm>
+
+namespace sagesaddle {
+
+namespace {
+
+// Level above which credit is granted ahead of need, as a part of the burst.
+constexpr double aheadLevel = 0.5;
+
+} // namespace
+
+void credit_bank::bucket::fill(monotonic_time now)
+{
+    level = std::min(burst, level + ratePerSecond * std::max(0.0, secondsBetween(filledAt, now)));
+    filledAt = now;
+}
+
+void credit_bank::setTeams(const std::vector<team_config>& teams, monotonic_time now)
+{
+    std::map<std::string, bucket> next;
+    for (const auto& team : teams) {
+        if (team.ratePerSecond <= 0)
+            continue;
+        const auto known = m_buckets.find(team.name);
+        bucket value = known == m_buckets.end() ? bucket { 0, 0, 0, now } : known->second;
+        value.fill(now);
+        value.ratePerSecond = team.ratePerSecond;
+        value.burst = std::max(team.burst, 1.0);
+        value.level = std::min(value.level, value.burst);
+        next.emplace(team.name, value);
+    }
+    m_buckets = std::move(next);
+}
+
+bank_grant credit_bank::grant(const std::string& team, double needed, double ahead, monotonic_time now)
+{
+    const auto found = m_buckets.find(team);
+    if (found == m_buckets.end())
+        return { needed + ahead, milliseconds(0) };
+    bucket& value = found->second;
+    value.fill(now);
+    const double spare = std::max(0.0, value.level - value.burst * aheadLevel);
+    const double tokens = std::min(value.level, needed + std::min(ahead, std::max(0.0, spare - needed)));
+    value.level -= tokens;
+    if (tokens >= needed)
+        return { tokens, milliseconds(0) };
+    const double missing = std::min(needed, value.burst) - tokens;
+    return { tokens, milliseconds(static_cast<std::int64_t>(missing / value.ratePerSecond * 1000) + 1) };
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Limit/credit_bank.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Fleet/fleet_config.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace sagesaddle {
+
+/// \brief Tokens granted, and when more can be had.
+struct bank_grant {
+    double tokens { 0 };
+    milliseconds retryAfter { 0 };
+
+    auto operator<=>(const bank_grant&) const = default;
+};
+
+/// \brief The coordinator's side of the teams' limits: one token bucket a team; pure.
+///
+/// Answers one team that sends many times its rate: whatever entries its requests reach, they draw on one
+/// bucket, debited before the grant leaves.
+class credit_bank {
+public:
+    /// Takes in the teams of a configuration; buckets start empty, since an earlier coordinator's grants may
+    /// still be spent.
+    void setTeams(const std::vector<team_config>& teams, monotonic_time now);
+
+    /// Debits tokens for an entry.
+    /// \param needed what requests wait for; granted whole or in part
+    /// \param ahead what is wanted beyond that; granted only while the bucket is at least half full
+    bank_grant grant(const std::string& team, double needed, double ahead, monotonic_time now);
+
+private:
+    struct bucket {
+        double ratePerSecond { 0 };
+        double burst { 0 };
+        double level { 0 };
+        monotonic_time filledAt {};
+
+        void fill(monotonic_time now);
+    };
+
+    std::map<std::string, bucket> m_buckets;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Limit/credit_purse.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Fleet/fleet_config.h"
+
+#include <map>
+#include <string>
+
+namespace sagesaddle {
+
+/// \brief An entry's side of the teams' limits: credit in hand, and a small share of its own; pure.
+///
+/// Granted credit lapses after its life, on a clock that counts suspension, so that a process that stood
+/// still spends nothing it held before. While no coordinator answers, each entry spends only a part of the
+/// rate that all entries together can spend beside a coordinator that one of them cannot reach.
+class credit_purse {
+public:
+    /// \param grantLife how long granted credit may be spent
+    /// \param shareOfRate part of a team's rate that all entries together may spend without a coordinator
+    credit_purse(milliseconds grantLife, double shareOfRate);
+
+    void setTeams(const std::vector<team_config>& teams, monotonic_time now);
+    /// \param entries entries that share the limits; 0 where that was never heard
+    void setEntries(unsigned entries) { m_entries = entries; }
+    /// The coordinator answers, or does not: then the entry's own share fills.
+    void setAlone(bool isAlone, monotonic_time now);
+
+    void onGrant(const std::string& team, double tokens, monotonic_time grantedAt);
+
+    /// \return whether the tokens were in hand; they are then spent.
+    bool take(const std::string& team, double tokens, monotonic_time now);
+
+    /// Gives back the tokens of a request that surely did not run.
+    void refund(const std::string& team, double tokens, monotonic_time now);
+
+    /// \return tokens to ask for beyond what requests wait for, by the team's recent use.
+    double wantsAhead(const std::string& team, monotonic_time now);
+
+    bool knowsEntries() const { return m_entries > 0; }
+
+private:
+    struct account {
+        double ratePerSecond { 0 };
+        double burst { 0 };
+        double inHand { 0 };
+        monotonic_time grantedAt {};
+        double share { 0 };
+        monotonic_time sharedAt {};
+        /// Tokens a second that were spent lately.
+        double use { 0 };
+        monotonic_time usedAt {};
+    };
+
+    void settle(account& value, monotonic_time now) const;
+
+    milliseconds m_grantLife;
+    double m_shareOfRate;
+    unsigned m_entries { 0 };
+    bool m_isAlone { true };
+    std::map<std::string, account> m_accounts;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Loop/http_caller.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Base/address.h"
+#include "Loop/http_reader.h"
+#include "Loop/tcp_stream.h"
+#include "Loop/timer.h"
+
+#include <map>
+#include <optional>
+
+namespace sagesaddle {
+
+/// \brief A whole answer to a call.
+struct http_answer {
+    int status { 0 };
+    std::string body;
+};
+
+/// \brief Makes whole calls to one peer over kept connections, each with a timeout.
+///
+/// A call whose answer does not come in time closes its connection, so that a late answer meets nobody.
+class http_caller {
+public:
+    /// Receives the answer, or nothing where none came: the call may have been carried out.
+    using on_answer = std::function<void(std::optional<http_answer>)>;
+
+    http_caller(event_loop& loop, address peer);
+    ~http_caller();
+
+    http_caller(const http_caller&) = delete;
+    http_caller& operator=(const http_caller&) = delete;
+
+    /// \param request the whole message, head and body
+    /// \param timeout from now until the whole answer is there
+    void call(std::string request, milliseconds timeout, on_answer handler);
+
+    const address& peer() const { return m_peer; }
+
+private:
+    struct connection;
+
+    std::shared_ptr<connection> takeIdle();
+    void open(const std::shared_ptr<connection>& target);
+    void finish(connection& which, std::optional<http_answer> answer, bool reusable);
+
+    event_loop& m_loop;
+    address m_peer;
+    std::map<const connection*, std::shared_ptr<connection>> m_connections;
+    // Calls that ended are dropped when the loop comes round, not inside their own handlers.
+    std::vector<std::shared_ptr<connection>> m_ended;
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Loop/http_reader.cpp
@@ -0,0 +1,170 @@
+#include "Loop/http_reader.h"
+
+#include <algorithm>
+
+namespace sagesaddle {
+
+namespace {
+
+bool isToken(std::string_view name)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char value) {
+        return (value >= '0' && value <= '9') || (value >= 'a' && value <= 'z')
+            || (value >= 'A' && value <= 'Z') || marks.find(value) != std::string_view::npos;
+    });
+}
+
+bool isFieldText(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(),
+        [](char byte) { return (static_cast<unsigned char>(byte) < ' ' && byte != '\t') || byte == '\x7f'; });
+}
+
+bool isTarget(std::string_view target)
+{
+    return !target.empty() && std::none_of(target.begin(), target.end(), [](char byte) {
+        return static_cast<unsigned char>(byte) <= ' ' || byte == '\x7f';
+    });
+}
+
+constexpr int informationalFirst = 100;
+constexpr int informationalLast = 199;
+
+bool isBodyless(int status)
+{
+    return (status >= informationalFirst && status <= informationalLast) || status == 204 || status == 304;
+}
+
+} // namespace
+
+http_reader::http_reader(message kind, std::size_t maxHeadBytes, handlers value)
+    : m_handlers(std::move(value))
+    , m_maxHeadBytes(maxHeadBytes)
+{
+    http_parser_init(&m_parser, kind == message::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+bool http_reader::countHead(std::size_t bytes)
+{
+    m_headBytes += bytes;
+    m_headTooLarge = m_headBytes > m_maxHeadBytes;
+    return !m_headTooLarge;
+}
+
+const http_parser_settings& http_reader::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings value {};
+        http_parser_settings_init(&value);
+        value.on_message_begin = [](http_parser* parser) {
+            auto& self = of(parser);
+            self.m_head = {};
+            self.m_headBytes = 0;
+            self.m_lastWasValue = true;
+            self.m_inMessage = true;
+            return 0;
+        };
+        value.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+            of(parser).m_head.target.append(at, size);
+            return of(parser).countHead(size) ? 0 : 1;
+        };
+        value.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& self = of(parser);
+            if (self.m_lastWasValue)
+                self.m_head.fields.emplace_back();
+            self.m_lastWasValue = false;
+            self.m_head.fields.back().name.append(at, size);
+            return self.countHead(size) ? 0 : 1;
+        };
+        value.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& self = of(parser);
+            self.m_lastWasValue = true;
+            self.m_head.fields.back().value.append(at, size);
+            return self.countHead(size) ? 0 : 1;
+        };
+        value.on_headers_complete = [](http_parser* parser) { return of(parser).onHeadersComplete(); };
+        value.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+            of(parser).m_handlers.onBody({ at, size });
+            return 0;
+        };
+        value.on_message_complete = [](http_parser* parser) { return of(parser).onMessageComplete(); };
+        return value;
+    }();
+    return settings;
+}
+
+bool http_reader::isSound() const
+{
+    int lengths = 0;
+    int codings = 0;
+    for (const auto& field : m_head.fields) {
+        if (!isToken(field.name) || !isFieldText(field.value))
+            return false;
+        lengths += sameName(field.name, "content-length") ? 1 : 0;
+        if (sameName(field.name, "transfer-encoding")) {
+            ++codings;
+            if (!sameName(field.value, "chunked"))
+                return false;
+        }
+    }
+    return lengths + codings <= 1;
+}
+
+int http_reader::onHeadersComplete()
+{
+    m_head.status = static_cast<int>(m_parser.status_code);
+    if (m_parser.type == HTTP_REQUEST)
+        m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
+    if (!isSound() || m_parser.upgrade != 0 || (m_parser.type == HTTP_REQUEST && !isTarget(m_head.target)))
+        return -1;
+    m_head.keepsAlive = http_should_keep_alive(&m_parser) != 0;
+    m_head.isDelimited = m_withoutBody || m_parser.type == HTTP_REQUEST || isBodyless(m_head.status)
+        || m_head.find("Content-Length") != nullptr || m_head.find("Transfer-Encoding") != nullptr;
+    if (m_head.status < informationalFirst || m_head.status > informationalLast)
+        m_handlers.onHead(std::move(m_head));
+    return m_withoutBody ? 1 : 0;
+}
+
+int http_reader::onMessageComplete()
+{
+    m_inMessage = false;
+    const int status = static_cast<int>(m_parser.status_code);
+    if (m_parser.type == HTTP_RESPONSE && status >= informationalFirst && status <= informationalLast)
+        return 0;
+    m_ended = true;
+    http_parser_pause(&m_parser, 1);
+    return 0;
+}
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    if (m_failed || bytes.empty())
+        return 0;
+    m_ended = false;
+    const std::size_t taken = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error == HPE_PAUSED && m_ended) {
+        http_parser_pause(&m_parser, 0);
+        m_handlers.onEnd();
+        return taken;
+    }
+    m_headTooLarge = m_headTooLarge || error == HPE_HEADER_OVERFLOW;
+    m_failed = error != HPE_OK;
+    return taken;
+}
+
+bool http_reader::feedEnd()
+{
+    if (m_failed || !m_inMessage)
+        return false;
+    m_ended = false;
+    http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    if (!m_ended)
+        return false;
+    m_handlers.onEnd();
+    return true;
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Loop/tcp_stream.cpp
@@ -0,0 +1,140 @@
+#include "Loop/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace sagesaddle {
+
+namespace {
+
+// Most that libevent takes from a socket in one go; an event of a stream is far smaller.
+constexpr std::size_t readAtOnceBytes = 16384;
+
+void sendAtOnce(evutil_socket_t socket)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+evutil_socket_t newSocket(milliseconds silence)
+{
+    const evutil_socket_t socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return socket;
+    sendAtOnce(socket);
+    const unsigned int limit = static_cast<unsigned int>(silence.count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    const int on = 1;
+    const int idleSeconds = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &idleSeconds, sizeof(idleSeconds));
+    return socket;
+}
+
+} // namespace
+
+tcp_stream::tcp_stream(event_loop& loop, evutil_socket_t socket)
+    : m_stream(bufferevent_socket_new(loop.native(), socket, BEV_OPT_CLOSE_ON_FREE))
+{
+    if (!m_stream)
+        throw std::runtime_error("tcp stream: no memory for an accepted connection");
+    sendAtOnce(socket);
+    bufferevent_set_max_single_read(m_stream.get(), readAtOnceBytes);
+}
+
+tcp_stream::tcp_stream(event_loop& loop, const address& peer, milliseconds silence)
+    : m_stream(bufferevent_socket_new(loop.native(), newSocket(silence), BEV_OPT_CLOSE_ON_FREE))
+{
+    if (!m_stream)
+        throw std::runtime_error("tcp stream: no memory for a connection to " + formatAddress(peer));
+    bufferevent_set_max_single_read(m_stream.get(), readAtOnceBytes);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(peer.port);
+    if (inet_pton(AF_INET, peer.ip.c_str(), &target.sin_addr) != 1)
+        throw std::runtime_error("tcp stream: '" + peer.ip + "' is not an IPv4 address");
+    bufferevent_setcb(m_stream.get(), onRead, onWrite, onEvent, this);
+    // A failure at once is reported by onEvent as well.
+    bufferevent_socket_connect(m_stream.get(), reinterpret_cast<sockaddr*>(&target), sizeof(target));
+}
+
+tcp_stream::~tcp_stream()
+{
+    bufferevent_setcb(m_stream.get(), nullptr, nullptr, nullptr, nullptr);
+}
+
+void tcp_stream::handle(handlers value)
+{
+    m_handlers = std::move(value);
+    bufferevent_setcb(m_stream.get(), onRead, onWrite, onEvent, this);
+    bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
+}
+
+std::string_view tcp_stream::readable()
+{
+    evbuffer* input = bufferevent_get_input(m_stream.get());
+    const std::size_t size = evbuffer_get_length(input);
+    if (size == 0)
+        return {};
+    return { reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size))), size };
+}
+
+void tcp_stream::consume(std::size_t bytes)
+{
+    evbuffer_drain(bufferevent_get_input(m_stream.get()), bytes);
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    bufferevent_write(m_stream.get(), bytes.data(), bytes.size());
+}
+
+std::size_t tcp_stream::unwritten() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_stream.get()));
+}
+
+void tcp_stream::pauseReading(bool paused)
+{
+    if (paused)
+        bufferevent_disable(m_stream.get(), EV_READ);
+    else
+        bufferevent_enable(m_stream.get(), EV_READ);
+}
+
+void tcp_stream::onRead(bufferevent*, void* context)
+{
+    // The handler may destroy the stream and its handlers with it.
+    const auto handler = static_cast<tcp_stream*>(context)->m_handlers.onReadable;
+    if (handler)
+        handler();
+}
+
+void tcp_stream::onWrite(bufferevent*, void* context)
+{
+    const auto handler = static_cast<tcp_stream*>(context)->m_handlers.onDrained;
+    if (handler)
+        handler();
+}
+
+void tcp_stream::onEvent(bufferevent*, short what, void* context)
+{
+    auto* self = static_cast<tcp_stream*>(context);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        const auto handler = self->m_handlers.onConnected;
+        if (handler)
+            handler();
+        return;
+    }
+    const auto handler = self->m_handlers.onEnd;
+    if (handler)
+        handler((what & BEV_EVENT_EOF) != 0 ? stream_end::Closed : stream_end::Broken);
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Place/engine_book.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Fleet/engine_report.h"
+#include "Fleet/fleet_config.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace sagesaddle {
+
+/// \return the name of a model or adapter in holdings: `model` or `model/adapter`.
+std::string holdingName(const std::string& model, const std::string& adapter);
+
+/// \brief What an engine holds and may come to hold, as the one that gives it orders knows it; pure.
+///
+/// An order without an answer may still be carried out, seconds later. What it loads counts as held until the
+/// engine accepted a later order, since each order names the number of orders before it, and a report taken
+/// after that lacks it. So memory and adapter places are never ordered twice.
+class engine_book {
+public:
+    engine_book(std::string upstream, engine_config config);
+
+    const std::string& upstream() const { return m_upstream; }
+    const engine_config& config() const { return m_config; }
+
+    /// Takes in a report that was asked for at that time; one asked for before the last order is ignored.
+    void onReport(const engine_report& report, monotonic_time askedAt, monotonic_time now);
+    void onReportLost(monotonic_time now);
+
+    void onOrderSent(const engine_order& order, monotonic_time now);
+    /// \param status the answer's status, nothing where none came
+    void onOrderAnswered(std::optional<int> status, monotonic_time now);
+
+    /// \return whether a report is due, to know what an order led to.
+    bool wantsReport(monotonic_time now) const;
+    void onReportAsked() { m_reportPending = true; }
+
+    /// \return whether an order may be sent now.
+    bool mayOrder(monotonic_time now) const;
+    std::uint64_t expectedOrders() const { return m_report->orders; }
+
+    bool isKnown() const { return m_report.has_value(); }
+    /// \return whether it holds the model or adapter, ready for use.
+    bool holds(const std::string& holding) const { return m_held.contains(holding); }
+    /// \return whether it holds it, is loading it or may come to load it.
+    bool mayHold(const std::string& holding) const;
+    const std::set<std::string>& held() const { return m_held; }
+    bool isLoadingModel() const { return m_report && m_report->isBusy; }
+
+    /// \return adapter places that are surely free.
+    int freeAdapterPlaces() const;
+    /// \return memory for weights that is surely free, in MB.
+    double freeWeightsMb() const;
+    /// \return a number that rises whenever what is held changes.
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    std::set<std::string> everything() const;
+    double weightsOf(const std::string& holding) const;
+
+    std::string m_upstream;
+    engine_config m_config;
+    std::optional<engine_report> m_report;
+    std::set<std::string> m_held;
+    std::set<std::string> m_coming;
+    /// Ordered to be dropped: not to be used, though its memory is not free yet.
+    std::set<std::string> m_leaving;
+    std::optional<engine_order> m_outstanding;
+    /// Loads without an answer, with the number of orders that each expected.
+    std::map<std::string, std::uint64_t> m_doubtful;
+    monotonic_time m_lastOrderAt {};
+    monotonic_time m_reportDueAt {};
+    bool m_reportPending { false };
+    std::uint64_t m_revision { 0 };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/caller_link.cpp
@@ -0,0 +1,221 @@
+#include "Relay/caller_link.h"
+
+#include "Relay/exchange.h"
+#include "Relay/refusal_reason.h"
+#include "Relay/relay.h"
+
+namespace sagesaddle {
+
+namespace {
+
+// Bytes that a caller may send ahead while its request is being answered.
+constexpr std::size_t maxAheadBytes = 65536;
+// Answer bytes in hand above which the upstream is held back, and below which it goes on.
+constexpr std::size_t highWaterBytes = 262144;
+// Time for a caller to read a refusal and close, before the connection is cut.
+constexpr milliseconds closingTime { 1000 };
+
+} // namespace
+
+caller_link::caller_link(relay& owner, evutil_socket_t socket)
+    : m_owner(owner)
+    , m_stream(std::make_unique<tcp_stream>(owner.loop(), socket))
+    , m_patience(owner.loop(), [this] {
+        const auto self = shared_from_this();
+        if (m_reader->isInMessage() && !m_closesWhenWritten)
+            refuseEarly(408);
+        else
+            close();
+    })
+{
+    m_reader = std::make_unique<http_reader>(http_reader::message::Requests, owner.limits().maxHeadBytes,
+        http_reader::handlers { [this](http_head head) { onHead(std::move(head)); },
+            [this](std::string_view bytes) {
+                if (m_body.size() + bytes.size() <= m_owner.limits().maxBodyBytes)
+                    m_body.append(bytes);
+                else if (!m_refusedEarly)
+                    refuseEarly(refusalOf(relay_reason::BodyTooLarge).status);
+            },
+            [this] { onRequest(); } });
+    m_stream->handle({ {}, [this] { read(); }, [this] { onWritten(); }, [this](stream_end) { onLeft(); } });
+    m_patience.start(owner.limits().idleTimeout);
+}
+
+caller_link::~caller_link() = default;
+
+void caller_link::read()
+{
+    const auto self = shared_from_this();
+    while (!m_closed) {
+        const auto bytes = m_stream->readable();
+        if (bytes.empty())
+            return;
+        if (m_refusedEarly || m_closesWhenWritten) {
+            m_stream->consume(bytes.size());
+            return;
+        }
+        if (m_exchange) {
+            if (bytes.size() > maxAheadBytes)
+                m_stream->pauseReading(true);
+            return;
+        }
+        if (!m_reader->isInMessage())
+            m_patience.start(m_owner.limits().headTimeout);
+        const std::size_t taken = m_reader->feed(bytes);
+        if (m_closed)
+            return;
+        m_stream->consume(taken);
+        if (m_reader->failed() && !m_refusedEarly)
+            refuseEarly(
+                refusalOf(m_reader->isHeadTooLarge() ? relay_reason::HeadTooLarge : relay_reason::BadRequest)
+                    .status);
+    }
+}
+
+void caller_link::onHead(http_head head)
+{
+    m_arrivedAt = monotonicNow();
+    m_body.clear();
+    m_keepsAlive = head.keepsAlive;
+    m_isHead = head.method == "HEAD";
+    const std::string* expects = head.find("Expect");
+    if (expects != nullptr && sameName(*expects, "100-continue"))
+        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    m_head = std::move(head);
+    // The body may take longer than the head, but not without end.
+    m_patience.start(m_owner.limits().idleTimeout);
+}
+
+void caller_link::onRequest()
+{
+    if (m_refusedEarly)
+        return;
+    m_patience.stop();
+    m_exchange = std::make_shared<exchange>(m_owner, *this, m_arrivedAt);
+    // Kept here, since the exchange may end at once.
+    const auto started = m_exchange;
+    started->start(m_head, std::move(m_body));
+}
+
+void caller_link::refuseEarly(int status)
+{
+    m_refusedEarly = true;
+    m_keepsAlive = false;
+    m_patience.stop();
+    answer(status, {}, {});
+}
+
+void caller_link::appendHead(std::string& out, int status, const std::vector<http_field>& fields) const
+{
+    out.append("HTTP/1.1 ")
+        .append(std::to_string(status))
+        .append(" ")
+        .append(reasonOf(status))
+        .append("\r\n");
+    for (const auto& field : fields)
+        appendField(out, field.name, field.value);
+    if (!m_keepsAlive)
+        appendField(out, "Connection", "close");
+}
+
+void caller_link::answer(int status, const std::vector<http_field>& fields, std::string_view body)
+{
+    if (m_owner.isDraining())
+        m_keepsAlive = false;
+    std::string out;
+    appendHead(out, status, fields);
+    if (status != 204 && status != 304)
+        appendField(out, "Content-Length", std::to_string(body.size()));
+    out.append("\r\n");
+    if (!m_isHead)
+        out.append(body);
+    m_stream->write(out);
+    finishAnswer();
+}
+
+void caller_link::beginBody(int status, const std::vector<http_field>& fields, std::string_view firstBytes)
+{
+    if (m_owner.isDraining())
+        m_keepsAlive = false;
+    m_isChunked = true;
+    std::string out;
+    appendHead(out, status, fields);
+    appendField(out, "Transfer-Encoding", "chunked");
+    out.append("\r\n");
+    appendChunk(out, firstBytes);
+    m_stream->write(out);
+}
+
+void caller_link::sendBody(std::string_view bytes)
+{
+    std::string out;
+    out.reserve(bytes.size() + 16);
+    appendChunk(out, bytes);
+    m_stream->write(out);
+    if (m_stream->unwritten() > highWaterBytes && m_exchange)
+        m_exchange->holdBack(true);
+}
+
+void caller_link::endBody()
+{
+    m_stream->write(lastChunk);
+    finishAnswer();
+}
+
+void caller_link::finishAnswer()
+{
+    m_exchange.reset();
+    m_isChunked = false;
+    if (!m_keepsAlive) {
+        m_closesWhenWritten = true;
+        m_patience.start(closingTime);
+        return;
+    }
+    m_patience.start(m_owner.limits().idleTimeout);
+    m_stream->pauseReading(false);
+    m_owner.readAgain(shared_from_this());
+}
+
+void caller_link::onWritten()
+{
+    const auto self = shared_from_this();
+    if (m_exchange)
+        m_exchange->holdBack(false);
+    // The caller closes first where it still sends, so that our answer is not lost to a reset.
+    if (m_closesWhenWritten && !m_refusedEarly)
+        close();
+}
+
+void caller_link::onLeft()
+{
+    const auto self = shared_from_this();
+    if (m_exchange) {
+        const auto left = std::move(m_exchange);
+        left->onCallerLeft();
+    }
+    close();
+}
+
+void caller_link::breakOff()
+{
+    m_exchange.reset();
+    close();
+}
+
+void caller_link::drain()
+{
+    if (isIdle())
+        close();
+}
+
+void caller_link::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_patience.stop();
+    m_stream->handle({});
+    m_owner.forget(*this);
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/caller_link.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Loop/http_reader.h"
+#include "Loop/tcp_stream.h"
+#include "Loop/timer.h"
+
+#include <memory>
+
+namespace sagesaddle {
+
+class exchange;
+class relay;
+
+/// \brief A caller's connection: reads one request at a time and writes its answer.
+class caller_link : public std::enable_shared_from_this<caller_link> {
+public:
+    caller_link(relay& owner, evutil_socket_t socket);
+    ~caller_link();
+
+    caller_link(const caller_link&) = delete;
+    caller_link& operator=(const caller_link&) = delete;
+
+    /// Sends a whole answer.
+    void answer(int status, const std::vector<http_field>& fields, std::string_view body);
+    /// Begins an answer whose length is not known.
+    void beginBody(int status, const std::vector<http_field>& fields, std::string_view firstBytes);
+    void sendBody(std::string_view bytes);
+    void endBody();
+    /// Ends the answer where it cannot be finished, so that it does not look complete.
+    void breakOff();
+
+    std::size_t unwritten() const { return m_stream->unwritten(); }
+
+    /// Reads what came while a request was answered.
+    void readPending() { read(); }
+
+    /// No further request is taken; an idle connection closes.
+    void drain();
+    bool isIdle() const { return !m_exchange && !m_reader->isInMessage(); }
+
+private:
+    void read();
+    void onHead(http_head head);
+    void onRequest();
+    void onWritten();
+    void onLeft();
+    void refuseEarly(int status);
+    void finishAnswer();
+    void appendHead(std::string& out, int status, const std::vector<http_field>& fields) const;
+    void close();
+
+    relay& m_owner;
+    std::unique_ptr<tcp_stream> m_stream;
+    std::unique_ptr<http_reader> m_reader;
+    timer m_patience;
+    http_head m_head;
+    std::string m_body;
+    monotonic_time m_arrivedAt {};
+    std::shared_ptr<exchange> m_exchange;
+    bool m_keepsAlive { true };
+    bool m_isHead { false };
+    bool m_isChunked { false };
+    bool m_closesWhenWritten { false };
+    bool m_refusedEarly { false };
+    bool m_closed { false };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/exchange.cpp
@@ -0,0 +1,502 @@
+#include "Relay/exchange.h"
+
+#include "Base/overloaded.h"
+#include "Relay/caller_link.h"
+#include "Relay/relay.h"
+#include "caller_wire.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace sagesaddle {
+
+namespace {
+
+// Answers that are not streams are held back up to this size, so that a break shows as a refusal.
+constexpr std::size_t maxHeldBytes = 262144;
+// Time that an upstream has to accept a connection; one way is a few milliseconds.
+constexpr milliseconds connectTimeout { 300 };
+// Least time left with which a request is still worth sending.
+constexpr milliseconds leastTimeToSend { 20 };
+// Part of the caller's deadline that the way back takes.
+constexpr milliseconds wayBack { 20 };
+constexpr int misdirected = 421;
+constexpr int firstServerError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+exchange::exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt)
+    : m_owner(owner)
+    , m_caller(&caller)
+    , m_arrivedAt(arrivedAt)
+    , m_deadline(owner.loop(), [this] { onDeadline(); })
+    , m_connecting(owner.loop(), [this] { onConnectTimeout(); })
+{
+}
+
+milliseconds exchange::timeLeft() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_endsAt - monotonicNow());
+}
+
+void exchange::start(const http_head& head, std::string body)
+{
+    m_owner.onArrival();
+    m_table = m_owner.table();
+    try {
+        m_request = platform::readRequest(head);
+    } catch (const std::invalid_argument& error) {
+        m_owner.noteBadRequest(error.what());
+        refuse(relay_reason::BadRequest);
+        return;
+    }
+    m_request.body = std::move(body);
+    if (!resolve())
+        return;
+    milliseconds limit = m_route->timeout.count() > 0 ? m_route->timeout : milliseconds(60000);
+    if (m_request.deadline)
+        limit = std::min(limit, std::max(*m_request.deadline - wayBack, milliseconds(1)));
+    m_endsAt = m_arrivedAt + limit;
+    m_deadline.start(m_endsAt - monotonicNow());
+    m_owner.onDemand(*this);
+    place();
+}
+
+bool exchange::resolve()
+{
+    if (!m_table) {
+        refuse(relay_reason::NoConfiguration);
+        return false;
+    }
+    m_route = m_table->findRoute(m_request.host, m_request.target);
+    if (m_route == nullptr) {
+        refuse(relay_reason::UnknownRoute);
+        return false;
+    }
+    int rank = m_route->rank;
+    m_tokens = 1;
+    if (!m_route->isOpen && !m_table->config().teams.empty()) {
+        const team_config* team = m_request.key ? m_table->findTeam(*m_request.key) : nullptr;
+        if (team == nullptr) {
+            refuse(relay_reason::UnknownKey);
+            return false;
+        }
+        m_team = team->name;
+        rank = team->rank.value_or(rank);
+        if (team->countsTokens)
+            m_tokens = m_request.promptTokens ? *m_request.promptTokens + m_request.maxAnswerTokens
+                                              : team->plainTokens;
+        m_hasCredit = team->ratePerSecond <= 0;
+    } else {
+        m_hasCredit = true;
+    }
+    // Teams go before routes; three ranks of routes fit between two ranks of teams.
+    m_urgency = std::clamp(rank * 3 + std::min(m_route->rank, 2), 0, 9);
+    const std::string* service = route_table::pickTarget(*m_route, m_owner.draw());
+    if (service == nullptr) {
+        refuse(relay_reason::NoUpstream);
+        return false;
+    }
+    m_service = *service;
+    return true;
+}
+
+bool exchange::isStillAllowed()
+{
+    if (m_team.empty())
+        return true;
+    if (!m_owner.mayUseKeys()) {
+        refuse(relay_reason::KeysNotProven, m_owner.contactRetryAfter());
+        return false;
+    }
+    const route_table_ptr newest = m_owner.table();
+    if (newest == m_table)
+        return true;
+    const team_config* team = newest->findTeam(*m_request.key);
+    if (team == nullptr || team->name != m_team) {
+        refuse(relay_reason::UnknownKey);
+        return false;
+    }
+    return true;
+}
+
+void exchange::place()
+{
+    if (m_over || m_link)
+        return;
+    if (m_owner.table() != m_table && m_sends == 0) {
+        m_table = m_owner.table();
+        const bool hadCredit = m_hasCredit;
+        if (!resolve())
+            return;
+        m_hasCredit = m_hasCredit || hadCredit;
+    }
+    if (!isStillAllowed())
+        return;
+    if (timeLeft() < leastTimeToSend) {
+        onDeadline();
+        return;
+    }
+    if (!m_hasCredit) {
+        if (!m_asksCredit) {
+            m_asksCredit = true;
+            m_owner.askCredit(shared_from_this());
+        }
+        return;
+    }
+    std::visit(
+        overloaded { [this](const relay_send& value) { send(value.target, value.forecastMilliseconds); },
+            [this](const relay_wait&) { m_owner.wait(shared_from_this()); },
+            [this](const relay_refuse& value) { refuse(value.reason, value.retryAfter); } },
+        m_owner.choose(*this, m_tried));
+}
+
+void exchange::onCredit(bool isGranted, std::optional<milliseconds> retryAfter)
+{
+    if (m_over)
+        return;
+    if (!isGranted) {
+        refuse(retryAfter ? relay_reason::OverLimit : relay_reason::LimitUnknown, retryAfter);
+        return;
+    }
+    m_hasCredit = true;
+    place();
+}
+
+void exchange::send(const upstream_state_ptr& target, double forecast)
+{
+    m_upstream = target;
+    const bool mustNotCross = !m_route->isIdempotent();
+    m_link = target->pool.take(false);
+    (void)mustNotCross;
+    const double prompt = m_request.promptTokens.value_or(0);
+    m_aheadTokens = prompt;
+    m_memoryTokens = prompt
+        + (m_request.expectedAnswerTokens > 0 ? m_request.expectedAnswerTokens
+                                              : m_request.maxAnswerTokens / 2.0);
+    m_aheadAtSend = target->tokensAhead + target->foreign.tokensAhead;
+    target->inFlight += 1;
+    target->tokensAhead += m_aheadTokens;
+    target->memoryTokens += m_memoryTokens;
+    m_counted = true;
+    m_sentAt = monotonicNow();
+    m_answerBegun = false;
+    m_firstByteCame = false;
+    m_isForeignAnswer = false;
+    m_held.clear();
+    m_owner.noteSend(*this, *target, forecast, m_sends);
+    const auto self = weak_from_this();
+    const auto guarded = [self](auto action) {
+        return [self, action](auto&&... arguments) {
+            if (const auto alive = self.lock(); alive && !alive->m_over)
+                action(*alive, std::forward<decltype(arguments)>(arguments)...);
+        };
+    };
+    m_link->use({ guarded([](exchange& it) { it.transmit(); }),
+        guarded([](exchange& it, http_head head) { it.onHead(std::move(head)); }),
+        guarded([](exchange& it, std::string_view bytes) { it.onBody(bytes); }),
+        guarded([](exchange& it) { it.onAnswerEnd(); }), guarded([](exchange& it) { it.onBroken(); }) });
+    if (m_link->isConnected())
+        transmit();
+    else
+        m_connecting.start(connectTimeout);
+}
+
+void exchange::transmit()
+{
+    m_connecting.stop();
+    // The process may have stood still since the request was placed.
+    if (!isStillAllowed())
+        return;
+    const milliseconds left = timeLeft();
+    if (left < leastTimeToSend) {
+        onDeadline();
+        return;
+    }
+    upstream_terms terms;
+    terms.deadline = left;
+    terms.instance = m_upstream->entry.id;
+    terms.team = m_team;
+    if (m_route->isStream())
+        terms.urgency = m_urgency;
+    if (m_delivering)
+        terms.lastEventId = m_events.lastEventId();
+    m_mayHaveRun = true;
+    ++m_sends;
+    m_tried.insert(m_upstream->entry.id);
+    m_link->write(platform::writeRequest(m_request, terms));
+}
+
+void exchange::countFirstByte()
+{
+    if (m_firstByteCame)
+        return;
+    m_firstByteCame = true;
+    const monotonic_time now = monotonicNow();
+    m_upstream->lastSign = now;
+    m_upstream->failures = 0;
+    m_upstream->suspectUntil = {};
+    m_upstream->tokensAhead -= m_aheadTokens;
+    if (isSuccess(m_answer.status))
+        m_owner.noteFirstByte(*this, *m_upstream, secondsBetween(m_sentAt, now), m_aheadAtSend);
+    m_aheadTokens = 0;
+}
+
+void exchange::onHead(http_head head)
+{
+    const answer_terms terms = platform::readAnswer(head);
+    const bool declines = terms.isNotRun || head.status == misdirected;
+    const bool isOurs = terms.requestId == m_request.id || (terms.requestId.empty() && declines);
+    m_isForeignAnswer = !isOurs;
+    if (m_isForeignAnswer) {
+        m_owner.noteForeignAnswer(*this, *m_upstream);
+        return;
+    }
+    m_answer = std::move(head);
+    m_answerBegun = true;
+    if (declines)
+        m_mayHaveRun = false;
+}
+
+void exchange::deliverStart()
+{
+    std::vector<http_field> fields;
+    for (const auto& field : m_answer.fields) {
+        if (!isHopField(field.name) && !sameName(field.name, "Content-Length"))
+            fields.push_back(field);
+    }
+    m_delivering = true;
+    const std::string first = m_route->isResumable ? m_events.feed(m_held) : std::move(m_held);
+    m_held.clear();
+    m_caller->beginBody(m_answer.status, fields, first);
+}
+
+void exchange::onBody(std::string_view bytes)
+{
+    if (m_isForeignAnswer)
+        return;
+    const bool isSound = isSuccess(m_answer.status) && platform::readAnswer(m_answer).isSigned;
+    if (m_delivering) {
+        if (!isSound)
+            return;
+        if (m_route->isResumable) {
+            const std::string whole = m_events.feed(bytes);
+            if (!whole.empty())
+                m_caller->sendBody(whole);
+        } else {
+            m_caller->sendBody(bytes);
+        }
+        countFirstByte();
+        return;
+    }
+    if (m_held.size() + bytes.size() <= maxHeldBytes || !isSound)
+        m_held.append(bytes.substr(0, maxHeldBytes));
+    else {
+        m_held.append(bytes);
+        deliverStart();
+        return;
+    }
+    if (m_route->isStream() && isSound) {
+        countFirstByte();
+        deliverStart();
+    }
+}
+
+void exchange::onAnswerEnd()
+{
+    if (m_isForeignAnswer) {
+        // The answer to this request may still follow on the connection.
+        m_isForeignAnswer = false;
+        return;
+    }
+    const auto self = shared_from_this();
+    countFirstByte();
+    const bool isSigned = platform::readAnswer(m_answer).isSigned;
+    const bool declines = !m_mayHaveRun;
+    const int status = m_answer.status;
+    if (declines) {
+        if (status == misdirected)
+            m_owner.onMisdirected(m_upstream);
+        leaveUpstream(true);
+        if (status >= 400 && status < firstServerError && status != misdirected && status != 429) {
+            refuse(relay_reason::BadRequest);
+            return;
+        }
+        retryOr(relay_reason::DeclinedByUpstream);
+        return;
+    }
+    if (isSuccess(status) && !isSigned) {
+        leaveUpstream(false);
+        retryOr(relay_reason::UpstreamGarbled);
+        return;
+    }
+    if (m_delivering && !isSuccess(status)) {
+        leaveUpstream(true);
+        retryOr(relay_reason::UpstreamBroke);
+        return;
+    }
+    if (!m_delivering && status >= firstServerError && mayRetry()) {
+        m_owner.noteFailure(*m_upstream, false);
+        leaveUpstream(true);
+        retryOr(relay_reason::UpstreamBroke);
+        return;
+    }
+    if (m_delivering && m_events.hasPartial()) {
+        leaveUpstream(true);
+        retryOr(relay_reason::UpstreamGarbled);
+        return;
+    }
+    leaveUpstream(true);
+    logEnd("answered", status);
+    caller_link* const caller = m_caller;
+    finish();
+    if (m_delivering) {
+        caller->endBody();
+        return;
+    }
+    std::vector<http_field> fields;
+    for (const auto& field : m_answer.fields) {
+        if (!isHopField(field.name) && !sameName(field.name, "Content-Length"))
+            fields.push_back(field);
+    }
+    caller->answer(status, fields, m_held);
+}
+
+void exchange::onBroken()
+{
+    const auto self = shared_from_this();
+    m_connecting.stop();
+    m_owner.noteFailure(*m_upstream, !m_firstByteCame);
+    if (!m_mayHaveRun) {
+        // Nothing was sent: the connection was not made.
+        m_tried.insert(m_upstream->entry.id);
+        leaveUpstream(false);
+        place();
+        return;
+    }
+    leaveUpstream(false);
+    retryOr(relay_reason::UpstreamBroke);
+}
+
+void exchange::onConnectTimeout()
+{
+    onBroken();
+}
+
+bool exchange::mayRetry() const
+{
+    if (m_sends >= std::max(m_route->maxAttempts, m_mayHaveRun ? 1 : 2))
+        return false;
+    return (!m_mayHaveRun || m_route->isIdempotent()) && timeLeft() > leastTimeToSend * 2;
+}
+
+void exchange::retryOr(relay_reason reason)
+{
+    const bool canGoOn = !m_delivering || (m_route->isResumable && !m_events.lastEventId().empty());
+    if (canGoOn && mayRetry() && m_owner.tryRetry(m_service)) {
+        m_events.dropPartial();
+        place();
+        return;
+    }
+    refuse(reason, m_owner.declinedRetryAfter(*this));
+}
+
+void exchange::leaveUpstream(bool keepLink)
+{
+    m_connecting.stop();
+    if (m_counted) {
+        m_upstream->inFlight -= 1;
+        m_upstream->tokensAhead -= m_aheadTokens;
+        m_upstream->memoryTokens -= m_memoryTokens;
+        m_aheadTokens = 0;
+        m_counted = false;
+    }
+    if (!m_link)
+        return;
+    const auto link = std::move(m_link);
+    m_link.reset();
+    if (keepLink)
+        m_upstream->pool.giveBack(link);
+    else
+        link->close();
+    m_owner.onPlaceFree(m_service);
+}
+
+void exchange::onDeadline()
+{
+    if (m_over)
+        return;
+    const auto self = shared_from_this();
+    if (m_upstream && m_mayHaveRun && !m_firstByteCame)
+        m_owner.noteSilence(*m_upstream, secondsBetween(m_sentAt, monotonicNow()));
+    refuse(m_mayHaveRun ? relay_reason::NoAnswerInTime : relay_reason::NotSentInTime);
+}
+
+void exchange::refuse(relay_reason reason, std::optional<milliseconds> retryAfter)
+{
+    if (m_over)
+        return;
+    const auto self = shared_from_this();
+    relay_refusal told = refusalOf(reason);
+    if (told.isNotRun && m_mayHaveRun)
+        told = refusalOf(relay_reason::UpstreamBroke);
+    leaveUpstream(false);
+    logEnd(told.name, told.status);
+    m_owner.noteRefusal(*this, reason);
+    caller_link* const caller = m_caller;
+    finish();
+    if (m_delivering) {
+        caller->breakOff();
+        return;
+    }
+    std::vector<http_field> fields { { "Content-Type", "application/problem+json" } };
+    if (!m_request.id.empty())
+        fields.push_back({ std::string(platform::requestIdField()), m_request.id });
+    if (retryAfter) {
+        // Seconds with a fraction, as callers of the platform take them.
+        std::string text = std::to_string(static_cast<double>(retryAfter->count()) / 1000.0);
+        fields.push_back({ "Retry-After", text.substr(0, text.find('.') + 3) });
+    }
+    std::string body = R"({"type":"about:blank","reason":")";
+    body.append(told.name).append(R"(","verdict":")");
+    body.append(told.isNotRun ? "not_run" : "may_have_run").append("\"}");
+    caller->answer(told.status, fields, body);
+}
+
+void exchange::onCallerLeft()
+{
+    if (m_over)
+        return;
+    const auto self = shared_from_this();
+    m_caller = nullptr;
+    leaveUpstream(false);
+    logEnd("caller_left", 0);
+    finish();
+}
+
+void exchange::holdBack(bool isHeld)
+{
+    if (m_link)
+        m_link->pauseReading(isHeld);
+}
+
+void exchange::logEnd(std::string_view outcome, int status)
+{
+    m_owner.noteEnd(*this, outcome, status, m_sends, m_upstream.get());
+}
+
+void exchange::finish()
+{
+    m_over = true;
+    m_deadline.stop();
+    m_connecting.stop();
+    m_owner.unwait(*this);
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/exchange.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Fleet/route_table.h"
+#include "Loop/timer.h"
+#include "Relay/event_cutter.h"
+#include "Relay/refusal_reason.h"
+#include "Relay/relay_request.h"
+#include "Relay/upstream_state.h"
+
+namespace sagesaddle {
+
+class caller_link;
+class relay;
+
+/// \brief One request from its arrival to its answer.
+///
+/// It is sent again only where it may run twice or surely did not run, and its refusal says "not run" only
+/// while no byte of it left for an upstream that did not decline it.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt);
+
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    void start(const http_head& head, std::string body);
+
+    /// Tries to place a waiting request; called when something changed that may let it.
+    void place();
+
+    /// The caller closed its connection: the work ends.
+    void onCallerLeft();
+
+    /// The caller does not read, or reads again.
+    void holdBack(bool isHeld);
+
+    /// Credit of its team came or was denied.
+    void onCredit(bool isGranted, std::optional<milliseconds> retryAfter);
+
+    const relay_request& request() const { return m_request; }
+    const route_config& route() const { return *m_route; }
+    const std::string& service() const { return m_service; }
+    const std::string& team() const { return m_team; }
+    double tokens() const { return m_tokens; }
+    int urgency() const { return m_urgency; }
+    monotonic_time arrivedAt() const { return m_arrivedAt; }
+    bool isOver() const { return m_over; }
+
+    void refuse(relay_reason reason, std::optional<milliseconds> retryAfter = {});
+
+private:
+    bool resolve();
+    bool isStillAllowed();
+    void send(const upstream_state_ptr& target, double forecast);
+    void transmit();
+    void onHead(http_head head);
+    void onBody(std::string_view bytes);
+    void onAnswerEnd();
+    void onBroken();
+    void onConnectTimeout();
+    void onDeadline();
+    void deliverStart();
+    bool mayRetry() const;
+    void retryOr(relay_reason reason);
+    void leaveUpstream(bool keepLink);
+    void countFirstByte();
+    void logEnd(std::string_view outcome, int status);
+    milliseconds timeLeft() const;
+    void finish();
+
+    relay& m_owner;
+    caller_link* m_caller;
+    monotonic_time m_arrivedAt;
+    monotonic_time m_endsAt {};
+    relay_request m_request;
+    route_table_ptr m_table;
+    const route_config* m_route { nullptr };
+    std::string m_service;
+    std::string m_team;
+    int m_urgency { 5 };
+    double m_tokens { 0 };
+
+    timer m_deadline;
+    timer m_connecting;
+    upstream_state_ptr m_upstream;
+    upstream_link_ptr m_link;
+    std::set<std::string> m_tried;
+    int m_sends { 0 };
+    monotonic_time m_sentAt {};
+    double m_aheadTokens { 0 };
+    double m_memoryTokens { 0 };
+    double m_aheadAtSend { 0 };
+
+    http_head m_answer;
+    std::string m_held;
+    event_cutter m_events;
+    /// The answer at hand belongs to another request.
+    bool m_isForeignAnswer { false };
+    bool m_answerBegun { false };
+    bool m_delivering { false };
+    bool m_firstByteCame { false };
+    bool m_counted { false };
+    /// Bytes left for an upstream that did not decline them.
+    bool m_mayHaveRun { false };
+    bool m_hasCredit { false };
+    bool m_asksCredit { false };
+    bool m_over { false };
+};
+
+using exchange_ptr = std::shared_ptr<exchange>;
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/relay.cpp
@@ -0,0 +1,472 @@
+#include "Relay/relay.h"
+
+#include "Base/overloaded.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagesaddle {
+
+namespace {
+
+// Silence of an upstream with work at hand before it is avoided; above the longest pause of a loaded engine.
+constexpr double suspectSilenceSeconds = 1.2;
+// First span for which a failed upstream is avoided; it doubles with each failure in a row.
+constexpr milliseconds firstSuspicion { 250 };
+constexpr int mostDoublings = 4;
+// Pause between looks at waiting requests; well under an adapter's load.
+constexpr milliseconds placePause { 10 };
+// Part of its objective that a request may wait for a missing adapter.
+constexpr double waitShare = 0.8;
+// When to come back where nothing better is known.
+constexpr milliseconds standardRetryAfter { 700 };
+// Spread of the callers' return, so that they do not come together.
+constexpr double retrySpread = 0.5;
+// Weight of a new observation of a model's pace.
+constexpr double paceWeight = 0.1;
+// Bounds of a plausible pace.
+constexpr double leastPace = 0.002;
+constexpr double mostPace = 0.2;
+// Prompts' parts that are remembered with the upstream that read them last.
+constexpr std::size_t maxAffinities = 4096;
+// Forecast beyond the objective up to which a request is still sent.
+constexpr double lateFactor = 1.2;
+// Gateways that are taken to share the fleet's budgets before the coordinator tells.
+constexpr unsigned assumedGateways = 10;
+// Objective of routes that name none.
+constexpr double standardObjectiveMs = 1000;
+
+} // namespace
+
+relay::relay(event_loop& loop, relay_options options, relay_watch& watch, relay_hooks hooks)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_watch(watch)
+    , m_hooks(std::move(hooks))
+    , m_contact(m_options.keysFor)
+    , m_gateways(assumedGateways)
+    , m_readTimer(loop,
+          [this] {
+              const auto links = std::exchange(m_toRead, {});
+              m_closed.clear();
+              for (const auto& link : links)
+                  link->readPending();
+          })
+    , m_placeTimer(loop, [this] { placeWaiting(); })
+    , m_random(std::random_device {}())
+{
+}
+
+relay::~relay() = default;
+
+void relay::accept(evutil_socket_t socket)
+{
+    if (m_callers.size() >= m_options.maxCallers) {
+        m_watch.metrics.add("sagesaddle_callers_turned_away", "Connections closed for want of descriptors");
+        evutil_closesocket(socket);
+        return;
+    }
+    const auto link = std::make_shared<caller_link>(*this, socket);
+    m_callers.emplace(link.get(), link);
+}
+
+void relay::forget(const caller_link& link)
+{
+    const auto found = m_callers.find(&link);
+    if (found == m_callers.end())
+        return;
+    m_closed.push_back(std::move(found->second));
+    m_callers.erase(found);
+    m_readTimer.start({});
+}
+
+void relay::readAgain(const std::shared_ptr<caller_link>& link)
+{
+    m_toRead.push_back(link);
+    m_readTimer.start({});
+}
+
+const caller_limits& relay::limits() const
+{
+    static const caller_limits standard;
+    return m_table ? m_table->config().limits : standard;
+}
+
+void relay::onConfig(fleet_config_ptr config)
+{
+    if (m_table && config->version <= m_table->config().version)
+        return;
+    m_table = std::make_shared<const route_table>(std::move(config));
+    const monotonic_time now = monotonicNow();
+    m_watch.lines.write(log_level::Info, "config_in_force",
+        { { "version", m_table->config().version }, { "routes", m_table->config().routes.size() },
+            { "teams", m_table->config().teams.size() } },
+        now);
+    placeWaiting();
+}
+
+void relay::onUpstreams(const std::map<std::string, upstream_entry>& entries)
+{
+    m_knowsUpstreams = true;
+    for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
+        const auto listed = entries.find(entry->first);
+        // Another start under the same id knows nothing of what was before.
+        if (listed != entries.end() && listed->second.where == entry->second->entry.where
+            && listed->second.startedAt == entry->second->entry.startedAt) {
+            ++entry;
+            continue;
+        }
+        entry->second->isGone = true;
+        m_watch.lines.write(
+            log_level::Info, "upstream_gone", { { "upstream", entry->first } }, monotonicNow());
+        entry = m_upstreams.erase(entry);
+    }
+    m_byService.clear();
+    for (const auto& [id, entry] : entries) {
+        auto& state = m_upstreams[id];
+        if (!state) {
+            state = std::make_shared<upstream_state>(m_loop, entry);
+            m_watch.lines.write(log_level::Info, "upstream_listed",
+                { { "upstream", id }, { "service", entry.service },
+                    { "address", formatAddress(entry.where) } },
+                monotonicNow());
+        }
+        if (state->entry.isDraining != entry.isDraining)
+            m_watch.lines.write(log_level::Info, "upstream_draining", { { "upstream", id } }, monotonicNow());
+        if (!state->holdingsAreNews && (state->held.empty() || state->entry.models != entry.models)) {
+            state->held.clear();
+            for (const auto& model : entry.models) {
+                state->held.insert(model.name);
+                for (const auto& adapter : model.adapters)
+                    state->held.insert(model.name + "/" + adapter);
+            }
+        }
+        state->entry = entry;
+        m_byService[entry.service].push_back(state);
+    }
+    placeWaiting();
+}
+
+void relay::onHoldings(const std::string& id, std::set<std::string> held)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    found->second->held = std::move(held);
+    found->second->holdingsAreNews = true;
+    placeWaiting();
+}
+
+void relay::onCoordinatorLost()
+{
+    for (const auto& [id, upstream] : m_upstreams) {
+        upstream->foreign = {};
+        upstream->holdingsAreNews = false;
+    }
+}
+
+void relay::onGateways(unsigned count)
+{
+    if (count == 0 || count == m_gateways)
+        return;
+    m_gateways = count;
+    // Budgets start anew with the new part of the slack.
+    m_retries.clear();
+}
+
+void relay::onForeignLoad(const std::string& id, const foreign_load& load)
+{
+    const auto found = m_upstreams.find(id);
+    if (found != m_upstreams.end())
+        found->second->foreign = load;
+}
+
+void relay::onContact(monotonic_time provenAt)
+{
+    m_contact.onProof(provenAt);
+}
+
+bool relay::mayUseKeys() const
+{
+    return m_contact.mayUseKeys(suspendedNow());
+}
+
+milliseconds relay::contactRetryAfter() const
+{
+    return standardRetryAfter;
+}
+
+bool relay::isReady() const
+{
+    if (m_draining || !m_table || !m_knowsUpstreams)
+        return false;
+    return m_table->config().teams.empty() || mayUseKeys();
+}
+
+void relay::drain()
+{
+    m_draining = true;
+    const auto links = m_callers;
+    for (const auto& [key, link] : links)
+        link->drain();
+}
+
+double relay::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+std::string relay::affinityKey(const exchange& request) const
+{
+    const auto& parts = request.request().parts;
+    // The last part is the request's own; those before it are shared.
+    if (parts.size() < 2)
+        return {};
+    return request.request().model + "/" + request.request().adapter + ":"
+        + std::to_string(parts[parts.size() - 2].id);
+}
+
+std::vector<upstream_state_ptr> relay::candidatesFor(
+    const exchange& request, const std::set<std::string>& tried)
+{
+    std::vector<upstream_state_ptr> found;
+    const auto service = m_byService.find(request.service());
+    if (service == m_byService.end())
+        return found;
+    for (const auto& upstream : service->second) {
+        if (!upstream->entry.isDraining && !tried.contains(upstream->entry.id)
+            && upstream->holds(request.request().model, request.request().adapter))
+            found.push_back(upstream);
+    }
+    return found;
+}
+
+engine_candidate relay::describe(const exchange& request, const upstream_state& upstream) const
+{
+    engine_candidate candidate;
+    candidate.inFlight = upstream.inFlight + upstream.foreign.inFlight;
+    candidate.slots = upstream.entry.slots;
+    candidate.isNear = upstream.entry.zone == m_options.zone;
+    candidate.isSuspect = upstream.isSuspect(monotonicNow());
+    candidate.tokensAhead = upstream.tokensAhead + upstream.foreign.tokensAhead;
+    candidate.memoryUsed = upstream.memoryTokens + upstream.foreign.memoryTokens;
+    const service_config* service = m_table->findService(request.service());
+    if (service != nullptr && service->engine)
+        candidate.memoryTotal = service->engine->memoryTokens;
+    const auto pace = m_paces.find(request.service() + "/" + request.request().model);
+    const model_pace known = pace == m_paces.end() ? model_pace {} : pace->second;
+    candidate.millisecondsPerToken = known.millisecondsPerToken;
+    candidate.holdMilliseconds = known.holdMilliseconds;
+    const auto affinity = m_affinity.find(affinityKey(request));
+    if (affinity != m_affinity.end() && affinity->second == upstream.entry.id) {
+        const auto& parts = request.request().parts;
+        for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+            candidate.cachedTokens += parts[index].tokens;
+    }
+    return candidate;
+}
+
+relay_choice relay::choose(const exchange& request, const std::set<std::string>& tried)
+{
+    const auto upstreams = candidatesFor(request, tried);
+    if (upstreams.empty())
+        return whenAbsent(request, m_byService.contains(request.service()));
+    std::vector<engine_candidate> candidates;
+    candidates.reserve(upstreams.size());
+    for (const auto& upstream : upstreams)
+        candidates.push_back(describe(request, *upstream));
+    engine_demand demand;
+    demand.promptTokens = request.request().promptTokens.value_or(0);
+    demand.memoryTokens = demand.promptTokens + request.request().maxAnswerTokens / 2.0;
+    const double objective = request.route().objective.count() > 0
+        ? static_cast<double>(request.route().objective.count())
+        : standardObjectiveMs;
+    const double spent = secondsBetween(request.arrivedAt(), monotonicNow()) * 1000;
+    demand.objectiveMilliseconds = std::max(objective - spent, objective / 4);
+    return std::visit(
+        overloaded { [&](const engine_pick& pick) -> relay_choice {
+                        return relay_send { upstreams[pick.index], pick.firstEventMilliseconds };
+                    },
+            [&](const engine_full& full) -> relay_choice { return whenFull(request, full); },
+            [&](const engine_none&) -> relay_choice { return whenAbsent(request, true); } },
+        chooseEngine(candidates, demand, lateFactor));
+}
+
+relay_choice relay::whenAbsent(const exchange& request, bool anyUpstream)
+{
+    const auto& asked = request.request();
+    if (!anyUpstream || asked.model.empty())
+        return relay_refuse { relay_reason::NoUpstream, standardRetryAfter };
+    m_hooks.onWanted(request.service(), asked.model, asked.adapter);
+    const bool hasModel = std::any_of(m_byService[request.service()].begin(),
+        m_byService[request.service()].end(), [&](const upstream_state_ptr& upstream) {
+            return !upstream->entry.isDraining && upstream->holds(asked.model, "");
+        });
+    const double waited = secondsBetween(request.arrivedAt(), monotonicNow()) * 1000;
+    const double objective
+        = static_cast<double>(std::max<std::int64_t>(request.route().objective.count(), 1));
+    if (hasModel && !asked.adapter.empty() && waited < objective * waitShare)
+        return relay_wait {};
+    return relay_refuse { relay_reason::ModelAbsent, *declinedRetryAfter(request) };
+}
+
+relay_choice relay::whenFull(const exchange& request, const engine_full& full)
+{
+    const auto excess = milliseconds(static_cast<std::int64_t>(
+        full.firstEventMilliseconds - static_cast<double>(request.route().objective.count())));
+    const milliseconds spread(static_cast<std::int64_t>(draw() * retrySpread * standardRetryAfter.count()));
+    return relay_refuse { relay_reason::Overloaded, std::max(excess, standardRetryAfter) + spread };
+}
+
+std::optional<milliseconds> relay::declinedRetryAfter(const exchange&)
+{
+    return standardRetryAfter
+        + milliseconds(static_cast<std::int64_t>(draw() * retrySpread * standardRetryAfter.count()));
+}
+
+void relay::askCredit(const exchange_ptr& request)
+{
+    m_hooks.askCredit(request);
+}
+
+void relay::wait(const exchange_ptr& request)
+{
+    if (std::find(m_waiting.begin(), m_waiting.end(), request) == m_waiting.end())
+        m_waiting.push_back(request);
+    if (!m_placeTimer.isRunning())
+        m_placeTimer.start(placePause);
+}
+
+void relay::unwait(const exchange& request)
+{
+    m_waiting.remove_if([&](const exchange_ptr& waiting) { return waiting.get() == &request; });
+}
+
+void relay::placeWaiting()
+{
+    if (m_waiting.empty())
+        return;
+    auto waiting = std::exchange(m_waiting, {});
+    waiting.sort([](const exchange_ptr& left, const exchange_ptr& right) {
+        return std::pair(left->urgency(), left->arrivedAt())
+            < std::pair(right->urgency(), right->arrivedAt());
+    });
+    for (const auto& request : waiting)
+        request->place();
+}
+
+void relay::onPlaceFree(const std::string&)
+{
+    if (!m_waiting.empty() && !m_placeTimer.isRunning())
+        m_placeTimer.start({});
+}
+
+bool relay::tryRetry(const std::string& service)
+{
+    const auto found
+        = m_retries.try_emplace(service, m_options.retriesPerRequest, m_options.retrySlack / m_gateways)
+              .first;
+    const bool may = found->second.tryRetry();
+    m_watch.metrics.add(
+        "sagesaddle_retries", "Second sends by service", { { "allowed", may ? "yes" : "no" } });
+    return may;
+}
+
+void relay::onDemand(const exchange& request)
+{
+    m_retries.try_emplace(request.service(), m_options.retriesPerRequest, m_options.retrySlack / m_gateways)
+        .first->second.onRequest();
+    if (m_hooks.onDemand)
+        m_hooks.onDemand(request);
+}
+
+void relay::onMisdirected(const upstream_state_ptr& upstream)
+{
+    m_watch.lines.write(log_level::Warning, "misdirected",
+        { { "upstream", upstream->entry.id }, { "address", formatAddress(upstream->entry.where) } },
+        monotonicNow());
+    upstream->suspectUntil = monotonicNow() + firstSuspicion;
+}
+
+void relay::noteBadRequest(const char* what)
+{
+    m_watch.lines.write(log_level::Warning, "bad_request", { { "error", what } }, monotonicNow());
+}
+
+void relay::noteSend(const exchange& request, upstream_state& upstream, double forecast, int earlierSends)
+{
+    const auto key = affinityKey(request);
+    if (!key.empty()) {
+        if (m_affinity.size() >= maxAffinities)
+            m_affinity.erase(m_affinity.begin());
+        m_affinity[key] = upstream.entry.id;
+    }
+    m_watch.lines.write(log_level::Debug, "sent",
+        { { "id", request.request().id }, { "upstream", upstream.entry.id }, { "forecast_ms", forecast },
+            { "in_flight", upstream.inFlight + upstream.foreign.inFlight },
+            { "earlier_sends", earlierSends } },
+        monotonicNow());
+}
+
+void relay::noteFirstByte(
+    const exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead)
+{
+    m_watch.metrics.observeSeconds("sagesaddle_first_byte_seconds", "Time from send to first byte", elapsed);
+    const double prompt = request.request().promptTokens.value_or(0);
+    if (prompt <= 0 || !request.route().isStream())
+        return;
+    auto& pace = m_paces[request.service() + "/" + request.request().model];
+    if (upstream.inFlight + upstream.foreign.inFlight <= upstream.entry.slots) {
+        const double seen = std::clamp(elapsed * 1000 / (prompt + tokensAhead), leastPace, mostPace);
+        pace.millisecondsPerToken += paceWeight * (seen - pace.millisecondsPerToken);
+    }
+}
+
+void relay::noteForeignAnswer(const exchange& request, const upstream_state& upstream)
+{
+    m_watch.lines.write(log_level::Warning, "foreign_answer",
+        { { "id", request.request().id }, { "upstream", upstream.entry.id } }, monotonicNow());
+}
+
+void relay::noteFailure(upstream_state& upstream, bool beforeFirstByte)
+{
+    const monotonic_time now = monotonicNow();
+    upstream.failures = std::min(upstream.failures + 1, mostDoublings);
+    upstream.suspectUntil
+        = std::max(upstream.suspectUntil, now + firstSuspicion * (1 << (upstream.failures - 1)));
+    m_watch.lines.write(log_level::Warning, "upstream_failed",
+        { { "upstream", upstream.entry.id }, { "before_first_byte", beforeFirstByte },
+            { "failures", upstream.failures } },
+        now);
+}
+
+void relay::noteSilence(upstream_state& upstream, double silentSeconds)
+{
+    if (silentSeconds >= suspectSilenceSeconds)
+        noteFailure(upstream, true);
+}
+
+void relay::noteRefusal(const exchange& request, relay_reason reason)
+{
+    m_watch.metrics.add("sagesaddle_refusals", "Requests that the system ended itself",
+        { { "reason", std::string(refusalOf(reason).name) }, { "team", request.team() } });
+}
+
+void relay::noteEnd(
+    const exchange& request, std::string_view outcome, int status, int sends, const upstream_state* upstream)
+{
+    --m_running;
+    const bool isFailure = outcome != "answered" || status >= 500;
+    const double elapsed = secondsBetween(request.arrivedAt(), monotonicNow());
+    m_watch.metrics.observeSeconds("sagesaddle_request_seconds", "Time from arrival to the end", elapsed);
+    m_watch.lines.write(isFailure ? log_level::Warning : log_level::Info, isFailure ? "ended" : "answered",
+        { { "id", request.request().id }, { "outcome", outcome }, { "status", status },
+            { "service", request.service() }, { "team", request.team() },
+            { "model", request.request().model }, { "adapter", request.request().adapter },
+            { "upstream", upstream == nullptr ? std::string() : upstream->entry.id }, { "sends", sends },
+            { "seconds", elapsed },
+            { "config", m_table ? static_cast<std::int64_t>(m_table->config().version) : 0 } },
+        monotonicNow());
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/relay.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "Base/priority.h"
+#include "Fleet/contact_clock.h"
+#include "Fleet/route_table.h"
+#include "Relay/caller_link.h"
+#include "Relay/exchange.h"
+#include "Relay/relay_watch.h"
+#include "Route/engine_choice.h"
+#include "Route/retry_budget.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+
+namespace sagesaddle {
+
+/// \brief Send the request to that upstream.
+struct relay_send {
+    upstream_state_ptr target;
+    double forecastMilliseconds { 0 };
+};
+
+/// \brief Wait: what it needs is on its way.
+struct relay_wait { };
+
+/// \brief End the request, which has not run.
+struct relay_refuse {
+    relay_reason reason;
+    std::optional<milliseconds> retryAfter;
+};
+
+using relay_choice = std::variant<relay_send, relay_wait, relay_refuse>;
+
+/// \brief Bounds that the relay keeps.
+struct relay_options {
+    std::string zone;
+    /// Age of the configuration's evidence from which keys are not used.
+    milliseconds keysFor { 4300 };
+    double retriesPerRequest { 0.1 };
+    /// Second sends beyond that which the fleet may make at once; each gateway has an equal part.
+    double retrySlack { 5 };
+    /// Callers' connections beyond which new ones are closed.
+    std::size_t maxCallers { 3000 };
+};
+
+/// \brief The relay's way to the rest of the fleet.
+struct relay_hooks {
+    /// Asks for credit of a team; exchange::onCredit follows, at once or later.
+    std::function<void(const exchange_ptr&)> askCredit;
+    /// A model or adapter is asked for that no upstream holds.
+    std::function<void(const std::string& service, const std::string& model, const std::string& adapter)>
+        onWanted;
+    /// A request asks for a model.
+    std::function<void(const exchange&)> onDemand;
+};
+
+/// \brief Takes callers' requests, places each on an upstream and relays the answers; runs on one loop.
+class relay {
+public:
+    relay(event_loop& loop, relay_options options, relay_watch& watch, relay_hooks hooks);
+    ~relay();
+
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+
+    void accept(evutil_socket_t socket);
+    /// Takes in a newer configuration; an older one is ignored.
+    void onConfig(fleet_config_ptr config);
+    void onUpstreams(const std::map<std::string, upstream_entry>& entries);
+    /// Takes in what an upstream holds, newer than its listing.
+    void onHoldings(const std::string& id, std::set<std::string> held);
+    /// Takes in the load that others put on an upstream.
+    void onForeignLoad(const std::string& id, const foreign_load& load);
+    /// Evidence that the configuration was the newest at that time, on the clock that counts suspension.
+    void onContact(monotonic_time provenAt);
+    /// Not ready first, no new requests, running ones finish.
+    void drain();
+    bool isDraining() const { return m_draining; }
+    bool isIdle() const { return m_running == 0; }
+    /// \return whether callers should be sent here.
+    bool isReady() const;
+    /// Gateways that share the fleet's budget of second sends.
+    void onGateways(unsigned count);
+    /// What upstreams hold is known by the list only.
+    void onCoordinatorLost();
+
+    event_loop& loop() { return m_loop; }
+    const caller_limits& limits() const;
+    const route_table_ptr& table() const { return m_table; }
+    const std::unordered_map<std::string, upstream_state_ptr>& upstreams() const { return m_upstreams; }
+    std::size_t waiting() const { return m_waiting.size(); }
+
+    // For callers' links.
+    void forget(const caller_link& link);
+    void readAgain(const std::shared_ptr<caller_link>& link);
+
+    // For exchanges.
+    double draw();
+    bool mayUseKeys() const;
+    milliseconds contactRetryAfter() const;
+    std::optional<milliseconds> declinedRetryAfter(const exchange& request);
+    relay_choice choose(const exchange& request, const std::set<std::string>& tried);
+    void askCredit(const exchange_ptr& request);
+    void wait(const exchange_ptr& request);
+    void unwait(const exchange& request);
+    bool tryRetry(const std::string& service);
+    void onPlaceFree(const std::string& service);
+    void onMisdirected(const upstream_state_ptr& upstream);
+    void onArrival() { ++m_running; }
+    void onDemand(const exchange& request);
+    void noteBadRequest(const char* what);
+    void noteSend(const exchange& request, upstream_state& upstream, double forecast, int earlierSends);
+    void noteFirstByte(
+        const exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
+    void noteForeignAnswer(const exchange& request, const upstream_state& upstream);
+    void noteFailure(upstream_state& upstream, bool beforeFirstByte);
+    void noteSilence(upstream_state& upstream, double silentSeconds);
+    void noteRefusal(const exchange& request, relay_reason reason);
+    void noteEnd(const exchange& request, std::string_view outcome, int status, int sends,
+        const upstream_state* upstream);
+
+private:
+    /// How fast a model reads prompts, learned from first events.
+    struct model_pace {
+        double millisecondsPerToken { 0.05 };
+        double holdMilliseconds { 1500 };
+    };
+
+    std::vector<upstream_state_ptr> candidatesFor(
+        const exchange& request, const std::set<std::string>& tried);
+    engine_candidate describe(const exchange& request, const upstream_state& upstream) const;
+    relay_choice whenAbsent(const exchange& request, bool anyUpstream);
+    relay_choice whenFull(const exchange& request, const engine_full& full);
+    void placeWaiting();
+    std::string affinityKey(const exchange& request) const;
+
+    event_loop& m_loop;
+    relay_options m_options;
+    relay_watch& m_watch;
+    relay_hooks m_hooks;
+    route_table_ptr m_table;
+    contact_clock m_contact;
+    std::unordered_map<std::string, upstream_state_ptr> m_upstreams;
+    std::unordered_map<std::string, std::vector<upstream_state_ptr>> m_byService;
+    std::unordered_map<const caller_link*, std::shared_ptr<caller_link>> m_callers;
+    std::vector<std::shared_ptr<caller_link>> m_toRead;
+    std::vector<std::shared_ptr<caller_link>> m_closed;
+    std::list<exchange_ptr> m_waiting;
+    std::unordered_map<std::string, retry_budget> m_retries;
+    unsigned m_gateways;
+    std::unordered_map<std::string, model_pace> m_paces;
+    std::unordered_map<std::string, std::string> m_affinity;
+    timer m_readTimer;
+    timer m_placeTimer;
+    std::minstd_rand m_random;
+    std::size_t m_running { 0 };
+    bool m_draining { false };
+    bool m_knowsUpstreams { false };
+};
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Relay/upstream_state.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Fleet/upstream_list.h"
+#include "Relay/upstream_link.h"
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace sagesaddle {
+
+/// \brief Load that other entries put on an upstream, as last heard.
+struct foreign_load {
+    int inFlight { 0 };
+    double tokensAhead { 0 };
+    double memoryTokens { 0 };
+
+    auto operator<=>(const foreign_load&) const = default;
+};
+
+/// \brief An upstream as this entry sees it: its listing, its connections and this entry's work there.
+struct upstream_state {
+    upstream_state(event_loop& loop, upstream_entry listed)
+        : entry(std::move(listed))
+        , pool(loop, entry.where)
+    {
+    }
+
+    upstream_entry entry;
+    upstream_pool pool;
+    /// `model` or `model/adapter` that it holds, as far as known.
+    std::set<std::string> held;
+    /// Whether `held` came from the coordinator, which knows it sooner than the listing.
+    bool holdingsAreNews { false };
+    int inFlight { 0 };
+    double tokensAhead { 0 };
+    double memoryTokens { 0 };
+    foreign_load foreign;
+    monotonic_time suspectUntil {};
+    /// Failures in a row, which lengthen the suspicion.
+    int failures { 0 };
+    /// Since when requests are at it and no byte came.
+    monotonic_time lastSign {};
+    bool isGone { false };
+
+    bool holds(const std::string& model, const std::string& adapter) const
+    {
+        return model.empty() || held.contains(adapter.empty() ? model : model + "/" + adapter);
+    }
+    bool isSuspect(monotonic_time now) const { return now < suspectUntil; }
+};
+
+using upstream_state_ptr = std::shared_ptr<upstream_state>;
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Route/engine_choice.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Base/clock.h"
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \brief What is known of an upstream that could run a request.
+struct engine_candidate {
+    /// Requests at it, from all entries as far as known.
+    int inFlight { 0 };
+    int slots { 1 };
+    /// Prompt tokens that wait there to be read.
+    double tokensAhead { 0 };
+    /// Prompt tokens of this request that it need not read again.
+    double cachedTokens { 0 };
+    double memoryUsed { 0 };
+    /// 0 where it has no bound.
+    double memoryTotal { 0 };
+    double millisecondsPerToken { 0 };
+    /// How long a request stays, on the mean; tells when a place is free again.
+    double holdMilliseconds { 0 };
+    bool isNear { false };
+    /// Lately failed or silent.
+    bool isSuspect { false };
+
+    auto operator<=>(const engine_candidate&) const = default;
+};
+
+/// \brief What a request needs of an upstream.
+struct engine_demand {
+    double promptTokens { 0 };
+    double memoryTokens { 0 };
+    /// Time left within which a first event is on time.
+    double objectiveMilliseconds { 0 };
+
+    auto operator<=>(const engine_demand&) const = default;
+};
+
+/// \brief The upstream that was chosen and the forecast of its first event.
+struct engine_pick {
+    std::size_t index { 0 };
+    double firstEventMilliseconds { 0 };
+
+    auto operator<=>(const engine_pick&) const = default;
+};
+
+/// \brief No upstream can begin in time; the earliest could after that time.
+struct engine_full {
+    double firstEventMilliseconds { 0 };
+
+    auto operator<=>(const engine_full&) const = default;
+};
+
+/// \brief There is no upstream to choose from.
+struct engine_none {
+    auto operator<=>(const engine_none&) const = default;
+};
+
+using engine_choice = std::variant<engine_pick, engine_full, engine_none>;
+
+/// \return the forecast of the time to the first event, in milliseconds.
+double forecastFirstEvent(const engine_candidate& candidate, const engine_demand& demand);
+
+/// Chooses the upstream with the earliest forecast; pure.
+///
+/// Answers a burst on few engines: requests spread by the prompt tokens that wait ahead rather than by
+/// counts, and one whose forecast misses its objective everywhere is turned away before it makes others late.
+/// \param lateFactor how far beyond the objective a forecast may lie
+engine_choice chooseEngine(
+    const std::vector<engine_candidate>& candidates, const engine_demand& demand, double lateFactor);
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Wire/fleet_messages.cpp
@@ -0,0 +1,165 @@
+#include "Wire/fleet_messages.h"
+
+#include "Base/overloaded.h"
+#include "Wire/fleet_generated.h"
+
+#include <stdexcept>
+
+namespace sagesaddle {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// Beyond any report of a fleet of the size that is built for.
+constexpr std::size_t maxFrameBytes = std::size_t { 4 } << 20U;
+
+template <typename Table, typename Values, typename Make>
+auto vectorOf(FlatBufferBuilder& builder, const Values& values, const Make& make)
+{
+    std::vector<Offset<Table>> offsets;
+    offsets.reserve(values.size());
+    for (const auto& value : values)
+        offsets.push_back(make(value));
+    return builder.CreateVector(offsets);
+}
+
+auto encodeWork(FlatBufferBuilder& builder, const std::vector<upstream_work>& work)
+{
+    return vectorOf<fleet_wire::UpstreamWork>(builder, work, [&](const upstream_work& value) {
+        return fleet_wire::CreateUpstreamWork(builder, builder.CreateString(value.upstream), value.inFlight,
+            value.tokensAhead, value.memoryTokens);
+    });
+}
+
+Offset<void> encodeReport(FlatBufferBuilder& builder, const fleet_report& value)
+{
+    const auto credit
+        = vectorOf<fleet_wire::CreditAsk>(builder, value.credit, [&](const credit_request& ask) {
+              return fleet_wire::CreateCreditAsk(
+                  builder, builder.CreateString(ask.team), ask.needed, ask.ahead);
+          });
+    const auto demand
+        = vectorOf<fleet_wire::ModelDemand>(builder, value.demand, [&](const model_demand& item) {
+              return fleet_wire::CreateModelDemand(builder, builder.CreateString(item.service),
+                  builder.CreateString(item.model), builder.CreateString(item.adapter), item.requests,
+                  item.unplaced, item.tokens);
+          });
+    const auto work = encodeWork(builder, value.work);
+    return fleet_wire::CreateReport(
+        builder, builder.CreateString(value.entry), value.number, credit, work, demand)
+        .Union();
+}
+
+Offset<void> encodeNews(FlatBufferBuilder& builder, const fleet_news& value)
+{
+    const auto credit
+        = vectorOf<fleet_wire::CreditGrant>(builder, value.credit, [&](const credit_answer& grant) {
+              return fleet_wire::CreateCreditGrant(
+                  builder, builder.CreateString(grant.team), grant.tokens, grant.retryAfterMs);
+          });
+    const auto holdings
+        = vectorOf<fleet_wire::Holding>(builder, value.holdings, [&](const upstream_holding& item) {
+              return fleet_wire::CreateHolding(
+                  builder, builder.CreateString(item.upstream), builder.CreateVectorOfStrings(item.held));
+          });
+    const auto work = encodeWork(builder, value.work);
+    return fleet_wire::CreateNews(builder, value.number, value.entries, credit, work, holdings).Union();
+}
+
+std::vector<upstream_work> decodeWork(const flatbuffers::Vector<Offset<fleet_wire::UpstreamWork>>* work)
+{
+    std::vector<upstream_work> values;
+    if (work == nullptr)
+        return values;
+    for (const auto* item : *work)
+        values.push_back(
+            { item->upstream()->str(), item->in_flight(), item->tokens_ahead(), item->memory_tokens() });
+    return values;
+}
+
+fleet_report decodeReport(const fleet_wire::Report& table)
+{
+    fleet_report value;
+    value.entry = table.entry()->str();
+    value.number = table.number();
+    if (table.credit() != nullptr) {
+        for (const auto* ask : *table.credit())
+            value.credit.push_back({ ask->team()->str(), ask->needed(), ask->ahead() });
+    }
+    value.work = decodeWork(table.work());
+    if (table.demand() != nullptr) {
+        for (const auto* item : *table.demand())
+            value.demand.push_back({ item->service()->str(), item->model()->str(), item->adapter()->str(),
+                item->requests(), item->unplaced(), item->tokens() });
+    }
+    return value;
+}
+
+fleet_news decodeNews(const fleet_wire::News& table)
+{
+    fleet_news value;
+    value.number = table.number();
+    value.entries = table.entries();
+    if (table.credit() != nullptr) {
+        for (const auto* grant : *table.credit())
+            value.credit.push_back({ grant->team()->str(), grant->tokens(), grant->retry_after_ms() });
+    }
+    value.work = decodeWork(table.work());
+    if (table.holdings() != nullptr) {
+        for (const auto* item : *table.holdings()) {
+            upstream_holding holding { item->upstream()->str(), {} };
+            if (item->held() != nullptr) {
+                for (const auto* name : *item->held())
+                    holding.held.push_back(name->str());
+            }
+            value.holdings.push_back(std::move(holding));
+        }
+    }
+    return value;
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const fleet_message& value)
+{
+    FlatBufferBuilder builder;
+    const auto [kind, body] = std::visit(
+        overloaded { [&](const fleet_report& report) {
+                        return std::pair(fleet_wire::Body::Report, encodeReport(builder, report));
+                    },
+            [&](const fleet_news& news) {
+                return std::pair(fleet_wire::Body::News, encodeNews(builder, news));
+            } },
+        value);
+    builder.FinishSizePrefixed(fleet_wire::CreateFrame(builder, kind, body));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+fleet_frame decodeFleetMessage(std::string_view bytes)
+{
+    constexpr std::size_t prefix = sizeof(flatbuffers::uoffset_t);
+    if (bytes.size() < prefix)
+        return {};
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    const std::size_t size = prefix + flatbuffers::ReadScalar<flatbuffers::uoffset_t>(data);
+    if (size > maxFrameBytes)
+        throw std::runtime_error("a frame of " + std::to_string(size) + " bytes is over the bound");
+    if (bytes.size() < size)
+        return {};
+    // The bytes may lie at any address; the tables are read from an aligned copy.
+    const std::vector<std::uint8_t> copy(data, data + size);
+    flatbuffers::Verifier verifier(copy.data(), copy.size());
+    if (!fleet_wire::VerifySizePrefixedFrameBuffer(verifier))
+        throw std::runtime_error("a frame that is no valid message");
+    const auto* frame = fleet_wire::GetSizePrefixedFrame(copy.data());
+    fleet_frame read { size, std::nullopt };
+    if (const auto* report = frame->body_as_Report())
+        read.message = decodeReport(*report);
+    else if (const auto* news = frame->body_as_News())
+        read.message = decodeNews(*news);
+    return read;
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Wire/fleet_messages.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \brief Credit that an entry asks for.
+struct credit_request {
+    std::string team;
+    /// Tokens that requests wait for.
+    double needed { 0 };
+    /// Further tokens, for the requests to come.
+    double ahead { 0 };
+
+    auto operator<=>(const credit_request&) const = default;
+};
+
+/// \brief Credit that the coordinator grants.
+struct credit_answer {
+    std::string team;
+    double tokens { 0 };
+    /// When more can be had, where less than needed was granted.
+    std::uint32_t retryAfterMs { 0 };
+
+    auto operator<=>(const credit_answer&) const = default;
+};
+
+/// \brief Work at an upstream.
+struct upstream_work {
+    std::string upstream;
+    std::uint32_t inFlight { 0 };
+    double tokensAhead { 0 };
+    double memoryTokens { 0 };
+
+    auto operator<=>(const upstream_work&) const = default;
+};
+
+/// \brief Requests that asked for a model or adapter lately.
+struct model_demand {
+    std::string service;
+    std::string model;
+    std::string adapter;
+    std::uint32_t requests { 0 };
+    std::uint32_t unplaced { 0 };
+    double tokens { 0 };
+
+    auto operator<=>(const model_demand&) const = default;
+};
+
+/// \brief What an upstream holds, as `model` or `model/adapter`.
+struct upstream_holding {
+    std::string upstream;
+    std::vector<std::string> held;
+
+    auto operator<=>(const upstream_holding&) const = default;
+};
+
+/// \brief An entry's report to the coordinator.
+struct fleet_report {
+    std::string entry;
+    std::uint64_t number { 0 };
+    std::vector<credit_request> credit;
+    std::vector<upstream_work> work;
+    std::vector<model_demand> demand;
+
+    auto operator<=>(const fleet_report&) const = default;
+};
+
+/// \brief The coordinator's answer to a report.
+struct fleet_news {
+    std::uint64_t number { 0 };
+    std::uint32_t entries { 0 };
+    std::vector<credit_answer> credit;
+    /// Work of the other entries.
+    std::vector<upstream_work> work;
+    /// Holdings that changed since the last news.
+    std::vector<upstream_holding> holdings;
+
+    auto operator<=>(const fleet_news&) const = default;
+};
+
+using fleet_message = std::variant<fleet_report, fleet_news>;
+
+/// \return the message as a frame with its size in front.
+std::string encodeFleetMessage(const fleet_message& value);
+
+/// \brief Takes frames out of a byte stream.
+struct fleet_frame {
+    /// Bytes that the frame takes; 0 where it is not whole yet.
+    std::size_t size { 0 };
+    std::optional<fleet_message> message;
+};
+
+/// Reads the first frame of the bytes.
+/// \throws std::runtime_error where the bytes are no frame
+fleet_frame decodeFleetMessage(std::string_view bytes);
+
+} // namespace sagesaddle
--- a/Utilities/check-generated.sh
+++ b/Utilities/check-generated.sh
@@ -9,7 +9,9 @@
 fresh=$(mktemp -d)
 trap 'rm -rf "$fresh"' EXIT
 Utilities/generate.sh "$fresh"
-diff -u Source/Wire/frame_generated.h "$fresh/frame_generated.h" || {
-    echo "check-generated: Source/Wire/frame_generated.h is stale; run Utilities/generate.sh and commit it" >&2
-    exit 1
-}
+for name in frame fleet; do
+    diff -u "Source/Wire/${name}_generated.h" "$fresh/${name}_generated.h" || {
+        echo "check-generated: Source/Wire/${name}_generated.h is stale; run Utilities/generate.sh and commit it" >&2
+        exit 1
+    }
+done
--- a/Utilities/cmake/SagesaddleTargets.cmake
+++ b/Utilities/cmake/SagesaddleTargets.cmake
@@ -13,7 +13,7 @@
     target_compile_options(sagesaddle_options INTERFACE -fsanitize=thread)
     target_link_options(sagesaddle_options INTERFACE -fsanitize=thread)
 endif()
-target_include_directories(sagesaddle_options INTERFACE "${CMAKE_SOURCE_DIR}/Source" "${CMAKE_SOURCE_DIR}/Tests")
+target_include_directories(sagesaddle_options INTERFACE "${CMAKE_SOURCE_DIR}/Source" "${CMAKE_SOURCE_DIR}/Tests" "${CMAKE_SOURCE_DIR}/platform")
 
 # sagesaddle_library(Name SOURCES ... LINK ...): one library of the workspace, as the target sagesaddle::Name.
 function(sagesaddle_library name)
