Gateway: Hold the coordinator's duty by a lease in the log, and copy models by demand

Cause: the store's group deals the duty anew whenever a member returns, and each change of holder stops orders for the lease; half of all orders were declined, since reports of the engines lag behind the orders; refused requests kept their team's credit; requests came long after SIGTERM and were cut.

--- /dev/null
+++ b/Source/Fleet/duty_lease.cpp
@@ -0,0 +1,131 @@
+#include "Fleet/duty_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sagesaddle {
+
+namespace {
+
+// Pause between reads of a lease that another process holds but is not heard to hold.
+constexpr milliseconds readPause { 300 };
+// Pause after a call that was lost or declined.
+constexpr milliseconds failurePause { 150 };
+
+} // namespace
+
+duty_lease::duty_lease(std::string self, lease_times times)
+    : m_self(std::move(self))
+    , m_times(times)
+{
+}
+
+bool duty_lease::holds(monotonic_time now) const
+{
+    return !m_resigned && m_until && now < *m_until;
+}
+
+bool duty_lease::mayOrder(monotonic_time now) const
+{
+    return holds(now) && now >= m_mayOrderFrom;
+}
+
+duty_lease::action duty_lease::next(monotonic_time now, bool hearsHolder)
+{
+    if (m_isBusy || now < m_notBefore)
+        return {};
+    if (m_resigned) {
+        if (m_released || !m_knowsRecord || m_record.holder != m_self)
+            return {};
+        m_isBusy = true;
+        m_appendIsRelease = true;
+        return append { m_record.end, true };
+    }
+    m_appendIsRelease = false;
+    const bool isOwn = m_knowsRecord && m_record.holder == m_self;
+    if (isOwn) {
+        if (now < m_renewAt)
+            return {};
+        m_isBusy = true;
+        return append { m_record.end, false };
+    }
+    const bool mayTake
+        = m_knowsRecord && (m_record.holder.empty() || now - m_recordSeenAt >= m_times.timeToLive);
+    if (hearsHolder)
+        return {};
+    m_isBusy = true;
+    if (mayTake)
+        return append { m_record.end, false };
+    return read {};
+}
+
+void duty_lease::onRead(const lease_record& record, monotonic_time now)
+{
+    m_isBusy = false;
+    m_notBefore = now + readPause;
+    // An end before the known one is an answer from the past.
+    if (m_knowsRecord && record.end < m_record.end)
+        return;
+    if (!m_knowsRecord || record != m_record)
+        m_recordSeenAt = now;
+    m_knowsRecord = true;
+    m_record = record;
+    if (m_record.holder.empty())
+        m_notBefore = now;
+}
+
+void duty_lease::onHeard(const lease_record& record, monotonic_time now)
+{
+    if (m_isBusy || (m_knowsRecord && record.end <= m_record.end))
+        return;
+    m_knowsRecord = true;
+    m_record = record;
+    m_recordSeenAt = now;
+}
+
+void duty_lease::onReadLost(monotonic_time now)
+{
+    m_isBusy = false;
+    // What was not seen for a while may have been renewed: its time starts over.
+    m_knowsRecord = false;
+    m_notBefore = now + failurePause;
+}
+
+void duty_lease::onAppended(monotonic_time sentAt, std::uint64_t end, monotonic_time now)
+{
+    m_isBusy = false;
+    if (m_appendIsRelease) {
+        m_released = true;
+        m_until.reset();
+        return;
+    }
+    const bool wasOwn = m_record.holder == m_self && m_until.has_value();
+    if (!wasOwn) {
+        m_fence = end;
+        // The first lease of all follows nobody.
+        m_mayOrderFrom = end <= 1 ? now : now + m_times.settle;
+    }
+    m_record = { m_self, end };
+    m_recordSeenAt = now;
+    m_until = sentAt + m_times.timeToLive - m_times.margin;
+    m_renewAt = sentAt + m_times.renewal;
+}
+
+void duty_lease::onDeclined(monotonic_time now)
+{
+    m_isBusy = false;
+    m_knowsRecord = false;
+    m_record = {};
+    m_until.reset();
+    m_notBefore = now;
+}
+
+void duty_lease::onAppendLost(monotonic_time now)
+{
+    m_isBusy = false;
+    // The record is read again; the time that was proven still counts.
+    m_knowsRecord = false;
+    m_notBefore = now + failurePause;
+}
+
+} // namespace sagesaddle
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -18,7 +18,7 @@
     /// Takes in the teams and engines of a configuration.
     void onConfig(const fleet_config& config, monotonic_time now);
 
-    /// Begins a tenure: what was granted before may still be spent, so buckets start empty.
+    /// Begins a tenure: what was granted before may still be spent, so buckets start half full.
     void begin(monotonic_time now);
 
     /// Answers a report.
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -15,11 +15,11 @@
 } // namespace
 
 engine_orders::engine_orders(event_loop& loop, coordinator& plans, std::string holder,
-    std::function<const duty_tenure&()> tenure, decision_lines& lines, metric_registry& metrics)
+    std::function<const duty_lease&()> lease, decision_lines& lines, metric_registry& metrics)
     : m_loop(loop)
     , m_plans(plans)
     , m_holder(std::move(holder))
-    , m_tenure(std::move(tenure))
+    , m_lease(std::move(lease))
     , m_lines(lines)
     , m_metrics(metrics)
 {
@@ -49,13 +49,14 @@
 {
     m_left.clear();
     const monotonic_time now = monotonicNow();
-    if (!m_tenure().holds(suspendedNow()))
+    if (!m_lease().holds(suspendedNow()))
         return;
     for (auto& [id, book] : m_plans.books()) {
+        book.settleAdapters(now);
         if (book.wantsReport(now))
             askReport(id, book);
     }
-    if (!m_tenure().mayOrder(suspendedNow()))
+    if (!m_lease().mayOrder(suspendedNow()))
         return;
     for (const auto& planned : m_plans.plan(now))
         give(planned);
@@ -95,10 +96,10 @@
     if (peer == m_peers.end() || found == m_plans.books().end())
         return;
     // The process may have stood still since the plan was made.
-    if (!m_tenure().mayOrder(suspendedNow()))
+    if (!m_lease().mayOrder(suspendedNow()))
         return;
     engine_book& book = found->second;
-    const engine_order order { planned.what, planned.model, planned.adapter, m_holder, m_tenure().fence(),
+    const engine_order order { planned.what, planned.model, planned.adapter, m_holder, m_lease().fence(),
         book.expectedOrders() };
     const monotonic_time sentAt = monotonicNow();
     book.onOrderSent(order, sentAt);
--- a/Source/Gateway/engine_orders.h
+++ b/Source/Gateway/engine_orders.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Fleet/duty_tenure.h"
+#include "Fleet/duty_lease.h"
 #include "Gateway/coordinator.h"
 #include "Loop/http_caller.h"
 #include "Watch/decision_lines.h"
@@ -12,7 +12,7 @@
 class engine_orders {
 public:
     engine_orders(event_loop& loop, coordinator& plans, std::string holder,
-        std::function<const duty_tenure&()> tenure, decision_lines& lines, metric_registry& metrics);
+        std::function<const duty_lease&()> lease, decision_lines& lines, metric_registry& metrics);
 
     /// Follows the list of upstreams.
     void onUpstreams(const std::map<std::string, upstream_entry>& entries);
@@ -33,7 +33,7 @@
     event_loop& m_loop;
     coordinator& m_plans;
     std::string m_holder;
-    std::function<const duty_tenure&()> m_tenure;
+    std::function<const duty_lease&()> m_lease;
     decision_lines& m_lines;
     metric_registry& m_metrics;
     std::map<std::string, engine_peer> m_peers;
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -47,13 +47,13 @@
     m_purse.setTeams(config.teams, suspendedNow());
 }
 
-void fleet_share::onHolder(std::optional<address> where)
+void fleet_share::onHolder(const address& where)
 {
-    if (!where || (m_link && m_link->peer() == *where))
+    if (m_link && m_link->peer() == where)
         return;
     m_lostLink = std::move(m_link);
     m_linkedAt = monotonicNow();
-    m_link = std::make_unique<coordinator_link>(m_loop, *where,
+    m_link = std::make_unique<coordinator_link>(m_loop, where,
         coordinator_link::handlers { [this](const fleet_news& news) {
                                         monotonic_time askedAt {};
                                         while (!m_asked.empty() && m_asked.front().number <= news.number) {
@@ -70,7 +70,6 @@
     // Its own handler is running; it is dropped when the next one comes.
     m_lostLink = std::move(m_link);
     m_asked.clear();
-    m_hooks.askHolder();
 }
 
 void fleet_share::setAlone(bool isAlone)
@@ -95,6 +94,11 @@
     reportSoon();
 }
 
+void fleet_share::refund(const std::string& team, double tokens)
+{
+    m_purse.refund(team, tokens, suspendedNow());
+}
+
 void fleet_share::onDemand(const exchange& request)
 {
     const auto& asked = request.request();
@@ -180,7 +184,6 @@
         m_lostLink = std::move(m_link);
         m_asked.clear();
         m_linkedAt = now;
-        m_hooks.askHolder();
     }
     if (now - m_newsAt >= newsTimeout)
         setAlone(true);
@@ -197,6 +200,8 @@
 {
     m_newsAt = monotonicNow();
     setAlone(false);
+    if (!news.leaseHolder.empty())
+        m_hooks.onLease({ news.leaseHolder, news.leaseEnd });
     m_purse.setEntries(news.entries);
     m_relay.onGateways(news.entries);
     std::set<std::string> heard;
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/duty_lease.h"
 #include "Gateway/coordinator.h"
 #include "Gateway/fleet_link.h"
 #include "Limit/credit_purse.h"
@@ -17,7 +18,8 @@
     struct hooks {
         /// Answers a report in place, where this gateway coordinates itself; nothing where it does not.
         std::function<std::optional<fleet_news>(const fleet_report&)> coordinateHere;
-        std::function<void()> askHolder;
+        /// The coordinator told the newest record of its lease.
+        std::function<void(const lease_record&)> onLease;
         /// Something is wanted that the coordinator should see to at once.
         std::function<void()> onWanted;
     };
@@ -26,10 +28,13 @@
 
     void start();
     void onConfig(const fleet_config& config);
-    /// The coordinator's address, or nothing where none is known.
-    void onHolder(std::optional<address> where);
+    /// The coordinator's address, by the lease.
+    void onHolder(const address& where);
+    /// \return whether a coordinator answered lately.
+    bool hearsCoordinator() const { return !m_isAlone; }
 
     void askCredit(const exchange_ptr& request);
+    void refund(const std::string& team, double tokens);
     void onDemand(const exchange& request);
     void onWanted(const std::string& service, const std::string& model, const std::string& adapter);
 
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -13,10 +13,13 @@
 // Part of the time in which a withdrawn key must stop that the evidence may age; the rest covers the way of a
 // request and the look before each send.
 constexpr double keysPart = 0.86;
-// How much earlier the holder of the duty stops than the platform deals it anew.
-constexpr milliseconds dutyMargin { 300 };
+// Time without a renewal after which another gateway takes the duty; three renewals may be lost within it.
+constexpr milliseconds dutyTimeToLive { 1900 };
+// How much earlier the holder stops by itself.
+constexpr milliseconds dutyMargin { 250 };
+constexpr milliseconds dutyRenewal { 600 };
 // Time beyond the lease from taking the duty to the first order, for orders that are still on their way.
-constexpr milliseconds settleReserve { 500 };
+constexpr milliseconds settleReserve { 300 };
 // Pause between looks at what engines need.
 constexpr milliseconds orderPause { 50 };
 // Part of the fleet's bound on second sends that is used; the rest covers gateways that come and go.
@@ -38,11 +41,9 @@
         + std::to_string(::getpid());
 }
 
-std::optional<address> addressOfMember(const std::optional<std::string>& member)
+address addressOfMember(const std::string& member)
 {
-    if (!member)
-        return std::nullopt;
-    return parseAddress(member->substr(0, member->find(startMark)));
+    return parseAddress(member.substr(0, member.find(startMark)));
 }
 
 } // namespace
@@ -55,13 +56,13 @@
     , m_watch { m_lines, m_metrics }
     , m_relay(loop, relayOptions(), m_watch,
           { [this](const exchange_ptr& request) { m_share.askCredit(request); },
+              [this](const std::string& team, double tokens) { m_share.refund(team, tokens); },
               [this](const std::string& service, const std::string& model, const std::string& adapter) {
                   m_share.onWanted(service, model, adapter);
               },
               [this](const exchange& request) { m_share.onDemand(request); } })
     , m_follower(loop, m_settings.store, m_member,
-          duty_tenure(m_settings.membership, dutyMargin, m_settings.lease + settleReserve),
-          m_settings.membership, m_lines,
+          lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve }, m_lines,
           { [this](const fleet_config_ptr& config) {
                m_coordinator.onConfig(*config, monotonicNow());
                m_share.onConfig(*config);
@@ -73,16 +74,15 @@
                   m_relay.onUpstreams(entries);
               },
               [this](monotonic_time provenAt) { m_relay.onContact(provenAt); }, [this] { onDuty(); },
-              [this](const std::optional<std::string>& member) {
-                  if (member != m_member)
-                      m_share.onHolder(addressOfMember(member));
-              } })
+              [this](const std::string& member) { m_share.onHolder(addressOfMember(member)); },
+              [this] { return m_share.hearsCoordinator(); } })
     , m_orders(
-          loop, m_coordinator, m_settings.name,
-          [this]() -> const duty_tenure& { return m_follower.tenure(); }, m_lines, m_metrics)
+          loop, m_coordinator, m_settings.name, [this]() -> const duty_lease& { return m_follower.lease(); },
+          m_lines, m_metrics)
     , m_share(loop, m_settings.name, m_relay, m_lines,
           { [this](const fleet_report& report) { return answerReport(report, this); },
-              [this] { m_follower.askHolder(); }, [this] { m_orders.work(); } })
+              [this](const lease_record& record) { m_follower.onHeardLease(record); },
+              [this] { m_orders.work(); } })
     , m_reports(loop, m_settings.peers,
           [this](const fleet_report& report, const void* link) { return answerReport(report, link); })
     , m_readiness(loop, m_settings.readiness,
@@ -126,7 +126,7 @@
 
 void gateway::onDuty()
 {
-    const bool coordinates = m_follower.tenure().holds(suspendedNow());
+    const bool coordinates = m_follower.lease().holds(suspendedNow());
     if (coordinates && !m_coordinates)
         m_coordinator.begin(monotonicNow());
     m_coordinates = coordinates;
@@ -134,9 +134,11 @@
 
 std::optional<fleet_news> gateway::answerReport(const fleet_report& report, const void* link)
 {
-    if (!m_coordinates || !m_follower.tenure().holds(suspendedNow()))
+    if (!m_coordinates || !m_follower.lease().holds(suspendedNow()))
         return std::nullopt;
     auto news = m_coordinator.onReport(report, link, monotonicNow());
+    news.leaseHolder = m_follower.lease().record().holder;
+    news.leaseEnd = m_follower.lease().record().end;
     const bool hasWanted = std::any_of(report.demand.begin(), report.demand.end(),
         [](const model_demand& item) { return item.unplaced > 0; });
     if (hasWanted)
@@ -161,6 +163,8 @@
 void gateway::drainStep()
 {
     const monotonic_time now = monotonicNow();
+    if (now >= m_drainLeast)
+        m_relay.closeToRequests();
     if (now < m_drainEnds && (now < m_drainLeast || !m_relay.isIdle())) {
         m_drainTimer.start(drainStepPause);
         return;
--- a/Source/Gateway/gateway_settings.cpp
+++ b/Source/Gateway/gateway_settings.cpp
@@ -27,8 +27,6 @@
     settings.peers = reader.requiredAddress("listen", "peers");
     settings.metrics = reader.optionalAddress("listen", "metrics");
     settings.store = reader.requiredAddress("store", "address");
-    const auto least = reader.duration("store", "least_membership_ms", standard.membership, spanRange);
-    settings.membership = std::max(least, standard.membership);
     const auto standardGrace = static_cast<double>(standard.grace.count()) / 1000;
     settings.grace = milliseconds(static_cast<std::int64_t>(
         reader.number("bounds", "grace_s", standardGrace, 0.1, mostGraceSeconds) * 1000));
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -27,8 +27,6 @@
 
     log_level level { log_level::Info };
 
-    /// How long the platform keeps a silent member of the group.
-    milliseconds membership { 2000 };
     /// From SIGTERM until the process is killed.
     milliseconds grace { 8000 };
     /// From a key's withdrawal until it must not work.
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/store_follower.h"
 
+#include "Base/overloaded.h"
 #include "config_reader.h"
 #include "upstream_reader.h"
 
@@ -18,24 +19,27 @@
 constexpr milliseconds listPause { 500 };
 // Pause after a call that was not answered or declined.
 constexpr milliseconds failurePause { 200 };
-// Joins in one membership time, so that one lost call does not lose the duty.
-constexpr int joinsPerMembership = 4;
+// Pause between looks at the lease; it does most looks without a call.
+constexpr milliseconds leasePause { 50 };
 // Time after the store's return within which live upstreams are listed again.
 constexpr milliseconds returnGrace { 2300 };
 // Time without any answer after which the store counts as away.
 constexpr milliseconds awayAfter { 1500 };
 
+// Time in which the store answers a call for the lease; a renewal must leave time for another.
+constexpr milliseconds leaseTimeout { 600 };
+
 constexpr int recordsGone = 410;
+constexpr int offsetTaken = 412;
 
 } // namespace
 
-store_follower::store_follower(event_loop& loop, const address& store, std::string member, duty_tenure tenure,
-    milliseconds membership, decision_lines& lines, follower_hooks hooks)
+store_follower::store_follower(event_loop& loop, const address& store, std::string self, lease_times times,
+    decision_lines& lines, follower_hooks hooks)
     : m_loop(loop)
     , m_store(loop, store)
-    , m_member(std::move(member))
-    , m_tenure(tenure)
-    , m_membership(membership)
+    , m_self(std::move(self))
+    , m_lease(m_self, times)
     , m_lines(lines)
     , m_hooks(std::move(hooks))
     , m_upstreams(returnGrace)
@@ -46,7 +50,7 @@
                   tellUpstreams();
               readTable(m_servers);
           })
-    , m_joinTimer(loop, [this] { join(); })
+    , m_leaseTimer(loop, [this] { workOnLease(); })
 {
 }
 
@@ -55,7 +59,7 @@
     m_answeredAt = monotonicNow();
     readTable(m_operator);
     readTable(m_servers);
-    join();
+    workOnLease();
 }
 
 void store_follower::again(table_reading& reading, milliseconds delay)
@@ -241,71 +245,74 @@
     }
 }
 
-void store_follower::join()
+void store_follower::workOnLease()
 {
-    if (m_resigned)
-        return;
-    m_joinTimer.start(m_membership / joinsPerMembership);
-    const monotonic_time sentAt = suspendedNow();
-    m_store.call(platform::writeJoinCall(m_store.peer(), m_member, m_membership, m_tenure.generation()),
-        m_membership / 2, [this, sentAt](const std::optional<http_answer>& answer) {
-            if (m_resigned)
-                return;
+    m_leaseTimer.start(leasePause);
+    const auto action = m_lease.next(suspendedNow(), m_hooks.hearsHolder());
+    std::visit(overloaded { [](std::monostate) {}, [this](const duty_lease::read&) { readLease(); },
+                   [this](const duty_lease::append& what) { appendLease(what); } },
+        action);
+    m_hooks.onDuty();
+}
+
+void store_follower::readLease()
+{
+    m_store.call(platform::writeLeaseReadCall(m_store.peer()), leaseTimeout,
+        [this](const std::optional<http_answer>& answer) {
+            const monotonic_time now = suspendedNow();
             if (!answer || answer->status != 200) {
-                onLost("join");
-                m_hooks.onDuty();
+                onLost("lease read");
+                m_lease.onReadLost(now);
                 return;
             }
             onAnswered();
-            const monotonic_time now = suspendedNow();
-            const bool held = m_tenure.holds(now);
             try {
-                const auto joined = platform::readJoin(answer->body);
-                m_tenure.onJoined(sentAt, joined.generation, joined.holdsDuty, now);
+                m_lease.onRead(platform::readLease(answer->body), now);
+                if (!m_lease.knownHolder().empty() && m_lease.knownHolder() != m_self)
+                    m_hooks.onHolder(m_lease.knownHolder());
             } catch (const std::invalid_argument& error) {
                 m_lines.write(
                     log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
-                return;
+                m_lease.onReadLost(now);
             }
-            if (held != m_tenure.holds(now))
-                m_lines.write(log_level::Info, m_tenure.holds(now) ? "duty_taken" : "duty_lost",
-                    { { "fence", m_tenure.fence() }, { "generation", m_tenure.generation() } },
-                    monotonicNow());
-            m_hooks.onDuty();
         });
 }
 
-void store_follower::askHolder()
+void store_follower::appendLease(const duty_lease::append& what)
 {
-    if (m_asksHolder)
-        return;
-    m_asksHolder = true;
-    m_store.call(platform::writeHolderCall(m_store.peer()), answerTimeout,
-        [this](const std::optional<http_answer>& answer) {
-            m_asksHolder = false;
-            if (!answer || answer->status != 200) {
-                onLost("holder");
-                return;
-            }
-            try {
-                m_hooks.onHolder(platform::readHolder(answer->body));
-            } catch (const std::invalid_argument& error) {
-                m_lines.write(
-                    log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+    const monotonic_time sentAt = suspendedNow();
+    m_store.call(
+        platform::writeLeaseAppendCall(m_store.peer(), what.isRelease ? std::string() : m_self, what.at),
+        leaseTimeout, [this, sentAt](const std::optional<http_answer>& answer) {
+            const monotonic_time now = suspendedNow();
+            const bool held = m_lease.holds(now);
+            if (!answer || (answer->status != 200 && answer->status != offsetTaken)) {
+                onLost("lease append");
+                m_lease.onAppendLost(now);
+            } else if (answer->status == offsetTaken) {
+                onAnswered();
+                m_lease.onDeclined(now);
+            } else {
+                onAnswered();
+                try {
+                    m_lease.onAppended(sentAt, platform::readAppended(answer->body), now);
+                } catch (const std::invalid_argument& error) {
+                    m_lines.write(
+                        log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
+                    m_lease.onAppendLost(now);
+                }
             }
+            if (held != m_lease.holds(now))
+                m_lines.write(log_level::Info, held ? "duty_lost" : "duty_taken",
+                    { { "fence", m_lease.fence() } }, monotonicNow());
+            m_hooks.onDuty();
         });
 }
 
 void store_follower::resign()
 {
-    if (m_resigned)
-        return;
-    m_resigned = true;
-    m_tenure.resign();
-    m_store.call(platform::writeLeaveCall(m_store.peer(), m_member), answerTimeout,
-        [](const std::optional<http_answer>&) {
-            // Without an answer the membership times out.
-        });
+    m_lease.resign();
+    workOnLease();
 }
 
 } // namespace sagesaddle
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Fleet/duty_tenure.h"
+#include "Fleet/duty_lease.h"
 #include "Fleet/fleet_config.h"
 #include "Fleet/upstream_list.h"
 #include "Loop/http_caller.h"
@@ -16,26 +16,28 @@
     std::function<void(const std::map<std::string, upstream_entry>&)> onUpstreams;
     /// The configuration was the newest at that time, on the clock that counts suspension.
     std::function<void(monotonic_time)> onContact;
-    /// A join was answered or the duty ran out.
+    /// The lease was taken, renewed or lost.
     std::function<void()> onDuty;
-    /// Another member holds the duty.
-    std::function<void(std::optional<std::string>)> onHolder;
+    /// Another process holds the lease.
+    std::function<void(const std::string&)> onHolder;
+    /// \return whether the holder is heard to coordinate.
+    std::function<bool()> hearsHolder;
 };
 
-/// \brief Follows the platform's store: configuration, upstreams and this member's part in the group.
+/// \brief Follows the platform's store: configuration, upstreams and the lease of the duty.
 class store_follower {
 public:
-    /// \param member this process's name in the group; another start has another one
-    store_follower(event_loop& loop, const address& store, std::string member, duty_tenure tenure,
-        milliseconds membership, decision_lines& lines, follower_hooks hooks);
+    /// \param self this process's name in the lease; another start has another one
+    store_follower(event_loop& loop, const address& store, std::string self, lease_times times,
+        decision_lines& lines, follower_hooks hooks);
 
     void start();
-    /// Leaves the group; the follower goes on reading.
+    /// Gives the lease up; the follower goes on reading.
     void resign();
-    /// Asks who holds the duty.
-    void askHolder();
 
-    const duty_tenure& tenure() const { return m_tenure; }
+    /// The holder told its newest record.
+    void onHeardLease(const lease_record& record) { m_lease.onHeard(record, suspendedNow()); }
+    const duty_lease& lease() const { return m_lease; }
     bool isStoreAway() const { return m_isAway; }
 
 private:
@@ -58,14 +60,15 @@
     void again(table_reading& reading, milliseconds delay);
     void onAnswered();
     void onLost(std::string_view call);
-    void join();
+    void workOnLease();
+    void readLease();
+    void appendLease(const duty_lease::append& what);
     void tellUpstreams();
 
     event_loop& m_loop;
     http_caller m_store;
-    std::string m_member;
-    duty_tenure m_tenure;
-    milliseconds m_membership;
+    std::string m_self;
+    duty_lease m_lease;
     decision_lines& m_lines;
     follower_hooks m_hooks;
     upstream_list m_upstreams;
@@ -73,14 +76,12 @@
     table_reading m_servers { platform::store_table::Upstreams, {}, {}, 0 };
     timer m_operatorTimer;
     timer m_serversTimer;
-    timer m_joinTimer;
+    timer m_leaseTimer;
     std::uint64_t m_configVersion { 0 };
     std::uint64_t m_toldRevision { 0 };
     monotonic_time m_answeredAt {};
     bool m_isAway { false };
     bool m_listed { false };
-    bool m_resigned { false };
-    bool m_asksHolder { false };
 };
 
 } // namespace sagesaddle
--- a/Source/Limit/credit_bank.cpp
+++ b/Source/Limit/credit_bank.cpp
@@ -8,6 +8,9 @@
 
 // Level above which credit is granted ahead of need, as a part of the burst.
 constexpr double aheadLevel = 0.5;
+// Part of the burst that a bucket starts with. Grants of an earlier coordinator may still be spent; the
+// platform's bound allows a tenth beyond the rate over several seconds, which is more.
+constexpr double startLevel = 0.5;
 
 } // namespace
 
@@ -24,7 +27,8 @@
         if (team.ratePerSecond <= 0)
             continue;
         const auto known = m_buckets.find(team.name);
-        bucket value = known == m_buckets.end() ? bucket { 0, 0, 0, now } : known->second;
+        bucket value
+            = known == m_buckets.end() ? bucket { 0, 0, team.burst * startLevel, now } : known->second;
         value.fill(now);
         value.ratePerSecond = team.ratePerSecond;
         value.burst = std::max(team.burst, 1.0);
--- a/Source/Limit/credit_bank.h
+++ b/Source/Limit/credit_bank.h
@@ -23,8 +23,8 @@
 /// bucket, debited before the grant leaves.
 class credit_bank {
 public:
-    /// Takes in the teams of a configuration; buckets start empty, since an earlier coordinator's grants may
-    /// still be spent.
+    /// Takes in the teams of a configuration; new buckets start half full, since an earlier
+    /// coordinator's grants may still be spent.
     void setTeams(const std::vector<team_config>& teams, monotonic_time now);
 
     /// Debits tokens for an entry.
--- a/Source/Place/engine_book.cpp
+++ b/Source/Place/engine_book.cpp
@@ -7,13 +7,18 @@
 
 namespace {
 
-// Time from an accepted adapter order to the report that shows it; an adapter takes 5 to 30 ms.
-constexpr milliseconds adapterReportDelay { 40 };
-// Time between reports while a model loads.
+// Time from an accepted adapter order until the adapter counts as there; it takes 5 to 30 ms.
+constexpr milliseconds adapterReadyAfter { 50 };
+// How far an engine's report may lie behind.
+constexpr milliseconds reportLag { 350 };
+// Time between reports while a model loads or leaves.
 constexpr milliseconds modelReportDelay { 700 };
-// Time after a report that did not come, or an order that failed.
+// Time after a report that did not come.
 constexpr milliseconds failureDelay { 300 };
 
+constexpr int doneStatus = 200;
+constexpr int acceptedStatus = 202;
+
 bool isAdapter(const std::string& holding)
 {
     return holding.find('/') != std::string::npos;
@@ -35,8 +40,10 @@
 void engine_book::onReport(const engine_report& report, monotonic_time askedAt, monotonic_time now)
 {
     m_reportPending = false;
-    if (m_outstanding || askedAt < m_lastOrderAt)
+    if (m_outstanding || askedAt < m_lastOrderAt + reportLag) {
+        m_reportDueAt = std::min(m_reportDueAt, m_lastOrderAt + reportLag);
         return;
+    }
     std::set<std::string> held;
     for (const auto& model : report.models) {
         held.insert(model.name);
@@ -49,12 +56,12 @@
         ++m_revision;
     m_held = std::move(held);
     m_coming = { report.coming.begin(), report.coming.end() };
+    m_arriving.clear();
     // A late order is declined once others were accepted after it was written.
     std::erase_if(m_doubtful, [&](const auto& item) { return item.second < report.orders; });
     m_report = report;
-    const bool isMoving = report.isBusy || !m_coming.empty();
-    m_reportDueAt
-        = !isMoving ? monotonic_time::max() : now + (report.isBusy ? modelReportDelay : adapterReportDelay);
+    const bool isMoving = report.isBusy || !m_coming.empty() || !m_doubtful.empty();
+    m_reportDueAt = isMoving ? now + modelReportDelay : monotonic_time::max();
 }
 
 void engine_book::onReportLost(monotonic_time now)
@@ -82,17 +89,45 @@
     const std::string name = holdingName(order.model, order.adapter);
     const bool isLoad = order.what == engine_order::action::Load;
     m_lastOrderAt = now;
-    const bool accepted = status && *status >= 200 && *status < 300;
-    if (accepted && isLoad)
-        m_coming.insert(name);
+    const bool isAccepted = status == acceptedStatus || (status == doneStatus && !isLoad);
     if (!status && isLoad)
         m_doubtful[name] = order.expectedOrders;
-    if (accepted)
-        m_reportDueAt = now + (order.adapter.empty() ? modelReportDelay / 4 : adapterReportDelay);
+    if (!isAccepted || !m_report) {
+        // The count of orders is not known any more: nothing is ordered before a report tells it.
+        m_report.reset();
+        m_reportDueAt = now + reportLag;
+        return;
+    }
+    m_report->orders += 1;
+    std::erase_if(m_doubtful, [&](const auto& item) { return item.second < m_report->orders; });
+    if (order.adapter.empty()) {
+        if (isLoad)
+            m_coming.insert(name);
+        m_report->isBusy = true;
+        m_reportDueAt = now + modelReportDelay;
+        return;
+    }
+    if (isLoad)
+        m_arriving[name] = now + adapterReadyAfter;
+    else if (status == doneStatus)
+        m_leaving.erase(name);
     else
-        m_reportDueAt = now + failureDelay / 2;
-    // Nothing is ordered on the old count of orders.
-    m_report.reset();
+        m_reportDueAt = now + reportLag;
+}
+
+bool engine_book::settleAdapters(monotonic_time now)
+{
+    const std::size_t before = m_arriving.size();
+    for (auto entry = m_arriving.begin(); entry != m_arriving.end();) {
+        if (entry->second > now) {
+            ++entry;
+            continue;
+        }
+        m_held.insert(entry->first);
+        ++m_revision;
+        entry = m_arriving.erase(entry);
+    }
+    return m_arriving.size() != before;
 }
 
 bool engine_book::wantsReport(monotonic_time now) const
@@ -110,6 +145,8 @@
     std::set<std::string> all = m_held;
     all.insert(m_leaving.begin(), m_leaving.end());
     all.insert(m_coming.begin(), m_coming.end());
+    for (const auto& [name, readyAt] : m_arriving)
+        all.insert(name);
     for (const auto& [name, expected] : m_doubtful)
         all.insert(name);
     return all;
@@ -118,6 +155,7 @@
 bool engine_book::mayHold(const std::string& holding) const
 {
     return m_held.contains(holding) || m_coming.contains(holding) || m_doubtful.contains(holding)
+        || m_arriving.contains(holding)
         || (m_outstanding && holdingName(m_outstanding->model, m_outstanding->adapter) == holding);
 }
 
--- a/Source/Place/engine_book.h
+++ b/Source/Place/engine_book.h
@@ -34,6 +34,10 @@
     /// \param status the answer's status, nothing where none came
     void onOrderAnswered(std::optional<int> status, monotonic_time now);
 
+    /// Counts adapters that had time to arrive as held.
+    /// \return whether there were any
+    bool settleAdapters(monotonic_time now);
+
     /// \return whether a report is due, to know what an order led to.
     bool wantsReport(monotonic_time now) const;
     void onReportAsked() { m_reportPending = true; }
@@ -69,6 +73,8 @@
     /// Ordered to be dropped: not to be used, though its memory is not free yet.
     std::set<std::string> m_leaving;
     std::optional<engine_order> m_outstanding;
+    /// Adapters on their way, with the time from which they count as there.
+    std::map<std::string, monotonic_time> m_arriving;
     /// Loads without an answer, with the number of orders that each expected.
     std::map<std::string, std::uint64_t> m_doubtful;
     monotonic_time m_lastOrderAt {};
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -17,8 +17,12 @@
 constexpr double loadShare = 0.7;
 // Loads that may be saved up.
 constexpr double loadBurst = 2;
-// Part of the slots in use on all of a model's engines from which a further copy is loaded.
-constexpr double fullEnough = 0.45;
+// Copies for each engine that the demand is spread over: over one, so that requests have a choice.
+constexpr double copiesPerEngine = 1.5;
+// Requests a second that a copy should at least serve.
+constexpr double requestsPerCopy = 1.5;
+// Requests a second for each copy from which an adapter is put into a further free place.
+constexpr double adapterCopyDemand = 0.3;
 // Least demand, in requests a second, that pays for a further copy.
 constexpr double leastCopyDemand = 2;
 
@@ -51,6 +55,8 @@
     monotonic_time now;
     std::vector<planned_order> orders;
     std::set<std::string> ordered;
+    /// Requests a second for all models together.
+    double total { 0 };
 
     bool isFree(const engine_sight& engine) const
     {
@@ -153,66 +159,92 @@
         return false;
     }
 
+    /// \return copies of a model beyond those that its demand asks for.
+    int surplus(const model_config& model) const { return copies(model.name) - desiredCopies(model); }
+
+    /// Drops a copy of another model that has one too many.
     void makeRoom(const model_config& model)
     {
+        const bool isMissing = copies(model.name) == 0;
         const engine_sight* where = nullptr;
         std::string victim;
-        double least = 0;
+        double most = 0;
         for (const auto& engine : engines) {
             if (!isFree(engine) || engine.book->mayHold(model.name))
                 continue;
             for (const auto& held : config.models) {
-                if (!engine.book->holds(held.name)
+                if (!engine.book->holds(held.name) || copies(held.name) < 2
                     || engine.book->freeWeightsMb() + held.weightsMb < model.weightsMb)
                     continue;
-                const int others = copies(held.name) - 1;
-                if (others < 1)
+                const int spare = surplus(held);
+                if (spare < 1 && !isMissing)
                     continue;
-                // What the model's other engines would have to take over.
-                const double cost = demand.of(held.name, now).requestsPerSecond / others
-                    + static_cast<double>(engine.inFlight) / std::max(engine.slots, 1);
-                if (where == nullptr || cost < least) {
+                const double gain
+                    = spare + 1.0 - static_cast<double>(engine.inFlight) / std::max(engine.slots, 1);
+                if (where == nullptr || gain > most) {
                     where = &engine;
                     victim = held.name;
-                    least = cost;
+                    most = gain;
                 }
             }
         }
-        if (where != nullptr && least < demand.of(model.name, now).requestsPerSecond / 2 + 0.5)
+        if (where != nullptr)
             order(*where, engine_order::action::Unload, victim, {});
     }
 
-    /// \return the model whose copies are fullest, where one more would pay.
-    const model_config* modelToCopy() const
+    /// \return copies that a model's part of the demand asks for.
+    int desiredCopies(const model_config& model) const
     {
-        const model_config* best = nullptr;
-        double most = 0;
+        const double own = demand.of(model.name, now).requestsPerSecond;
+        if (own < leastCopyDemand || total <= 0)
+            return 1;
+        const double engineCount = static_cast<double>(engines.size());
+        const double wanted = std::min(engineCount * copiesPerEngine * own / total, own / requestsPerCopy);
+        return std::clamp(static_cast<int>(std::ceil(wanted)), 1, static_cast<int>(engines.size()));
+    }
+
+    /// \return models that lack copies, the one with most requests for each copy first.
+    std::vector<const model_config*> modelsToCopy() const
+    {
+        std::vector<std::pair<double, const model_config*>> lacking;
         for (const auto& model : config.models) {
-            const auto known = demand.of(model.name, now);
-            if (known.requestsPerSecond < leastCopyDemand)
+            const int have = copies(model.name);
+            if (have < desiredCopies(model))
+                lacking.emplace_back(
+                    -demand.of(model.name, now).requestsPerSecond / std::max(have, 1), &model);
+        }
+        std::sort(lacking.begin(), lacking.end());
+        std::vector<const model_config*> models;
+        for (const auto& [weight, model] : lacking)
+            models.push_back(model);
+        return models;
+    }
+
+    /// Puts further copies of the adapters that are asked for most into free places.
+    void copyAdapters()
+    {
+        for (const auto& engine : engines) {
+            if (!isFree(engine) || engine.book->freeAdapterPlaces() <= 0)
                 continue;
-            double leastFull = 1e9;
-            int ready = 0;
-            bool isComing = false;
-            for (const auto& engine : engines) {
-                if (engine.isDraining)
-                    continue;
-                isComing = isComing || (engine.book->mayHold(model.name) && !engine.book->holds(model.name));
+            std::string best;
+            double most = adapterCopyDemand;
+            for (const auto& model : config.models) {
                 if (!engine.book->holds(model.name))
                     continue;
-                ++ready;
-                leastFull
-                    = std::min(leastFull, static_cast<double>(engine.inFlight) / std::max(engine.slots, 1));
-            }
-            const bool isShort
-                = leastFull >= fullEnough || known.unplacedPerSecond > known.requestsPerSecond * 0.1;
-            const double perCopy = known.requestsPerSecond / std::max(ready, 1);
-            if (ready > 0 && !isComing && isShort && perCopy > most) {
-                best = &model;
-                most = perCopy;
+                for (int index = 1; index <= model.adapters; ++index) {
+                    const std::string name = holdingName(model.name, "a" + std::to_string(index));
+                    const double perCopy = demand.of(name, now).requestsPerSecond / std::max(copies(name), 1);
+                    if (perCopy <= most || engine.book->mayHold(name))
+                        continue;
+                    best = name;
+                    most = perCopy;
+                }
             }
+            if (best.empty())
+                continue;
+            const std::size_t slash = best.find('/');
+            order(engine, engine_order::action::Load, best.substr(0, slash), best.substr(slash + 1));
         }
-        return best;
     }
 };
 
@@ -240,17 +272,20 @@
     const engine_config& config, const demand_meter& demand, monotonic_time now)
 {
     pass current { engines, config, demand, now, {}, {} };
+    for (const auto& model : config.models)
+        current.total += demand.of(model.name, now).requestsPerSecond;
     current.placeAdapters(true);
     double allowance = mayLoadModel(now) ? m_loadAllowance : 0;
     for (const auto& model : config.models) {
         if (allowance >= 1 && current.copies(model.name) == 0 && current.placeModel(model))
             allowance -= 1;
     }
-    if (allowance >= 1) {
-        if (const model_config* model = current.modelToCopy())
-            current.placeModel(*model);
+    for (const auto* model : current.modelsToCopy()) {
+        if (allowance >= 1 && current.placeModel(*model))
+            allowance -= 1;
     }
     current.placeAdapters(false);
+    current.copyAdapters();
     return std::move(current.orders);
 }
 
--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds leastTimeToSend { 20 };
 // Part of the caller's deadline that the way back takes.
 constexpr milliseconds wayBack { 20 };
+// Another gateway takes the connection by then.
+constexpr milliseconds drainingRetryAfter { 100 };
 constexpr int misdirected = 421;
 constexpr int firstServerError = 500;
 
@@ -57,6 +59,10 @@
         return;
     }
     m_request.body = std::move(body);
+    if (m_owner.isClosedToRequests()) {
+        refuse(relay_reason::Draining, drainingRetryAfter);
+        return;
+    }
     if (!resolve())
         return;
     milliseconds limit = m_route->timeout.count() > 0 ? m_route->timeout : milliseconds(60000);
@@ -166,6 +172,7 @@
         return;
     }
     m_hasCredit = true;
+    m_isCharged = true;
     place();
 }
 
@@ -446,6 +453,8 @@
     relay_refusal told = refusalOf(reason);
     if (told.isNotRun && m_mayHaveRun)
         told = refusalOf(relay_reason::UpstreamBroke);
+    if (told.isNotRun && m_isCharged)
+        m_owner.refund(m_team, m_tokens);
     leaveUpstream(false);
     logEnd(told.name, told.status);
     m_owner.noteRefusal(*this, reason);
--- a/Source/Relay/exchange.h
+++ b/Source/Relay/exchange.h
@@ -104,6 +104,8 @@
     bool m_mayHaveRun { false };
     bool m_hasCredit { false };
     bool m_asksCredit { false };
+    /// Its team's credit was taken for it.
+    bool m_isCharged { false };
     bool m_over { false };
 };
 
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -102,6 +102,11 @@
         { { "version", m_table->config().version }, { "routes", m_table->config().routes.size() },
             { "teams", m_table->config().teams.size() } },
         now);
+    for (const auto& team : m_table->config().teams)
+        m_watch.lines.write(log_level::Info, "limit_in_force",
+            { { "team", team.name }, { "rate_per_s", team.ratePerSecond }, { "burst", team.burst },
+                { "keys", team.keys.size() } },
+            now);
     placeWaiting();
 }
 
@@ -287,7 +292,10 @@
         overloaded { [&](const engine_pick& pick) -> relay_choice {
                         return relay_send { upstreams[pick.index], pick.firstEventMilliseconds };
                     },
-            [&](const engine_full& full) -> relay_choice { return whenFull(request, full); },
+            [&](const engine_full& full) -> relay_choice {
+                noteFull(request, full, candidates);
+                return whenFull(request, full);
+            },
             [&](const engine_none&) -> relay_choice { return whenAbsent(request, true); } },
         chooseEngine(candidates, demand, lateFactor));
 }
@@ -310,6 +318,23 @@
     return relay_refuse { relay_reason::ModelAbsent, *declinedRetryAfter(request) };
 }
 
+void relay::noteFull(
+    const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates)
+{
+    int inFlight = 0;
+    double ahead = 0;
+    for (const auto& candidate : candidates) {
+        inFlight += candidate.inFlight;
+        ahead += candidate.tokensAhead;
+    }
+    m_watch.lines.write(log_level::Warning, "no_room",
+        { { "id", request.request().id }, { "model", request.request().model },
+            { "candidates", candidates.size() }, { "forecast_ms", full.firstEventMilliseconds },
+            { "objective_ms", request.route().objective.count() }, { "in_flight", inFlight },
+            { "tokens_ahead", ahead }, { "ms_per_token", candidates.front().millisecondsPerToken } },
+        monotonicNow());
+}
+
 relay_choice relay::whenFull(const exchange& request, const engine_full& full)
 {
     const auto excess = milliseconds(static_cast<std::int64_t>(
@@ -329,6 +354,11 @@
     m_hooks.askCredit(request);
 }
 
+void relay::refund(const std::string& team, double tokens)
+{
+    m_hooks.refund(team, tokens);
+}
+
 void relay::wait(const exchange_ptr& request)
 {
     if (std::find(m_waiting.begin(), m_waiting.end(), request) == m_waiting.end())
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -52,6 +52,8 @@
 struct relay_hooks {
     /// Asks for credit of a team; exchange::onCredit follows, at once or later.
     std::function<void(const exchange_ptr&)> askCredit;
+    /// Credit of a request that surely did not run is free again.
+    std::function<void(const std::string& team, double tokens)> refund;
     /// A model or adapter is asked for that no upstream holds.
     std::function<void(const std::string& service, const std::string& model, const std::string& adapter)>
         onWanted;
@@ -81,6 +83,9 @@
     /// Not ready first, no new requests, running ones finish.
     void drain();
     bool isDraining() const { return m_draining; }
+    /// From now on new requests are declined: they might not end before the process does.
+    void closeToRequests() { m_closedToRequests = true; }
+    bool isClosedToRequests() const { return m_closedToRequests; }
     bool isIdle() const { return m_running == 0; }
     /// \return whether callers should be sent here.
     bool isReady() const;
@@ -106,6 +111,7 @@
     std::optional<milliseconds> declinedRetryAfter(const exchange& request);
     relay_choice choose(const exchange& request, const std::set<std::string>& tried);
     void askCredit(const exchange_ptr& request);
+    void refund(const std::string& team, double tokens);
     void wait(const exchange_ptr& request);
     void unwait(const exchange& request);
     bool tryRetry(const std::string& service);
@@ -135,6 +141,8 @@
         const exchange& request, const std::set<std::string>& tried);
     engine_candidate describe(const exchange& request, const upstream_state& upstream) const;
     relay_choice whenAbsent(const exchange& request, bool anyUpstream);
+    void noteFull(
+        const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
     relay_choice whenFull(const exchange& request, const engine_full& full);
     void placeWaiting();
     std::string affinityKey(const exchange& request) const;
@@ -160,6 +168,7 @@
     std::minstd_rand m_random;
     std::size_t m_running { 0 };
     bool m_draining { false };
+    bool m_closedToRequests { false };
     bool m_knowsUpstreams { false };
 };
 
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -663,14 +663,22 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
-    VT_ENTRIES = 6,
-    VT_CREDIT = 8,
-    VT_WORK = 10,
-    VT_HOLDINGS = 12
+    VT_LEASE_END = 6,
+    VT_LEASE_HOLDER = 8,
+    VT_ENTRIES = 10,
+    VT_CREDIT = 12,
+    VT_WORK = 14,
+    VT_HOLDINGS = 16
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  uint64_t lease_end() const {
+    return GetField<uint64_t>(VT_LEASE_END, 0);
+  }
+  const flatbuffers::String *lease_holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEASE_HOLDER);
+  }
   uint32_t entries() const {
     return GetField<uint32_t>(VT_ENTRIES, 0);
   }
@@ -686,6 +694,9 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE_END, 8) &&
+           VerifyOffset(verifier, VT_LEASE_HOLDER) &&
+           verifier.VerifyString(lease_holder()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
            VerifyOffset(verifier, VT_CREDIT) &&
            verifier.VerifyVector(credit()) &&
@@ -707,6 +718,12 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(News::VT_NUMBER, number, 0);
   }
+  void add_lease_end(uint64_t lease_end) {
+    fbb_.AddElement<uint64_t>(News::VT_LEASE_END, lease_end, 0);
+  }
+  void add_lease_holder(flatbuffers::Offset<flatbuffers::String> lease_holder) {
+    fbb_.AddOffset(News::VT_LEASE_HOLDER, lease_holder);
+  }
   void add_entries(uint32_t entries) {
     fbb_.AddElement<uint32_t>(News::VT_ENTRIES, entries, 0);
   }
@@ -733,16 +750,20 @@
 inline flatbuffers::Offset<News> CreateNews(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
+    uint64_t lease_end = 0,
+    flatbuffers::Offset<flatbuffers::String> lease_holder = 0,
     uint32_t entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>> holdings = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_lease_end(lease_end);
   builder_.add_number(number);
   builder_.add_holdings(holdings);
   builder_.add_work(work);
   builder_.add_credit(credit);
   builder_.add_entries(entries);
+  builder_.add_lease_holder(lease_holder);
   return builder_.Finish();
 }
 
@@ -754,16 +775,21 @@
 inline flatbuffers::Offset<News> CreateNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
+    uint64_t lease_end = 0,
+    const char *lease_holder = nullptr,
     uint32_t entries = 0,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *holdings = nullptr) {
+  auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>(*work) : 0;
   auto holdings__ = holdings ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>(*holdings) : 0;
   return sagesaddle::fleet_wire::CreateNews(
       _fbb,
       number,
+      lease_end,
+      lease_holder__,
       entries,
       credit__,
       work__,
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -65,7 +65,9 @@
                   builder, builder.CreateString(item.upstream), builder.CreateVectorOfStrings(item.held));
           });
     const auto work = encodeWork(builder, value.work);
-    return fleet_wire::CreateNews(builder, value.number, value.entries, credit, work, holdings).Union();
+    return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
+        builder.CreateString(value.leaseHolder), value.entries, credit, work, holdings)
+        .Union();
 }
 
 std::vector<upstream_work> decodeWork(const flatbuffers::Vector<Offset<fleet_wire::UpstreamWork>>* work)
@@ -101,6 +103,9 @@
 {
     fleet_news value;
     value.number = table.number();
+    value.leaseEnd = table.lease_end();
+    if (table.lease_holder() != nullptr)
+        value.leaseHolder = table.lease_holder()->str();
     value.entries = table.entries();
     if (table.credit() != nullptr) {
         for (const auto* grant : *table.credit())
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -74,6 +74,9 @@
 /// \brief The coordinator's answer to a report.
 struct fleet_news {
     std::uint64_t number { 0 };
+    /// Offset behind the newest record of the lease, and the holder's name in it.
+    std::uint64_t leaseEnd { 0 };
+    std::string leaseHolder;
     std::uint32_t entries { 0 };
     std::vector<credit_answer> credit;
     /// Work of the other entries.
