Gateway: Grant credit while the store is away from all, and let refused callers return in order

Cause: with the store away the coordinator's lease lapsed and all gateways fell to half the limits; after all were killed a fresh one knew no count of gateways and refused everything until the lease timed out; refused callers came back together and were refused again. Now: credit goes on while every gateway that was heard finds the store away; the lease tells the count; a process takes the lease of an earlier one in its own place at once; each refusal takes the next place in a queue that moves at the rate of work.

--- a/Source/Fleet/duty_lease.cpp
+++ b/Source/Fleet/duty_lease.cpp
@@ -14,12 +14,18 @@
 
 } // namespace
 
-duty_lease::duty_lease(std::string self, lease_times times)
+duty_lease::duty_lease(std::string self, std::string place, lease_times times)
     : m_self(std::move(self))
+    , m_place(std::move(place))
     , m_times(times)
 {
 }
 
+bool duty_lease::isFromHere(const std::string& holder) const
+{
+    return holder.starts_with(m_place);
+}
+
 bool duty_lease::holds(monotonic_time now) const
 {
     return !m_resigned && m_until && now < *m_until;
@@ -49,8 +55,9 @@
         m_isBusy = true;
         return append { m_record.end, false };
     }
-    const bool mayTake
-        = m_knowsRecord && (m_record.holder.empty() || now - m_recordSeenAt >= m_times.timeToLive);
+    const bool mayTake = m_knowsRecord
+        && (m_record.holder.empty() || isFromHere(m_record.holder)
+            || now - m_recordSeenAt >= m_times.timeToLive);
     if (hearsHolder)
         return {};
     m_isBusy = true;
@@ -103,9 +110,9 @@
     if (!wasOwn) {
         m_fence = end;
         // The first lease of all follows nobody.
-        m_mayOrderFrom = end <= 1 ? now : now + m_times.settle;
+        m_mayOrderFrom = end <= 1 || isFromHere(m_record.holder) ? now : now + m_times.settle;
     }
-    m_record = { m_self, end };
+    m_record = { m_self, m_record.gateways, end };
     m_recordSeenAt = now;
     m_until = sentAt + m_times.timeToLive - m_times.margin;
     m_renewAt = sentAt + m_times.renewal;
--- a/Source/Fleet/duty_lease.h
+++ b/Source/Fleet/duty_lease.h
@@ -13,6 +13,8 @@
 struct lease_record {
     /// Empty where nobody wrote yet or the last holder gave it up.
     std::string holder;
+    /// Gateways that the holder counted.
+    unsigned gateways { 0 };
     /// Offset behind the record: the next one is written there or not at all.
     std::uint64_t end { 0 };
 
@@ -48,7 +50,8 @@
     };
     using action = std::variant<std::monostate, read, append>;
 
-    duty_lease(std::string self, lease_times times);
+    /// \param place what tells this process's place from others: an earlier process in the same place is gone
+    duty_lease(std::string self, std::string place, lease_times times);
 
     /// \param hearsHolder whether another process is heard to hold the duty: then nothing is read
     /// \return what to do now; each action is followed by its answer
@@ -77,7 +80,10 @@
     const lease_record& record() const { return m_record; }
 
 private:
+    bool isFromHere(const std::string& holder) const;
+
     std::string m_self;
+    std::string m_place;
     lease_times m_times;
     lease_record m_record;
     bool m_knowsRecord { false };
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/coordinator.h"
 
+#include <algorithm>
+
 namespace sagesaddle {
 
 namespace {
@@ -8,6 +10,8 @@
 constexpr milliseconds silentAfter { 1500 };
 // Time for which a gateway counts among those that share the limits.
 constexpr milliseconds countedFor { 10000 };
+// Age of a report up to which it tells how things are; reports come every 100 ms.
+constexpr milliseconds heardWithin { 400 };
 
 } // namespace
 
@@ -80,6 +84,13 @@
     std::erase_if(m_reporters, [&](const auto& item) { return now - item.second.heardAt > countedFor; });
 }
 
+bool coordinator::isStoreAwayFromAll(monotonic_time now) const
+{
+    return !m_reporters.empty() && std::all_of(m_reporters.begin(), m_reporters.end(), [&](const auto& item) {
+        return item.second.isStoreAway && now - item.second.heardAt <= heardWithin;
+    });
+}
+
 std::uint32_t coordinator::gateways(monotonic_time now) const
 {
     std::uint32_t count = 0;
@@ -94,6 +105,7 @@
     reporter& from = m_reporters[report.entry];
     from.work = report.work;
     from.heardAt = now;
+    from.isStoreAway = report.isStoreAway;
     if (from.link != link) {
         from.link = link;
         from.toldRevisions.clear();
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -25,6 +25,10 @@
     /// \param link tells connections apart: news of holdings are sent once on each
     fleet_news onReport(const fleet_report& report, const void* link, monotonic_time now);
 
+    /// \return whether every gateway that was heard lately is still heard and finds the store away: then
+    /// nobody can take the lease, and credit may go on beyond it.
+    bool isStoreAwayFromAll(monotonic_time now) const;
+
     /// Makes or drops the books so that there is one for each engine.
     void onUpstreams(const std::map<std::string, upstream_entry>& entries);
 
@@ -41,6 +45,7 @@
     struct reporter {
         std::vector<upstream_work> work;
         monotonic_time heardAt {};
+        bool isStoreAway { false };
         const void* link { nullptr };
         std::map<std::string, std::uint64_t> toldRevisions;
     };
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -19,7 +19,7 @@
 // Time without news after which the coordinator counts as away.
 constexpr milliseconds newsTimeout { 500 };
 // Time that a request waits for credit before it is told that the limit is not known.
-constexpr milliseconds creditPatience { 250 };
+constexpr milliseconds creditPatience { 150 };
 // When to come back where no coordinator is known.
 constexpr milliseconds unknownRetryAfter { 600 };
 
@@ -47,6 +47,12 @@
     m_purse.setTeams(config.teams, suspendedNow());
 }
 
+void fleet_share::onKnownGateways(unsigned count)
+{
+    if (m_isAlone && !m_purse.knowsEntries())
+        m_purse.setEntries(count);
+}
+
 void fleet_share::onHolder(const address& where)
 {
     if (m_link && m_link->peer() == where)
@@ -90,6 +96,11 @@
         request->onCredit(true, {});
         return;
     }
+    if (m_isAlone) {
+        // Nobody would answer: the own share decides at once.
+        request->onCredit(false, m_purse.knowsEntries() ? std::optional(unknownRetryAfter) : std::nullopt);
+        return;
+    }
     waiting.push_back({ request, monotonicNow() });
     reportSoon();
 }
@@ -132,6 +143,7 @@
     fleet_report value;
     value.entry = m_self;
     value.number = ++m_number;
+    value.isStoreAway = m_hooks.isStoreAway();
     const monotonic_time now = suspendedNow();
     std::set<std::string> teams;
     if (m_relay.table()) {
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -18,6 +18,7 @@
     struct hooks {
         /// Answers a report in place, where this gateway coordinates itself; nothing where it does not.
         std::function<std::optional<fleet_news>(const fleet_report&)> coordinateHere;
+        std::function<bool()> isStoreAway;
         /// The coordinator told the newest record of its lease.
         std::function<void(const lease_record&)> onLease;
         /// Something is wanted that the coordinator should see to at once.
@@ -28,6 +29,8 @@
 
     void start();
     void onConfig(const fleet_config& config);
+    /// The gateways that shared the limits, as the lease tells.
+    void onKnownGateways(unsigned count);
     /// The coordinator's address, by the lease.
     void onHolder(const address& where);
     /// \return whether a coordinator answered lately.
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -14,10 +14,10 @@
 // request and the look before each send.
 constexpr double keysPart = 0.86;
 // Time without a renewal after which another gateway takes the duty; three renewals may be lost within it.
-constexpr milliseconds dutyTimeToLive { 1900 };
+constexpr milliseconds dutyTimeToLive { 1700 };
 // How much earlier the holder stops by itself.
 constexpr milliseconds dutyMargin { 250 };
-constexpr milliseconds dutyRenewal { 600 };
+constexpr milliseconds dutyRenewal { 500 };
 // Time beyond the lease from taking the duty to the first order, for orders that are still on their way.
 constexpr milliseconds settleReserve { 300 };
 // Pause between looks at what engines need.
@@ -61,7 +61,7 @@
                   m_share.onWanted(service, model, adapter);
               },
               [this](const exchange& request) { m_share.onDemand(request); } })
-    , m_follower(loop, m_settings.store, m_member,
+    , m_follower(loop, m_settings.store, m_member, formatAddress(m_settings.peers) + startMark,
           lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve }, m_lines,
           { [this](const fleet_config_ptr& config) {
                m_coordinator.onConfig(*config, monotonicNow());
@@ -75,12 +75,15 @@
               },
               [this](monotonic_time provenAt) { m_relay.onContact(provenAt); }, [this] { onDuty(); },
               [this](const std::string& member) { m_share.onHolder(addressOfMember(member)); },
-              [this] { return m_share.hearsCoordinator(); } })
+              [this] { return m_share.hearsCoordinator(); },
+              [this] { return m_coordinator.gateways(monotonicNow()); },
+              [this](unsigned count) { m_share.onKnownGateways(count); } })
     , m_orders(
           loop, m_coordinator, m_settings.name, [this]() -> const duty_lease& { return m_follower.lease(); },
           m_lines, m_metrics)
     , m_share(loop, m_settings.name, m_relay, m_lines,
           { [this](const fleet_report& report) { return answerReport(report, this); },
+              [this] { return m_follower.isStoreAway(); },
               [this](const lease_record& record) { m_follower.onHeardLease(record); },
               [this] { m_orders.work(); } })
     , m_reports(loop, m_settings.peers,
@@ -126,7 +129,9 @@
 
 void gateway::onDuty()
 {
-    const bool coordinates = m_follower.lease().holds(suspendedNow());
+    const bool holds = m_follower.lease().holds(suspendedNow());
+    const bool coordinates = holds
+        || (m_coordinates && !m_relay.isDraining() && m_coordinator.isStoreAwayFromAll(monotonicNow()));
     if (coordinates && !m_coordinates)
         m_coordinator.begin(monotonicNow());
     m_coordinates = coordinates;
@@ -134,7 +139,8 @@
 
 std::optional<fleet_news> gateway::answerReport(const fleet_report& report, const void* link)
 {
-    if (!m_coordinates || !m_follower.lease().holds(suspendedNow()))
+    onDuty();
+    if (!m_coordinates)
         return std::nullopt;
     auto news = m_coordinator.onReport(report, link, monotonicNow());
     news.leaseHolder = m_follower.lease().record().holder;
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -34,12 +34,12 @@
 
 } // namespace
 
-store_follower::store_follower(event_loop& loop, const address& store, std::string self, lease_times times,
-    decision_lines& lines, follower_hooks hooks)
+store_follower::store_follower(event_loop& loop, const address& store, std::string self, std::string place,
+    lease_times times, decision_lines& lines, follower_hooks hooks)
     : m_loop(loop)
     , m_store(loop, store)
     , m_self(std::move(self))
-    , m_lease(m_self, times)
+    , m_lease(m_self, std::move(place), times)
     , m_lines(lines)
     , m_hooks(std::move(hooks))
     , m_upstreams(returnGrace)
@@ -268,6 +268,8 @@
             onAnswered();
             try {
                 m_lease.onRead(platform::readLease(answer->body), now);
+                if (m_lease.record().gateways > 0)
+                    m_hooks.onGateways(m_lease.record().gateways);
                 if (!m_lease.knownHolder().empty() && m_lease.knownHolder() != m_self)
                     m_hooks.onHolder(m_lease.knownHolder());
             } catch (const std::invalid_argument& error) {
@@ -281,8 +283,8 @@
 void store_follower::appendLease(const duty_lease::append& what)
 {
     const monotonic_time sentAt = suspendedNow();
-    m_store.call(
-        platform::writeLeaseAppendCall(m_store.peer(), what.isRelease ? std::string() : m_self, what.at),
+    m_store.call(platform::writeLeaseAppendCall(
+                     m_store.peer(), what.isRelease ? std::string() : m_self, m_hooks.gateways(), what.at),
         leaseTimeout, [this, sentAt](const std::optional<http_answer>& answer) {
             const monotonic_time now = suspendedNow();
             const bool held = m_lease.holds(now);
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -22,14 +22,18 @@
     std::function<void(const std::string&)> onHolder;
     /// \return whether the holder is heard to coordinate.
     std::function<bool()> hearsHolder;
+    /// \return gateways to be told in the lease.
+    std::function<unsigned()> gateways;
+    /// Gateways that the lease's record tells.
+    std::function<void(unsigned)> onGateways;
 };
 
 /// \brief Follows the platform's store: configuration, upstreams and the lease of the duty.
 class store_follower {
 public:
     /// \param self this process's name in the lease; another start has another one
-    store_follower(event_loop& loop, const address& store, std::string self, lease_times times,
-        decision_lines& lines, follower_hooks hooks);
+    store_follower(event_loop& loop, const address& store, std::string self, std::string place,
+        lease_times times, decision_lines& lines, follower_hooks hooks);
 
     void start();
     /// Gives the lease up; the follower goes on reading.
--- a/Source/Limit/credit_bank.cpp
+++ b/Source/Limit/credit_bank.cpp
@@ -8,6 +8,8 @@
 
 // Level above which credit is granted ahead of need, as a part of the burst.
 constexpr double aheadLevel = 0.5;
+// Longest time after which refused requests are told to come back.
+constexpr double mostReturnSeconds = 30;
 // Part of the burst that a bucket starts with. Grants of an earlier coordinator may still be spent; the
 // platform's bound allows a tenth beyond the rate over several seconds, which is more.
 constexpr double startLevel = 0.5;
@@ -16,7 +18,9 @@
 
 void credit_bank::bucket::fill(monotonic_time now)
 {
-    level = std::min(burst, level + ratePerSecond * std::max(0.0, secondsBetween(filledAt, now)));
+    const double filled = ratePerSecond * std::max(0.0, secondsBetween(filledAt, now));
+    level = std::min(burst, level + filled);
+    returning = std::max(0.0, returning - filled);
     filledAt = now;
 }
 
@@ -28,7 +32,7 @@
             continue;
         const auto known = m_buckets.find(team.name);
         bucket value
-            = known == m_buckets.end() ? bucket { 0, 0, team.burst * startLevel, now } : known->second;
+            = known == m_buckets.end() ? bucket { 0, 0, team.burst * startLevel, 0, now } : known->second;
         value.fill(now);
         value.ratePerSecond = team.ratePerSecond;
         value.burst = std::max(team.burst, 1.0);
@@ -50,8 +54,10 @@
     value.level -= tokens;
     if (tokens >= needed)
         return { tokens, milliseconds(0) };
-    const double missing = std::min(needed, value.burst) - tokens;
-    return { tokens, milliseconds(static_cast<std::int64_t>(missing / value.ratePerSecond * 1000) + 1) };
+    // Whoever is refused now comes after those that were refused before.
+    value.returning = std::min(value.returning + needed - tokens, value.ratePerSecond * mostReturnSeconds);
+    return { tokens,
+        milliseconds(static_cast<std::int64_t>(value.returning / value.ratePerSecond * 1000) + 1) };
 }
 
 } // namespace sagesaddle
--- a/Source/Limit/credit_bank.h
+++ b/Source/Limit/credit_bank.h
@@ -37,6 +37,8 @@
         double ratePerSecond { 0 };
         double burst { 0 };
         double level { 0 };
+        /// Tokens of refused requests that were told to come back, in the order of their refusal.
+        double returning { 0 };
         monotonic_time filledAt {};
 
         void fill(monotonic_time now);
--- a/Source/Limit/credit_purse.cpp
+++ b/Source/Limit/credit_purse.cpp
@@ -11,8 +11,9 @@
 constexpr double useSeconds = 1.0;
 // Use that is asked for ahead, so that most requests need not wait for an answer.
 constexpr double aheadSeconds = 0.4;
-// Own share that may be saved up.
+// Own share that may be saved up, and what of it is there at once.
 constexpr double shareSeconds = 1.0;
+constexpr std::chrono::duration<double> startShare { 0.3 };
 
 } // namespace
 
@@ -44,7 +45,7 @@
     m_isAlone = isAlone;
     for (auto& [name, value] : m_accounts) {
         value.share = 0;
-        value.sharedAt = now;
+        value.sharedAt = now - std::chrono::duration_cast<monotonic_span>(startShare);
     }
 }
 
--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -168,7 +168,8 @@
     if (m_over)
         return;
     if (!isGranted) {
-        refuse(retryAfter ? relay_reason::OverLimit : relay_reason::LimitUnknown, retryAfter);
+        refuse(retryAfter ? relay_reason::OverLimit : relay_reason::LimitUnknown,
+            retryAfter ? retryAfter : m_owner.contactRetryAfter());
         return;
     }
     m_hasCredit = true;
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -16,10 +16,12 @@
 constexpr int mostDoublings = 4;
 // Pause between looks at waiting requests; well under an adapter's load.
 constexpr milliseconds placePause { 10 };
-// Part of its objective that a request may wait for a missing adapter.
-constexpr double waitShare = 0.8;
+// Part of its objective that a request may wait for a missing adapter; it comes within 100 ms or not soon.
+constexpr double waitShare = 0.3;
 // When to come back where nothing better is known.
 constexpr milliseconds standardRetryAfter { 700 };
+// Shortest time to come back after an overload; about a request's stay at an engine's queue.
+constexpr milliseconds leastRetryAfter { 400 };
 // Spread of the callers' return, so that they do not come together.
 constexpr double retrySpread = 0.5;
 // Weight of a new observation of a model's pace.
@@ -339,8 +341,14 @@
 {
     const auto excess = milliseconds(static_cast<std::int64_t>(
         full.firstEventMilliseconds - static_cast<double>(request.route().objective.count())));
-    const milliseconds spread(static_cast<std::int64_t>(draw() * retrySpread * standardRetryAfter.count()));
-    return relay_refuse { relay_reason::Overloaded, std::max(excess, standardRetryAfter) + spread };
+    return relay_refuse { relay_reason::Overloaded,
+        std::max(excess, returnsOf(request).onRefused(1, monotonicNow())) };
+}
+
+return_schedule& relay::returnsOf(const exchange& request)
+{
+    return m_returns.try_emplace(request.service() + "/" + request.request().model, leastRetryAfter)
+        .first->second;
 }
 
 std::optional<milliseconds> relay::declinedRetryAfter(const exchange&)
@@ -431,6 +439,7 @@
             m_affinity.erase(m_affinity.begin());
         m_affinity[key] = upstream.entry.id;
     }
+    returnsOf(request).onTaken(1, monotonicNow());
     m_watch.lines.write(log_level::Debug, "sent",
         { { "id", request.request().id }, { "upstream", upstream.entry.id }, { "forecast_ms", forecast },
             { "in_flight", upstream.inFlight + upstream.foreign.inFlight },
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -3,6 +3,7 @@
 #include "Base/priority.h"
 #include "Fleet/contact_clock.h"
 #include "Fleet/route_table.h"
+#include "Limit/return_schedule.h"
 #include "Relay/caller_link.h"
 #include "Relay/exchange.h"
 #include "Relay/relay_watch.h"
@@ -145,6 +146,7 @@
         const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
     relay_choice whenFull(const exchange& request, const engine_full& full);
     void placeWaiting();
+    return_schedule& returnsOf(const exchange& request);
     std::string affinityKey(const exchange& request) const;
 
     event_loop& m_loop;
@@ -162,6 +164,7 @@
     std::unordered_map<std::string, retry_budget> m_retries;
     unsigned m_gateways;
     std::unordered_map<std::string, model_pace> m_paces;
+    std::unordered_map<std::string, return_schedule> m_returns;
     std::unordered_map<std::string, std::string> m_affinity;
     timer m_readTimer;
     timer m_placeTimer;
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -394,9 +394,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRY = 4,
     VT_NUMBER = 6,
-    VT_CREDIT = 8,
-    VT_WORK = 10,
-    VT_DEMAND = 12
+    VT_STORE_AWAY = 8,
+    VT_CREDIT = 10,
+    VT_WORK = 12,
+    VT_DEMAND = 14
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -404,6 +405,9 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  bool store_away() const {
+    return GetField<uint8_t>(VT_STORE_AWAY, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *credit() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *>(VT_CREDIT);
   }
@@ -418,6 +422,7 @@
            VerifyOffsetRequired(verifier, VT_ENTRY) &&
            verifier.VerifyString(entry()) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_AWAY, 1) &&
            VerifyOffset(verifier, VT_CREDIT) &&
            verifier.VerifyVector(credit()) &&
            verifier.VerifyVectorOfTables(credit()) &&
@@ -441,6 +446,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Report::VT_NUMBER, number, 0);
   }
+  void add_store_away(bool store_away) {
+    fbb_.AddElement<uint8_t>(Report::VT_STORE_AWAY, static_cast<uint8_t>(store_away), 0);
+  }
   void add_credit(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>> credit) {
     fbb_.AddOffset(Report::VT_CREDIT, credit);
   }
@@ -466,6 +474,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> entry = 0,
     uint64_t number = 0,
+    bool store_away = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>> demand = 0) {
@@ -475,6 +484,7 @@
   builder_.add_work(work);
   builder_.add_credit(credit);
   builder_.add_entry(entry);
+  builder_.add_store_away(store_away);
   return builder_.Finish();
 }
 
@@ -487,6 +497,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *entry = nullptr,
     uint64_t number = 0,
+    bool store_away = false,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>> *demand = nullptr) {
@@ -498,6 +509,7 @@
       _fbb,
       entry__,
       number,
+      store_away,
       credit__,
       work__,
       demand__);
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -48,7 +48,7 @@
           });
     const auto work = encodeWork(builder, value.work);
     return fleet_wire::CreateReport(
-        builder, builder.CreateString(value.entry), value.number, credit, work, demand)
+        builder, builder.CreateString(value.entry), value.number, value.isStoreAway, credit, work, demand)
         .Union();
 }
 
@@ -86,6 +86,7 @@
     fleet_report value;
     value.entry = table.entry()->str();
     value.number = table.number();
+    value.isStoreAway = table.store_away();
     if (table.credit() != nullptr) {
         for (const auto* ask : *table.credit())
             value.credit.push_back({ ask->team()->str(), ask->needed(), ask->ahead() });
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -64,6 +64,8 @@
 struct fleet_report {
     std::string entry;
     std::uint64_t number { 0 };
+    /// Whether the platform's store is away from the gateway.
+    bool isStoreAway { false };
     std::vector<credit_request> credit;
     std::vector<upstream_work> work;
     std::vector<model_demand> demand;
