Plan: Count models on their way as held, prefer weights at hand, and drop copies only with some slack

Cause: reports do not name the model being loaded, so that a model without a copy was ordered on one engine after another; rare models were loaded before those that most requests asked for; copies came and went with the noise of the demand. Now: the book knows the model that its order loads; models are ordered by requests for each copy, on engines whose host has the weights; a copy is dropped only where a third more than the demand asks for is there, or where it is asked for less than the model that needs the room.

--- a/Source/Fleet/engine_report.h
+++ b/Source/Fleet/engine_report.h
@@ -16,6 +16,8 @@
     /// An order is being carried out.
     bool isBusy { false };
     std::vector<held_model> models;
+    /// Models whose weights lie in the host's memory or on its disk: they load in a second or two.
+    std::vector<std::string> atHand;
     /// Adapters on their way, as `model/adapter`.
     std::vector<std::string> coming;
 
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -104,7 +104,7 @@
     const monotonic_time sentAt = monotonicNow();
     book.onOrderSent(order, sentAt);
     const bool isLoad = planned.what == engine_order::action::Load;
-    if (planned.adapter.empty() && isLoad)
+    if (planned.adapter.empty() && isLoad && !book.isAtHand(planned.model))
         m_plans.onModelOrdered(peer->second.entry.service, sentAt);
     m_metrics.add("sagesaddle_engine_orders", "Orders given to engines",
         { { "action", isLoad ? "load" : "unload" },
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -27,6 +27,8 @@
 // Time from not being ready to the end, for the platform to send callers elsewhere.
 constexpr milliseconds leastDrain { 2500 };
 constexpr milliseconds drainStepPause { 50 };
+// Looks in a row that find the process idle before it ends: callers have read what was written last.
+constexpr int idleStepsToEnd = 4;
 // Time before the process is killed at which it ends by itself.
 constexpr milliseconds endReserve { 300 };
 // Descriptors kept for files, peers and upstreams; each caller may need one upstream connection.
@@ -171,7 +173,8 @@
     const monotonic_time now = monotonicNow();
     if (now >= m_drainLeast)
         m_relay.closeToRequests();
-    if (now < m_drainEnds && (now < m_drainLeast || !m_relay.isIdle())) {
+    m_idleSteps = m_relay.isIdle() ? m_idleSteps + 1 : 0;
+    if (now < m_drainEnds && (now < m_drainLeast || m_idleSteps < idleStepsToEnd)) {
         m_drainTimer.start(drainStepPause);
         return;
     }
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -49,6 +49,7 @@
     timer m_drainTimer;
     monotonic_time m_drainEnds {};
     monotonic_time m_drainLeast {};
+    int m_idleSteps { 0 };
     tcp_listener m_callers;
 };
 
--- a/Source/Place/engine_book.cpp
+++ b/Source/Place/engine_book.cpp
@@ -56,7 +56,10 @@
         ++m_revision;
     m_held = std::move(held);
     m_coming = { report.coming.begin(), report.coming.end() };
+    if (!report.isBusy || m_held.contains(m_loading))
+        m_loading.clear();
     m_arriving.clear();
+    m_atHand = { report.atHand.begin(), report.atHand.end() };
     // A late order is declined once others were accepted after it was written.
     std::erase_if(m_doubtful, [&](const auto& item) { return item.second < report.orders; });
     m_report = report;
@@ -102,7 +105,7 @@
     std::erase_if(m_doubtful, [&](const auto& item) { return item.second < m_report->orders; });
     if (order.adapter.empty()) {
         if (isLoad)
-            m_coming.insert(name);
+            m_loading = name;
         m_report->isBusy = true;
         m_reportDueAt = now + modelReportDelay;
         return;
@@ -144,6 +147,8 @@
 {
     std::set<std::string> all = m_held;
     all.insert(m_leaving.begin(), m_leaving.end());
+    if (!m_loading.empty())
+        all.insert(m_loading);
     all.insert(m_coming.begin(), m_coming.end());
     for (const auto& [name, readyAt] : m_arriving)
         all.insert(name);
@@ -154,8 +159,8 @@
 
 bool engine_book::mayHold(const std::string& holding) const
 {
-    return m_held.contains(holding) || m_coming.contains(holding) || m_doubtful.contains(holding)
-        || m_arriving.contains(holding)
+    return m_held.contains(holding) || m_coming.contains(holding) || m_loading == holding
+        || m_doubtful.contains(holding) || m_arriving.contains(holding)
         || (m_outstanding && holdingName(m_outstanding->model, m_outstanding->adapter) == holding);
 }
 
@@ -182,4 +187,12 @@
     return free;
 }
 
+double engine_book::freeWeightsSoonMb() const
+{
+    double free = freeWeightsMb();
+    for (const auto& name : m_leaving)
+        free += weightsOf(name);
+    return free;
+}
+
 } // namespace sagesaddle
--- a/Source/Place/engine_book.h
+++ b/Source/Place/engine_book.h
@@ -52,12 +52,17 @@
     /// \return whether it holds it, is loading it or may come to load it.
     bool mayHold(const std::string& holding) const;
     const std::set<std::string>& held() const { return m_held; }
-    bool isLoadingModel() const { return m_report && m_report->isBusy; }
+    /// \return whether the model loads without the weight store.
+    bool isAtHand(const std::string& model) const { return m_atHand.contains(model); }
+    /// \return whether a model is on its way.
+    bool isLoading() const { return !m_loading.empty(); }
 
     /// \return adapter places that are surely free.
     int freeAdapterPlaces() const;
     /// \return memory for weights that is surely free, in MB.
     double freeWeightsMb() const;
+    /// \return the same once what was ordered to be dropped is gone.
+    double freeWeightsSoonMb() const;
     /// \return a number that rises whenever what is held changes.
     std::uint64_t revision() const { return m_revision; }
 
@@ -70,8 +75,11 @@
     std::optional<engine_report> m_report;
     std::set<std::string> m_held;
     std::set<std::string> m_coming;
+    /// The model that an accepted order loads; reports do not name it.
+    std::string m_loading;
     /// Ordered to be dropped: not to be used, though its memory is not free yet.
     std::set<std::string> m_leaving;
+    std::set<std::string> m_atHand;
     std::optional<engine_order> m_outstanding;
     /// Adapters on their way, with the time from which they count as there.
     std::map<std::string, monotonic_time> m_arriving;
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -10,15 +10,21 @@
 
 // Span over which demand is averaged; short against the shifts of demand, long against gaps between requests.
 constexpr double demandSeconds = 2.5;
-// Time without a request after which an adapter, or a model's last copy, may be dropped.
+// Time without a request after which an adapter's last copy may be dropped.
 constexpr seconds idleAdapter { 2 };
-constexpr seconds idleModel { 6 };
 // Part of the weight store's rate that is used; late orders and other holders' loads have the rest.
-constexpr double loadShare = 0.7;
+constexpr double loadShare = 0.85;
 // Loads that may be saved up.
-constexpr double loadBurst = 2;
+constexpr double loadBurst = 2.5;
+// Engines that may stand with room for a model at once, beyond the loads that are allowed now.
+constexpr int roomsAhead = 2;
+// Worth of weights at hand against a further free copy, in choosing an engine.
+constexpr double atHandGain = 4;
 // Copies for each engine that the demand is spread over: over one, so that requests have a choice.
 constexpr double copiesPerEngine = 1.5;
+// How many more copies are kept than would be loaded, so that copies do not come and go with the demand's
+// noise.
+constexpr double keepFactor = 1.35;
 // Requests a second that a copy should at least serve.
 constexpr double requestsPerCopy = 1.5;
 // Requests a second for each copy from which an adapter is put into a further free place.
@@ -141,31 +147,56 @@
     }
 
     /// Loads a model where it fits, or makes room for it first.
-    /// \return whether a load was ordered
-    bool placeModel(const model_config& model)
+    /// \param allowance loads from the weight store that may begin now; less one where this begins one
+    void placeModel(const model_config& model, double& allowance)
     {
-        const engine_sight* roomy = nullptr;
+        const engine_sight* best = nullptr;
+        double least = 0;
         for (const auto& engine : engines) {
-            if (isFree(engine) && !engine.book->mayHold(model.name)
-                && engine.book->freeWeightsMb() >= model.weightsMb
-                && (roomy == nullptr || engine.inFlight < roomy->inFlight))
-                roomy = &engine;
+            if (!isFree(engine) || engine.book->mayHold(model.name)
+                || engine.book->freeWeightsMb() < model.weightsMb)
+                continue;
+            const bool isAtHand = engine.book->isAtHand(model.name);
+            if (!isAtHand && allowance < 1)
+                continue;
+            const double cost = static_cast<double>(engine.inFlight) / std::max(engine.slots, 1)
+                - (isAtHand ? atHandGain : 0);
+            if (best == nullptr || cost < least) {
+                best = &engine;
+                least = cost;
+            }
         }
-        if (roomy != nullptr) {
-            order(*roomy, engine_order::action::Load, model.name, {});
-            return true;
+        if (best == nullptr) {
+            makeRoom(model, allowance);
+            return;
         }
-        makeRoom(model);
-        return false;
+        if (!best->book->isAtHand(model.name))
+            allowance -= 1;
+        order(*best, engine_order::action::Load, model.name, {});
+    }
+
+    /// \return engines that have room for a model, or will have it soon.
+    int rooms(const model_config& model) const
+    {
+        return static_cast<int>(
+            std::count_if(engines.begin(), engines.end(), [&](const engine_sight& engine) {
+                return !engine.isDraining && !engine.book->isLoading()
+                    && engine.book->freeWeightsSoonMb() >= model.weightsMb;
+            }));
     }
 
     /// \return copies of a model beyond those that its demand asks for.
-    int surplus(const model_config& model) const { return copies(model.name) - desiredCopies(model); }
+    int surplus(const model_config& model) const
+    {
+        return copies(model.name) - desiredCopies(model, keepFactor);
+    }
 
     /// Drops a copy of another model that has one too many.
-    void makeRoom(const model_config& model)
+    void makeRoom(const model_config& model, double allowance)
     {
-        const bool isMissing = copies(model.name) == 0;
+        if (rooms(model) >= roomsAhead + static_cast<int>(allowance))
+            return;
+        const double own = demand.of(model.name, now).requestsPerSecond / std::max(copies(model.name), 1);
         const engine_sight* where = nullptr;
         std::string victim;
         double most = 0;
@@ -177,7 +208,8 @@
                     || engine.book->freeWeightsMb() + held.weightsMb < model.weightsMb)
                     continue;
                 const int spare = surplus(held);
-                if (spare < 1 && !isMissing)
+                const double lost = demand.of(held.name, now).requestsPerSecond / (copies(held.name) - 1);
+                if (spare < 1 && lost >= own)
                     continue;
                 const double gain
                     = spare + 1.0 - static_cast<double>(engine.inFlight) / std::max(engine.slots, 1);
@@ -193,14 +225,14 @@
     }
 
     /// \return copies that a model's part of the demand asks for.
-    int desiredCopies(const model_config& model) const
+    int desiredCopies(const model_config& model, double factor) const
     {
         const double own = demand.of(model.name, now).requestsPerSecond;
         if (own < leastCopyDemand || total <= 0)
             return 1;
         const double engineCount = static_cast<double>(engines.size());
         const double wanted = std::min(engineCount * copiesPerEngine * own / total, own / requestsPerCopy);
-        return std::clamp(static_cast<int>(std::ceil(wanted)), 1, static_cast<int>(engines.size()));
+        return std::clamp(static_cast<int>(std::ceil(wanted * factor)), 1, static_cast<int>(engines.size()));
     }
 
     /// \return models that lack copies, the one with most requests for each copy first.
@@ -209,7 +241,7 @@
         std::vector<std::pair<double, const model_config*>> lacking;
         for (const auto& model : config.models) {
             const int have = copies(model.name);
-            if (have < desiredCopies(model))
+            if (have < desiredCopies(model, 1))
                 lacking.emplace_back(
                     -demand.of(model.name, now).requestsPerSecond / std::max(have, 1), &model);
         }
@@ -276,14 +308,8 @@
         current.total += demand.of(model.name, now).requestsPerSecond;
     current.placeAdapters(true);
     double allowance = mayLoadModel(now) ? m_loadAllowance : 0;
-    for (const auto& model : config.models) {
-        if (allowance >= 1 && current.copies(model.name) == 0 && current.placeModel(model))
-            allowance -= 1;
-    }
-    for (const auto* model : current.modelsToCopy()) {
-        if (allowance >= 1 && current.placeModel(*model))
-            allowance -= 1;
-    }
+    for (const auto* model : current.modelsToCopy())
+        current.placeModel(*model, allowance);
     current.placeAdapters(false);
     current.copyAdapters();
     return std::move(current.orders);
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -218,6 +218,13 @@
         link->drain();
 }
 
+bool relay::isIdle() const
+{
+    return m_running == 0 && std::all_of(m_callers.begin(), m_callers.end(), [](const auto& item) {
+        return item.second->unwritten() == 0;
+    });
+}
+
 double relay::draw()
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -87,7 +87,8 @@
     /// From now on new requests are declined: they might not end before the process does.
     void closeToRequests() { m_closedToRequests = true; }
     bool isClosedToRequests() const { return m_closedToRequests; }
-    bool isIdle() const { return m_running == 0; }
+    /// \return whether nothing runs and every answer left for its caller.
+    bool isIdle() const;
     /// \return whether callers should be sent here.
     bool isReady() const;
     /// Gateways that share the fleet's budget of second sends.
