--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -213,7 +213,7 @@
     m_newsAt = monotonicNow();
     setAlone(false);
     if (!news.leaseHolder.empty())
-        m_hooks.onLease({ news.leaseHolder, news.leaseEnd });
+        m_hooks.onLease({ news.leaseHolder, news.entries, news.leaseEnd });
     m_purse.setEntries(news.entries);
     m_relay.onGateways(news.entries);
     std::set<std::string> heard;
--- a/Source/Limit/credit_bank.cpp
+++ b/Source/Limit/credit_bank.cpp
@@ -31,8 +31,8 @@
         if (team.ratePerSecond <= 0)
             continue;
         const auto known = m_buckets.find(team.name);
-        bucket value
-            = known == m_buckets.end() ? bucket { 0, 0, team.burst * startLevel, 0, now } : known->second;
+        bucket value = known == m_buckets.end() ? bucket { 0, team.burst, team.burst * startLevel, 0, now }
+                                                : known->second;
         value.fill(now);
         value.ratePerSecond = team.ratePerSecond;
         value.burst = std::max(team.burst, 1.0);
--- a/Source/Loop/event_loop.cpp
+++ b/Source/Loop/event_loop.cpp
@@ -31,6 +31,11 @@
     event_base_loop(m_base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
+void event_loop::turn()
+{
+    event_base_loop(m_base.get(), EVLOOP_ONCE);
+}
+
 void event_loop::stop()
 {
     event_base_loopbreak(m_base.get());
--- a/Source/Loop/event_loop.h
+++ b/Source/Loop/event_loop.h
@@ -31,6 +31,8 @@
     /// Runs until stop().
     void run();
     void stop();
+    /// Waits for events once and handles them.
+    void turn();
 
     /// Calls the handler for each arrival of a signal.
     void onSignal(int signal, std::function<void()> handler);
--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -349,10 +349,10 @@
         retryOr(relay_reason::UpstreamBroke);
         return;
     }
-    if (!m_delivering && status >= firstServerError && mayRetry()) {
+    if (!m_delivering && status >= firstServerError && mayRetry() && m_owner.tryRetry(m_service)) {
         m_owner.noteFailure(*m_upstream, false);
         leaveUpstream(true);
-        retryOr(relay_reason::UpstreamBroke);
+        place();
         return;
     }
     if (m_delivering && m_events.hasPartial()) {
--- /dev/null
+++ b/Tests/Fleet/contact_clock_tests.cpp
@@ -0,0 +1,29 @@
+#include "Fleet/contact_clock.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+TEST_CASE("contact clock: keys are not used before the configuration was proven")
+{
+    const contact_clock clock(seconds(4));
+    CHECK_FALSE(clock.mayUseKeys(monotonic_time(seconds(100))));
+}
+
+TEST_CASE("contact clock: evidence dates from the sending of the read and lapses")
+{
+    contact_clock clock(seconds(4));
+    const monotonic_time sentAt(seconds(100));
+    clock.onProof(sentAt);
+    CHECK(clock.mayUseKeys(sentAt + milliseconds(3999)));
+    CHECK_FALSE(clock.mayUseKeys(sentAt + seconds(4)));
+    CHECK(clock.age(sentAt + seconds(1)) == monotonic_span(seconds(1)));
+}
+
+TEST_CASE("contact clock: an answer that comes late does not make the evidence older")
+{
+    contact_clock clock(seconds(4));
+    clock.onProof(monotonic_time(seconds(100)));
+    clock.onProof(monotonic_time(seconds(98)));
+    CHECK(clock.mayUseKeys(monotonic_time(milliseconds(103500))));
+}
--- /dev/null
+++ b/Tests/Fleet/duty_lease_tests.cpp
@@ -0,0 +1,223 @@
+#include "Fleet/duty_lease.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <optional>
+#include <random>
+#include <vector>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr monotonic_time start { seconds(1000) };
+
+lease_times testTimes()
+{
+    return { seconds(2), milliseconds(250), milliseconds(600), milliseconds(3500) };
+}
+
+duty_lease leaseOf(const std::string& place, int run)
+{
+    return { place + "#" + std::to_string(run), place + "#", testTimes() };
+}
+
+bool isRead(const duty_lease::action& value)
+{
+    return std::holds_alternative<duty_lease::read>(value);
+}
+
+std::optional<std::uint64_t> appendAt(const duty_lease::action& value)
+{
+    const auto* append = std::get_if<duty_lease::append>(&value);
+    return append == nullptr ? std::nullopt : std::optional(append->at);
+}
+
+/// Takes the lease where nobody ever held it.
+void takeFirst(duty_lease& lease, monotonic_time now)
+{
+    REQUIRE(isRead(lease.next(now, false)));
+    lease.onRead({ "", 0, 0 }, now);
+    REQUIRE(appendAt(lease.next(now, false)) == 0);
+    lease.onAppended(now, 1, now);
+}
+
+} // namespace
+
+TEST_CASE("duty lease: the first holder may order at once")
+{
+    auto lease = leaseOf("a", 1);
+    CHECK_FALSE(lease.holds(start));
+    takeFirst(lease, start);
+    CHECK(lease.holds(start));
+    CHECK(lease.mayOrder(start));
+    CHECK(lease.fence() == 1);
+}
+
+TEST_CASE("duty lease: it ends a margin before others may take it, unless it is renewed")
+{
+    auto lease = leaseOf("a", 1);
+    takeFirst(lease, start);
+    CHECK(lease.holds(start + milliseconds(1749)));
+    CHECK_FALSE(lease.holds(start + milliseconds(1750)));
+    CHECK(appendAt(lease.next(start + milliseconds(599), false)) == std::nullopt);
+    CHECK(appendAt(lease.next(start + milliseconds(600), false)) == 1);
+    lease.onAppended(start + milliseconds(600), 2, start + milliseconds(900));
+    CHECK(lease.holds(start + milliseconds(2349)));
+    CHECK(lease.fence() == 1);
+}
+
+TEST_CASE("duty lease: another's is taken only after its whole time without a renewal, and orders wait")
+{
+    auto lease = leaseOf("b", 1);
+    REQUIRE(isRead(lease.next(start, false)));
+    lease.onRead({ "a#1", 4, 7 }, start);
+    CHECK(isRead(lease.next(start + milliseconds(400), false)));
+    lease.onRead({ "a#1", 4, 8 }, start + milliseconds(400));
+    REQUIRE(isRead(lease.next(start + seconds(2), false)));
+    lease.onRead({ "a#1", 4, 8 }, start + seconds(2));
+    const monotonic_time due = start + milliseconds(2400);
+    REQUIRE(appendAt(lease.next(due, false)) == 8);
+    lease.onAppended(due, 9, due);
+    CHECK(lease.holds(due));
+    CHECK_FALSE(lease.mayOrder(due + milliseconds(1700)));
+    CHECK(lease.fence() == 9);
+}
+
+TEST_CASE("duty lease: an earlier process in the same place is gone, so its lease is taken at once")
+{
+    auto lease = leaseOf("a", 2);
+    REQUIRE(isRead(lease.next(start, false)));
+    lease.onRead({ "a#1", 4, 7 }, start);
+    REQUIRE(appendAt(lease.next(start + milliseconds(300), false)) == 7);
+    lease.onAppended(start + milliseconds(300), 8, start + milliseconds(300));
+    CHECK(lease.mayOrder(start + milliseconds(300)));
+    CHECK(lease.fence() == 8);
+}
+
+TEST_CASE("duty lease: a process that hears the holder does nothing, and takes over from what it heard")
+{
+    auto lease = leaseOf("b", 1);
+    lease.onHeard({ "a#1", 4, 7 }, start);
+    CHECK(lease.next(start + seconds(5), true).index() == 0);
+    lease.onHeard({ "a#1", 4, 8 }, start + seconds(5));
+    CHECK(isRead(lease.next(start + seconds(6), false)));
+    lease.onRead({ "a#1", 4, 8 }, start + seconds(6));
+    CHECK(appendAt(lease.next(start + seconds(7), false)) == 8);
+}
+
+TEST_CASE("duty lease: a declined append means that another was quicker")
+{
+    auto lease = leaseOf("a", 1);
+    takeFirst(lease, start);
+    const monotonic_time later = start + milliseconds(600);
+    REQUIRE(appendAt(lease.next(later, false)) == 1);
+    lease.onDeclined(later);
+    CHECK_FALSE(lease.holds(later));
+    CHECK(isRead(lease.next(later, false)));
+}
+
+TEST_CASE("duty lease: an append without an answer proves nothing and takes nothing away")
+{
+    auto lease = leaseOf("a", 1);
+    takeFirst(lease, start);
+    const monotonic_time later = start + milliseconds(600);
+    REQUIRE(appendAt(lease.next(later, false)) == 1);
+    lease.onAppendLost(later + milliseconds(500));
+    CHECK(lease.holds(start + milliseconds(1749)));
+    CHECK_FALSE(lease.holds(start + milliseconds(1750)));
+    CHECK(isRead(lease.next(later + seconds(1), false)));
+}
+
+TEST_CASE("duty lease: a holder that stood still holds nothing when it wakes")
+{
+    auto lease = leaseOf("a", 1);
+    takeFirst(lease, start);
+    CHECK_FALSE(lease.holds(start + seconds(10)));
+    CHECK_FALSE(lease.mayOrder(start + seconds(10)));
+}
+
+TEST_CASE("duty lease: giving it up lets another take it at once, whose orders still wait")
+{
+    auto first = leaseOf("a", 1);
+    takeFirst(first, start);
+    first.resign();
+    CHECK_FALSE(first.holds(start));
+    const auto release = first.next(start, false);
+    REQUIRE(std::holds_alternative<duty_lease::append>(release));
+    CHECK(std::get<duty_lease::append>(release).isRelease);
+    first.onAppended(start, 2, start);
+    CHECK(first.next(start + seconds(9), false).index() == 0);
+
+    auto second = leaseOf("b", 1);
+    REQUIRE(isRead(second.next(start, false)));
+    second.onRead({ "", 4, 2 }, start);
+    REQUIRE(appendAt(second.next(start, false)) == 2);
+    second.onAppended(start, 3, start);
+    CHECK(second.holds(start));
+    CHECK_FALSE(second.mayOrder(start + seconds(1)));
+}
+
+TEST_CASE(
+    "duty lease: several processes and a store with lost, late and declined appends never hold it together")
+{
+    struct late_append {
+        monotonic_time at;
+        std::size_t process;
+        std::uint64_t offset;
+    };
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::minstd_rand random(seed);
+        std::vector<duty_lease> processes { leaseOf("a", 1), leaseOf("b", 1), leaseOf("c", 1) };
+        std::vector<monotonic_time> frozenUntil(processes.size(), start);
+        lease_record stored { "", 0, 0 };
+        std::vector<late_append> late;
+        std::vector<std::uint64_t> fences;
+        const auto store = [&](std::size_t process, std::uint64_t offset) {
+            if (stored.end != offset)
+                return false;
+            stored = { std::string(1, static_cast<char>('a' + process)) + "#1", 3, offset + 1 };
+            return true;
+        };
+        for (int step = 0; step < 3000; ++step) {
+            const monotonic_time now = start + milliseconds(10 * step);
+            std::erase_if(late, [&](const late_append& item) {
+                return item.at <= now && (store(item.process, item.offset), true);
+            });
+            int holders = 0;
+            for (std::size_t index = 0; index < processes.size(); ++index) {
+                auto& process = processes[index];
+                // A frozen process acts on nothing; its lease is judged when it wakes.
+                if (now < frozenUntil[index])
+                    continue;
+                holders += process.holds(now) ? 1 : 0;
+                if (random() % 2000 == 0)
+                    frozenUntil[index] = now + milliseconds(random() % 5000);
+                const auto action = process.next(now, false);
+                const auto fate = random() % 10;
+                if (isRead(action)) {
+                    if (fate == 0)
+                        process.onReadLost(now);
+                    else
+                        process.onRead(stored, now);
+                } else if (const auto at = appendAt(action)) {
+                    if (fate == 0) {
+                        process.onAppendLost(now);
+                    } else if (fate == 1) {
+                        late.push_back({ now + milliseconds(random() % 6000), index, *at });
+                        process.onAppendLost(now);
+                    } else if (store(index, *at)) {
+                        process.onAppended(now, stored.end, now);
+                        if (fences.empty() || fences.back() != process.fence())
+                            fences.push_back(process.fence());
+                    } else {
+                        process.onDeclined(now);
+                    }
+                }
+            }
+            REQUIRE(holders <= 1);
+        }
+        CHECK(std::is_sorted(fences.begin(), fences.end()));
+        CHECK_FALSE(fences.empty());
+    }
+}
--- /dev/null
+++ b/Tests/Fleet/upstream_list_tests.cpp
@@ -0,0 +1,80 @@
+#include "Fleet/upstream_list.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr monotonic_time start { seconds(100) };
+constexpr milliseconds grace { 2300 };
+
+upstream_record listed(const std::string& id, std::uint64_t offset, bool isDraining = false)
+{
+    upstream_entry entry;
+    entry.id = id;
+    entry.service = "desk";
+    entry.isDraining = isDraining;
+    return { id, offset, entry };
+}
+
+upstream_record removed(const std::string& id, std::uint64_t offset)
+{
+    return { id, offset, std::nullopt };
+}
+
+} // namespace
+
+TEST_CASE("upstream list: a removal takes effect at once while the store was never away")
+{
+    upstream_list list(grace);
+    list.onRecord(listed("a", 1), start);
+    list.onRecord(removed("a", 2), start);
+    CHECK(list.entries().empty());
+}
+
+TEST_CASE("upstream list: an older record does not bring back what is known to be draining")
+{
+    upstream_list list(grace);
+    list.onRecord(listed("a", 5, true), start);
+    list.onRecord(listed("a", 4, false), start);
+    CHECK(list.entries().at("a").isDraining);
+}
+
+TEST_CASE("upstream list: entries that lapsed while the store was away have time to come back")
+{
+    upstream_list list(grace);
+    list.onRecord(listed("a", 1), start);
+    list.onRecord(listed("b", 2), start);
+    list.onStoreReturned(start);
+    list.onRecord(removed("a", 3), start + milliseconds(10));
+    list.onRecord(removed("b", 4), start + milliseconds(10));
+    CHECK(list.entries().size() == 2);
+    list.onRecord(listed("a", 5), start + seconds(1));
+    CHECK_FALSE(list.removeDue(start + seconds(2)));
+    CHECK(list.removeDue(start + grace));
+    CHECK(list.entries().contains("a"));
+    CHECK_FALSE(list.entries().contains("b"));
+}
+
+TEST_CASE("upstream list: a listing removes what it leaves out, unless that came after it began")
+{
+    upstream_list list(grace);
+    list.onRecord(listed("a", 1), start);
+    list.onRecord(listed("late", 9), start);
+    list.onListing({ listed("b", 3) }, 8, start);
+    CHECK_FALSE(list.entries().contains("a"));
+    CHECK(list.entries().contains("b"));
+    CHECK(list.entries().contains("late"));
+}
+
+TEST_CASE("upstream list: its revision rises with changes only")
+{
+    upstream_list list(grace);
+    list.onRecord(listed("a", 1), start);
+    const auto before = list.revision();
+    list.onRecord(listed("a", 2), start);
+    CHECK(list.revision() == before);
+    list.onRecord(listed("a", 3, true), start);
+    CHECK(list.revision() > before);
+}
--- /dev/null
+++ b/Tests/Limit/gateway_credit_tests.cpp
@@ -0,0 +1,185 @@
+#include "Limit/credit_bank.h"
+#include "Limit/credit_purse.h"
+#include "Limit/return_schedule.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr monotonic_time start { seconds(500) };
+constexpr milliseconds grantLife { 1000 };
+constexpr double shareAlone = 0.5;
+
+team_config teamWith(double rate, double burst)
+{
+    team_config team;
+    team.name = "atelier";
+    team.ratePerSecond = rate;
+    team.burst = burst;
+    return team;
+}
+
+} // namespace
+
+TEST_CASE("credit bank: over any time no more is granted than burst and rate allow")
+{
+    credit_bank bank;
+    bank.setTeams({ teamWith(1000, 2000) }, start);
+    double granted = 0;
+    for (int step = 0; step <= 100; ++step)
+        granted += bank.grant("atelier", 5000, 5000, start + milliseconds(100 * step)).tokens;
+    CHECK(granted <= 2000 + 1000 * 10);
+    CHECK(granted >= 1000 * 10);
+}
+
+TEST_CASE("credit bank: those who are refused later are told to come back later")
+{
+    credit_bank bank;
+    bank.setTeams({ teamWith(1000, 1000) }, start);
+    bank.grant("atelier", 500, 0, start);
+    const auto first = bank.grant("atelier", 800, 0, start);
+    const auto second = bank.grant("atelier", 800, 0, start);
+    CHECK(first.tokens == doctest::Approx(0));
+    CHECK(first.retryAfter.count() == doctest::Approx(800).epsilon(0.01));
+    CHECK(second.retryAfter.count() == doctest::Approx(1600).epsilon(0.01));
+    const auto later = bank.grant("atelier", 100, 0, start + seconds(20));
+    CHECK(later.tokens == doctest::Approx(100));
+    CHECK(later.retryAfter.count() == 0);
+}
+
+TEST_CASE("credit bank: nothing is granted ahead of need while less than half of the burst is there")
+{
+    credit_bank bank;
+    bank.setTeams({ teamWith(1000, 1000) }, start);
+    CHECK(bank.grant("atelier", 0, 400, start).tokens == doctest::Approx(0));
+    CHECK(bank.grant("atelier", 0, 400, start + seconds(1)).tokens == doctest::Approx(400));
+}
+
+TEST_CASE("credit bank: a lower limit binds at once, and a team without a limit has any credit")
+{
+    credit_bank bank;
+    bank.setTeams({ teamWith(1000, 5000) }, start);
+    bank.setTeams({ teamWith(10, 100) }, start + seconds(5));
+    CHECK(bank.grant("atelier", 1000, 0, start + seconds(5)).tokens <= 100);
+    CHECK(bank.grant("dealers", 1000, 0, start).tokens == doctest::Approx(1000));
+}
+
+TEST_CASE("credit purse: what was granted is spent once")
+{
+    credit_purse purse(grantLife, shareAlone);
+    purse.setTeams({ teamWith(1000, 1000) }, start);
+    purse.setAlone(false, start);
+    purse.onGrant("atelier", 100, start);
+    CHECK(purse.take("atelier", 60, start));
+    CHECK_FALSE(purse.take("atelier", 60, start));
+    CHECK(purse.take("atelier", 40, start));
+    purse.refund("atelier", 40, start);
+    CHECK(purse.take("atelier", 40, start));
+}
+
+TEST_CASE("credit purse: a process that stood still spends nothing that it held before")
+{
+    credit_purse purse(grantLife, shareAlone);
+    purse.setTeams({ teamWith(1000, 1000) }, start);
+    purse.setAlone(false, start);
+    purse.onGrant("atelier", 500, start);
+    CHECK_FALSE(purse.take("atelier", 100, start + seconds(3)));
+}
+
+TEST_CASE(
+    "credit purse: alone, it spends its part of half the rate, and nothing before it heard of the others")
+{
+    credit_purse purse(grantLife, shareAlone);
+    purse.setTeams({ teamWith(1000, 1000) }, start);
+    CHECK_FALSE(purse.take("atelier", 1, start + seconds(5)));
+    purse.setEntries(4);
+    double spent = 0;
+    for (int step = 0; step <= 1000; ++step)
+        spent += purse.take("atelier", 10, start + seconds(5) + milliseconds(10 * step)) ? 10 : 0;
+    CHECK(spent <= 1000 * shareAlone / 4 * 11 + 10);
+    CHECK(spent >= 1000 * shareAlone / 4 * 9);
+}
+
+TEST_CASE("credit: gateways with a hot team stay within the platform's bound in any window, also when the "
+          "coordinator changes")
+{
+    constexpr double rate = 10000;
+    constexpr double burst = 10000;
+    constexpr int gateways = 4;
+    constexpr double windowSeconds = 8;
+    // The platform allows a tenth more, and 10,000 tokens.
+    const double bound = (rate * windowSeconds + burst) * 1.1 + 10000;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::minstd_rand random(seed);
+        credit_bank bank;
+        bank.setTeams({ teamWith(rate, burst) }, start);
+        std::vector<credit_purse> purses(gateways, credit_purse(grantLife, shareAlone));
+        for (auto& purse : purses) {
+            purse.setTeams({ teamWith(rate, burst) }, start);
+            purse.setEntries(gateways);
+            purse.setAlone(false, start);
+        }
+        std::vector<std::pair<monotonic_time, double>> spent;
+        monotonic_time awayUntil {};
+        for (int step = 0; step < 3000; ++step) {
+            const monotonic_time now = start + milliseconds(10 * step);
+            if (step % 1200 == 600 + static_cast<int>(random() % 100)) {
+                awayUntil = now + milliseconds(500 + random() % 2500);
+                bank = {};
+                bank.setTeams({ teamWith(rate, burst) }, awayUntil);
+            }
+            for (auto& purse : purses) {
+                purse.setAlone(now < awayUntil, now);
+                const double tokens = 500 + static_cast<double>(random() % 2000);
+                if (now >= awayUntil) {
+                    const auto grant = bank.grant("atelier", tokens, purse.wantsAhead("atelier", now), now);
+                    purse.onGrant("atelier", grant.tokens, now);
+                }
+                if (purse.take("atelier", tokens, now))
+                    spent.emplace_back(now, tokens);
+            }
+        }
+        double inWindow = 0;
+        double most = 0;
+        std::size_t oldest = 0;
+        for (const auto& [at, tokens] : spent) {
+            inWindow += tokens;
+            while (secondsBetween(spent[oldest].first, at) > windowSeconds)
+                inWindow -= spent[oldest++].second;
+            most = std::max(most, inWindow);
+        }
+        CHECK(most <= bound);
+    }
+}
+
+TEST_CASE("return schedule: refused callers come back one after another, at the rate of work")
+{
+    return_schedule returns(milliseconds(400));
+    for (int step = 0; step < 100; ++step)
+        returns.onTaken(1, start + milliseconds(100 * step));
+    const monotonic_time now = start + seconds(10);
+    milliseconds last { 0 };
+    for (int refusal = 0; refusal < 20; ++refusal) {
+        const auto told = returns.onRefused(1, now);
+        CHECK(told > last);
+        CHECK(told >= milliseconds(400));
+        last = told;
+    }
+    // About ten a second were taken on.
+    CHECK(last >= milliseconds(1800));
+    CHECK(last <= milliseconds(3500));
+}
+
+TEST_CASE("return schedule: without any work the time told is bounded")
+{
+    return_schedule returns(milliseconds(400));
+    milliseconds last { 0 };
+    for (int refusal = 0; refusal < 200; ++refusal)
+        last = returns.onRefused(1, start);
+    CHECK(last <= seconds(30));
+}
--- /dev/null
+++ b/Tests/Loop/http_caller_tests.cpp
@@ -0,0 +1,127 @@
+#include "Loop/http_caller.h"
+#include "Loop/status_server.h"
+#include "Support/loop_until.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr const char* request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct raw_server {
+    event_loop& loop;
+    std::vector<std::unique_ptr<tcp_stream>> streams;
+    std::string answer;
+    int accepted { 0 };
+    tcp_listener listener;
+
+    raw_server(event_loop& where, std::string text)
+        : loop(where)
+        , answer(std::move(text))
+        , listener(where, { "127.0.0.1", 0 }, [this](evutil_socket_t socket) {
+            ++accepted;
+            streams.push_back(std::make_unique<tcp_stream>(loop, socket));
+            tcp_stream* const stream = streams.back().get();
+            stream->handle({ {},
+                [this, stream] {
+                    stream->consume(stream->readable().size());
+                    stream->write(answer);
+                },
+                {}, {} });
+        })
+    {
+    }
+
+    address where() const { return { "127.0.0.1", listener.port() }; }
+};
+
+} // namespace
+
+TEST_CASE("http caller: a connection is kept for the next call")
+{
+    event_loop loop;
+    raw_server server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    http_caller caller(loop, server.where());
+    for (int call = 0; call < 3; ++call) {
+        std::optional<http_answer> got;
+        caller.call(
+            request, seconds(10), [&](std::optional<http_answer> answer) { got = std::move(answer); });
+        REQUIRE(loopUntil(loop, [&] { return got.has_value(); }));
+        CHECK(got->body == "hi");
+    }
+    CHECK(server.accepted == 1);
+}
+
+TEST_CASE("http caller: a call without an answer ends in time and its connection is not used again")
+{
+    event_loop loop;
+    raw_server server(loop, "");
+    http_caller caller(loop, server.where());
+    bool ended = false;
+    caller.call(request, milliseconds(30), [&](const std::optional<http_answer>& answer) {
+        ended = true;
+        CHECK_FALSE(answer.has_value());
+    });
+    REQUIRE(loopUntil(loop, [&] { return ended; }));
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    bool answered = false;
+    caller.call(request, seconds(10),
+        [&](const std::optional<http_answer>& answer) { answered = answer.has_value(); });
+    CHECK(loopUntil(loop, [&] { return answered; }));
+    CHECK(server.accepted == 2);
+}
+
+TEST_CASE("http caller: a second answer on the connection is nobody's")
+{
+    event_loop loop;
+    const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    raw_server server(loop, one + one);
+    http_caller caller(loop, server.where());
+    int ends = 0;
+    caller.call(request, seconds(10), [&](const std::optional<http_answer>&) { ++ends; });
+    REQUIRE(loopUntil(loop, [&] { return ends == 1; }));
+    caller.call(request, seconds(10), [&](const std::optional<http_answer>&) { ++ends; });
+    REQUIRE(loopUntil(loop, [&] { return ends == 2; }));
+    CHECK(server.accepted == 2);
+}
+
+TEST_CASE("http caller: a refused connection is told as no answer")
+{
+    event_loop loop;
+    address gone;
+    {
+        raw_server server(loop, "");
+        gone = server.where();
+    }
+    http_caller caller(loop, gone);
+    bool ended = false;
+    caller.call(
+        request, seconds(10), [&](const std::optional<http_answer>& answer) { ended = !answer.has_value(); });
+    CHECK(loopUntil(loop, [&] { return ended; }));
+}
+
+TEST_CASE("status server: answers each call on a kept connection")
+{
+    event_loop loop;
+    int port = 0;
+    {
+        tcp_listener probe(
+            loop, { "127.0.0.1", 0 }, [](evutil_socket_t socket) { evutil_closesocket(socket); });
+        port = probe.port();
+    }
+    status_server server(loop, { "127.0.0.1", static_cast<std::uint16_t>(port) },
+        [](const http_head& head) -> status_server::reply {
+            return { 503, "text/plain", head.target };
+        });
+    http_caller caller(loop, { "127.0.0.1", static_cast<std::uint16_t>(port) });
+    for (int call = 0; call < 2; ++call) {
+        std::optional<http_answer> got;
+        caller.call(
+            request, seconds(10), [&](std::optional<http_answer> answer) { got = std::move(answer); });
+        REQUIRE(loopUntil(loop, [&] { return got.has_value(); }));
+        CHECK(got->status == 503);
+        CHECK(got->body == "/");
+    }
+}
--- /dev/null
+++ b/Tests/Loop/http_reader_tests.cpp
@@ -0,0 +1,129 @@
+#include "Loop/http_reader.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr std::size_t maxHeadBytes = 512;
+
+struct reading {
+    std::vector<http_head> heads;
+    std::string body;
+    int ends { 0 };
+    http_reader reader;
+
+    explicit reading(http_reader::message kind)
+        : reader(kind, maxHeadBytes,
+            { [this](http_head head) { heads.push_back(std::move(head)); },
+                [this](std::string_view bytes) { body.append(bytes); }, [this] { ++ends; } })
+    {
+    }
+
+    /// \return whether the text was taken as one whole request and nothing else.
+    static bool isRequest(const std::string& text)
+    {
+        reading it(http_reader::message::Requests);
+        return it.reader.feed(text) == text.size() && it.ends == 1 && !it.reader.failed();
+    }
+};
+
+} // namespace
+
+TEST_CASE("http reader: a message is read in any pieces and stops right behind its end")
+{
+    const std::string first = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+    const std::string text = first + "GET /b HTTP/1.1\r\n\r\n";
+    reading it(http_reader::message::Requests);
+    CHECK(it.reader.feed(text) == first.size());
+    CHECK(it.ends == 1);
+    CHECK(it.body == "hello");
+    CHECK(it.reader.feed(std::string_view(text).substr(first.size())) == text.size() - first.size());
+    CHECK(it.ends == 2);
+    CHECK(it.heads.at(1).target == "/b");
+
+    reading pieces(http_reader::message::Requests);
+    for (const char byte : first)
+        pieces.reader.feed({ &byte, 1 });
+    CHECK(pieces.ends == 1);
+    CHECK(pieces.body == "hello");
+    CHECK(*pieces.heads.at(0).find("host") == "h");
+}
+
+TEST_CASE("http reader: requests whose length can be read two ways are refused")
+{
+    CHECK(reading::isRequest("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 0\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nContent-Length: 2, 2\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nContent-Length: +2\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest(
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"));
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"));
+    CHECK(reading::isRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("http reader: names that are no tokens and folded fields are refused")
+{
+    CHECK_FALSE(reading::isRequest("POST / HTTP/1.1\r\nContent-Length : 2\r\n\r\nab"));
+    CHECK_FALSE(reading::isRequest("GET / HTTP/1.1\r\nX A: 1\r\n\r\n"));
+    CHECK_FALSE(reading::isRequest("GET / HTTP/1.1\r\n: 1\r\n\r\n"));
+}
+
+TEST_CASE("http reader: a head over the bound is refused as too large")
+{
+    reading it(http_reader::message::Requests);
+    it.reader.feed("GET / HTTP/1.1\r\nX: " + std::string(maxHeadBytes, 'a') + "\r\n\r\n");
+    CHECK(it.reader.failed());
+    CHECK(it.reader.isHeadTooLarge());
+    CHECK(it.ends == 0);
+}
+
+TEST_CASE("http reader: an answer without a length ends with its connection")
+{
+    reading it(http_reader::message::Answers);
+    it.reader.feed("HTTP/1.1 200 OK\r\n\r\nall of it");
+    CHECK(it.ends == 0);
+    CHECK_FALSE(it.heads.at(0).isDelimited);
+    CHECK(it.reader.feedEnd());
+    CHECK(it.ends == 1);
+    CHECK(it.body == "all of it");
+}
+
+TEST_CASE("http reader: an answer that is cut before its length is not whole")
+{
+    for (const char* text : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n" }) {
+        reading it(http_reader::message::Answers);
+        it.reader.feed(text);
+        CHECK_FALSE(it.reader.feedEnd());
+        CHECK(it.ends == 0);
+    }
+}
+
+TEST_CASE("http reader: an interim answer is passed over")
+{
+    reading it(http_reader::message::Answers);
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    std::string_view rest = text;
+    while (!rest.empty() && !it.reader.failed())
+        rest.remove_prefix(it.reader.feed(rest));
+    CHECK(it.ends == 1);
+    REQUIRE(it.heads.size() == 1);
+    CHECK(it.heads.at(0).status == 200);
+}
+
+TEST_CASE("http text: fields of one connection are known in any case")
+{
+    CHECK(isHopField("Keep-Alive"));
+    CHECK(isHopField("TRANSFER-ENCODING"));
+    CHECK_FALSE(isHopField("Content-Type"));
+    http_head head;
+    head.fields = { { "Connection", "close, X-Mine" } };
+    CHECK(connectionNames(head, "x-mine"));
+    CHECK_FALSE(connectionNames(head, "x"));
+}
--- /dev/null
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -0,0 +1,185 @@
+#include "Plan/holding_planner.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+constexpr monotonic_time start { seconds(500) };
+
+engine_config configOf(int models, int adapters)
+{
+    engine_config config;
+    config.weightsMb = 150000;
+    config.adapterSlots = 2;
+    config.loadsPerSecond = 1;
+    for (int index = 0; index < models; ++index) {
+        model_config model;
+        model.name = "m" + std::to_string(index);
+        model.weightsMb = 70000;
+        model.adapters = index == 0 ? adapters : 0;
+        config.models.push_back(model);
+    }
+    return config;
+}
+
+/// Engines with room for two models each.
+struct planning {
+    engine_config config;
+    std::deque<engine_book> books;
+    std::vector<engine_sight> engines;
+    demand_meter demand;
+    holding_planner planner { 1 };
+
+    explicit planning(engine_config value)
+        : config(std::move(value))
+    {
+    }
+
+    void add(
+        const std::vector<std::string>& models, int inFlight = 0, const std::vector<std::string>& atHand = {})
+    {
+        engine_report report;
+        for (const auto& model : models)
+            report.models.push_back({ model, {} });
+        report.atHand = atHand;
+        books.emplace_back("u" + std::to_string(books.size()), config);
+        books.back().onReport(report, start, start);
+        engines.push_back({ &books.back(), "z", false, inFlight, 64 });
+    }
+
+    std::vector<planned_order> plan()
+    {
+        // The allowance of loads fills up before the first look.
+        planner.plan({}, config, demand, start - seconds(10));
+        return planner.plan(engines, config, demand, start);
+    }
+
+    void ask(const std::string& model, double requests) { demand.onRequests(model, requests, 0, start); }
+};
+
+bool has(const std::vector<planned_order>& orders, engine_order::action what, const std::string& model)
+{
+    return std::any_of(orders.begin(), orders.end(), [&](const planned_order& order) {
+        return order.what == what && order.model == model && order.adapter.empty();
+    });
+}
+
+} // namespace
+
+TEST_CASE("holding planner: a model that no engine holds is loaded where there is room")
+{
+    planning it(configOf(3, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m1" });
+    const auto orders = it.plan();
+    CHECK(orders == std::vector<planned_order> { { "u1", engine_order::action::Load, "m2", "" } });
+}
+
+TEST_CASE("holding planner: without room, a copy that the demand can spare makes way")
+{
+    planning it(configOf(4, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m0", "m2" });
+    it.ask("m3", 1);
+    const auto orders = it.plan();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.at(0).what == engine_order::action::Unload);
+    CHECK(orders.at(0).model == "m0");
+}
+
+TEST_CASE("holding planner: the last copy of a model is never dropped")
+{
+    planning it(configOf(5, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m2", "m3" });
+    it.ask("m4", 50);
+    CHECK(it.plan().empty());
+}
+
+TEST_CASE("holding planner: demand that moves to a model with one copy gets further copies at the cost of "
+          "the silent one")
+{
+    planning it(configOf(2, 0));
+    it.add({ "m0", "m1" });
+    for (int engine = 0; engine < 5; ++engine)
+        it.add({ "m0" });
+    it.ask("m1", 200);
+    const auto orders = it.plan();
+    CHECK(std::count_if(orders.begin(), orders.end(), [](const planned_order& order) {
+        return order.what == engine_order::action::Load && order.model == "m1";
+    }) == 1);
+    CHECK_FALSE(has(orders, engine_order::action::Unload, "m1"));
+}
+
+TEST_CASE("holding planner: weights at hand are loaded without the store's allowance, and first")
+{
+    planning it(configOf(2, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m0" });
+    it.add({ "m0" }, 30, { "m1" });
+    it.ask("m1", 100);
+    const auto orders = it.planner.plan(it.engines, it.config, it.demand, start);
+    CHECK(orders == std::vector<planned_order> { { "u2", engine_order::action::Load, "m1", "" } });
+}
+
+TEST_CASE("holding planner: loads keep to the weight store's rate")
+{
+    holding_planner planner(1);
+    const engine_config config = configOf(40, 0);
+    const demand_meter demand;
+    int loads = 0;
+    for (int step = 0; step < 200; ++step) {
+        const monotonic_time now = start + milliseconds(50 * step);
+        std::deque<engine_book> books;
+        std::vector<engine_sight> engines;
+        for (int engine = 0; engine < 10; ++engine) {
+            books.emplace_back("u" + std::to_string(engine), config);
+            books.back().onReport({}, now, now);
+            engines.push_back({ &books.back(), "z", false, 0, 64 });
+        }
+        for (const auto& order : planner.plan(engines, config, demand, now)) {
+            REQUIRE(order.what == engine_order::action::Load);
+            planner.onModelOrdered(now);
+            ++loads;
+        }
+    }
+    // Ten seconds at one a second, and what was saved up.
+    CHECK(loads <= 13);
+    CHECK(loads >= 6);
+}
+
+TEST_CASE("holding planner: adapters fill free places, and one that is asked for displaces an idle one")
+{
+    planning it(configOf(1, 3));
+    it.add({ "m0" });
+    auto orders = it.plan();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.at(0).adapter == "a1");
+
+    planning full(configOf(1, 3));
+    engine_report report;
+    report.models = { { "m0", { "a1", "a2" } } };
+    full.books.emplace_back("u0", full.config);
+    full.books.back().onReport(report, start, start);
+    full.engines.push_back({ &full.books.back(), "z", false, 0, 64 });
+    CHECK(full.plan().empty());
+    full.demand.onRequests("m0/a2", 5, 0, start);
+    full.demand.onRequests("m0/a3", 1, 1, start);
+    orders = full.planner.plan(full.engines, full.config, full.demand, start);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.at(0) == planned_order { "u0", engine_order::action::Unload, "m0", "a1" });
+}
+
+TEST_CASE("holding planner: a draining engine gets no order and its copies do not count")
+{
+    planning it(configOf(1, 0));
+    it.add({ "m0" });
+    it.engines.back().isDraining = true;
+    it.add({});
+    const auto orders = it.plan();
+    CHECK(orders == std::vector<planned_order> { { "u1", engine_order::action::Load, "m0", "" } });
+}
--- /dev/null
+++ b/Tests/Platform/store_calls_tests.cpp
@@ -0,0 +1,90 @@
+#include "store_calls.h"
+
+#include <doctest/doctest.h>
+#include <stdexcept>
+
+using namespace sagesaddle;
+
+namespace {
+
+std::string number(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int index = bytes - 1; index >= 0; --index)
+        text += static_cast<char>((value >> (8 * index)) & 0xffU);
+    return text;
+}
+
+std::string record(const std::string& key, const std::string& value)
+{
+    const std::string body = number(key.size(), 1) + key + value;
+    return number(body.size(), 4) + body;
+}
+
+const address store { "10.0.0.9", 8225 };
+
+} // namespace
+
+TEST_CASE("store calls: a tail is read with offsets, and a record without a value drops its key")
+{
+    const auto tail
+        = platform::readTail(number(12, 8) + number(3, 8) + record("a", "one") + record("b", ""), 10);
+    CHECK(tail.end == 12);
+    REQUIRE(tail.records.size() == 2);
+    CHECK(tail.records.at(0) == platform::table_record { "a", 10, "one" });
+    CHECK(tail.records.at(1) == platform::table_record { "b", 11, std::nullopt });
+}
+
+TEST_CASE("store calls: a tail that ends in the middle of something is refused")
+{
+    const std::string whole = number(12, 8) + number(3, 8) + record("a", "one");
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        if (size != 16)
+            CHECK_THROWS_AS(platform::readTail(whole.substr(0, size), 10), std::invalid_argument);
+    }
+    CHECK_THROWS_AS(platform::readTail(number(1, 8) + number(0, 8) + number(0, 4), 0), std::invalid_argument);
+}
+
+TEST_CASE("store calls: the newest records come with their values decoded")
+{
+    const auto page = platform::readNewest(
+        R"({"items":[{"key":"config","value":"eyJ2ZXJzaW9uIjo3fQ==","offset":4},{"key":"gone","value":"","offset":5}],"more-pages":true,"end":6})");
+    CHECK(page.end == 6);
+    CHECK(page.hasMore);
+    REQUIRE(page.records.size() == 2);
+    CHECK(page.records.at(0).value == R"({"version":7})");
+    CHECK_FALSE(page.records.at(1).value.has_value());
+    CHECK(platform::readNewest(R"({"items":[],"end":0})").records.empty());
+    CHECK_THROWS_AS(platform::readNewest("{}"), std::invalid_argument);
+}
+
+TEST_CASE("store calls: a key is written so that no byte of it can end the call")
+{
+    const std::string call = platform::writeNewestCall(store, platform::store_table::Upstreams, "a b&c\r\n");
+    CHECK(call.starts_with(
+        "GET /sagesaddle/log-newest?topic=keyed.servers&part=0&after=a%20b%26c%0D%0A HTTP/1.1\r\n"));
+}
+
+TEST_CASE("store calls: the lease is written at one offset only and read back")
+{
+    const std::string call = platform::writeLeaseAppendCall(store, "10.0.0.1:7600#5", 4, 17);
+    CHECK(call.starts_with("POST /sagesaddle/log-append?topic=keyed.lease&part=0&at=17 HTTP/1.1\r\n"));
+    CHECK(call.ends_with(record("duty", "10.0.0.1:7600#5|4")));
+    // "10.0.0.1:7600#5|4" and a lease that was given up.
+    const auto lease = platform::readLease(
+        R"({"items":[{"key":"duty","value":"MTAuMC4wLjE6NzYwMCM1fDQ=","offset":17}],"more-pages":false,"end":18})");
+    CHECK(lease == lease_record { "10.0.0.1:7600#5", 4, 18 });
+    const auto released = platform::readLease(
+        R"({"items":[{"key":"duty","value":"LXw0","offset":18}],"more-pages":false,"end":19})");
+    CHECK(released == lease_record { "", 4, 19 });
+    CHECK(platform::readAppended(R"({"offset":17,"end":18})") == 18);
+}
+
+TEST_CASE("store calls: a read that waits says how long, and one that does not says nothing")
+{
+    CHECK(platform::writeTailCall(store, platform::store_table::Operator, 3, milliseconds(1000))
+              .find("from=3&wait-ms=1000 ")
+        != std::string::npos);
+    CHECK(platform::writeTailCall(store, platform::store_table::Operator, 3, milliseconds(0)).find("wait-ms")
+        == std::string::npos);
+}
--- /dev/null
+++ b/Tests/Relay/relay_answer_tests.cpp
@@ -0,0 +1,234 @@
+#include "Relay/relay_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+using request = scripted_upstream::request;
+
+void answerWith(scripted_upstream& upstream, int status, const std::string& body)
+{
+    upstream.onRequest = [status, body](const request& asked) {
+        asked.stream->write(scripted_upstream::answer(asked, status, body));
+    };
+}
+
+} // namespace
+
+TEST_CASE("relay: an answer comes back unchanged, with its signature and over a kept connection")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    answerWith(upstream, 200, "stock: 7");
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a?x=1");
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("stock: 7"); }));
+    CHECK(caller.status() == 200);
+    CHECK(caller.has("Server-Stamp: s\r\n"));
+    CHECK(upstream.requests.at(0).head.target == "/safe/a?x=1");
+    CHECK(upstream.requests.at(0).get("Tenant") == "atelier");
+    CHECK(upstream.requests.at(0).get("Key").empty());
+    CHECK(upstream.requests.at(0).get("Expect-Instance") == "u1");
+    caller.request("GET", "/safe/b");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 2; }));
+    CHECK(upstream.requests.at(1).stream == upstream.requests.at(0).stream);
+    CHECK(loopUntil(world.loop, [&] { return world.tested.isIdle(); }));
+}
+
+TEST_CASE(
+    "relay: a call that may run once is not sent again after its answer was lost, and is not called unrun")
+{
+    relay_world world;
+    auto& first = world.addUpstream("u1");
+    auto& second = world.addUpstream("u2");
+    for (auto* upstream : { &first, &second })
+        upstream->onRequest = [upstream](const request& asked) { upstream->cut(asked.stream); };
+    auto& caller = world.addCaller();
+    caller.request("POST", "/unsafe/a", "", "deposit");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 502);
+    CHECK(caller.has("may_have_run"));
+    CHECK(first.requests.size() + second.requests.size() == 1);
+    CHECK(world.refunded == doctest::Approx(0));
+}
+
+TEST_CASE("relay: a call that may be repeated is sent to another upstream after its answer was lost")
+{
+    relay_world world;
+    auto& first = world.addUpstream("u1");
+    auto& second = world.addUpstream("u2");
+    const auto once = std::make_shared<bool>(false);
+    for (auto* upstream : { &first, &second })
+        upstream->onRequest = [upstream, once](const request& asked) {
+            if (!std::exchange(*once, true))
+                upstream->cut(asked.stream);
+            else
+                asked.stream->write(scripted_upstream::answer(asked, 200, "ok"));
+        };
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 200);
+    CHECK(first.requests.size() == 1);
+    CHECK(second.requests.size() == 1);
+}
+
+TEST_CASE("relay: what an upstream declined to run is tried elsewhere and then refused as not run")
+{
+    relay_world world;
+    for (const char* id : { "u1", "u2", "u3" }) {
+        auto& upstream = world.addUpstream(id);
+        upstream.onRequest = [](const request& asked) {
+            asked.stream->write("HTTP/1.1 503 X\r\nRequest-Id: " + asked.get("Request-Id")
+                + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+    }
+    auto& caller = world.addCaller();
+    caller.request("POST", "/unsafe/a", "", "deposit");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 503);
+    CHECK(caller.has("not_run"));
+    CHECK(caller.has("Retry-After: "));
+    CHECK(world.refunded == doctest::Approx(10));
+    std::size_t sends = 0;
+    for (const auto& upstream : world.upstreams)
+        sends += upstream.requests.size();
+    CHECK(sends == 2);
+}
+
+TEST_CASE("relay: an answer to another request and a second answer reach nobody")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest = [](const request& asked) {
+        asked.stream->write(
+            "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nalien"
+            + scripted_upstream::answer(asked, 200, "own")
+            + "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nextra");
+    };
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("own"); }));
+    caller.request("GET", "/safe/b");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 2; }));
+    REQUIRE(loopUntil(world.loop, [&] { return world.tested.isIdle(); }));
+    CHECK_FALSE(caller.has("alien"));
+    CHECK_FALSE(caller.has("extra"));
+    CHECK(upstream.requests.at(0).stream != upstream.requests.at(1).stream);
+}
+
+TEST_CASE("relay: a success without a signature, or cut before its end, is no success")
+{
+    for (const bool isSigned : { true, false }) {
+        relay_world world;
+        auto& upstream = world.addUpstream("u1");
+        upstream.onRequest = [&upstream, isSigned](const request& asked) {
+            std::string text = scripted_upstream::answer(asked, 200, "whole body", isSigned);
+            if (isSigned)
+                text.resize(text.size() - 3);
+            asked.stream->write(text);
+            if (isSigned)
+                loopFor(upstream.loop(), milliseconds(50));
+            if (isSigned)
+                upstream.cut(asked.stream);
+        };
+        auto& caller = world.addCaller();
+        caller.request("POST", "/unsafe/a", "", "deposit");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 502);
+        CHECK_FALSE(caller.has("whole"));
+    }
+}
+
+TEST_CASE("relay: a stream is passed on event by event and ends only with its upstream's end")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    auto& caller = world.addCaller();
+    caller.request("POST", "/stream/a", "", "x");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 1; }));
+    tcp_stream* const stream = upstream.requests.at(0).stream;
+    stream->write(
+        scripted_upstream::streamHead(upstream.requests.at(0)) + scripted_upstream::event(1, "one"));
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("data: one"); }));
+    CHECK_FALSE(caller.has("data: two"));
+    stream->write(scripted_upstream::event(2, "two"));
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("data: two"); }));
+    CHECK_FALSE(caller.has("\r\n0\r\n\r\n"));
+    stream->write(std::string(lastChunk));
+    CHECK(loopUntil(world.loop, [&] { return caller.has("\r\n0\r\n\r\n"); }));
+}
+
+TEST_CASE("relay: a stream that breaks off never looks complete")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    world.addUpstream("u2");
+    auto& caller = world.addCaller();
+    caller.request("POST", "/stream/a", "", "x");
+    const auto arrived
+        = [&] { return world.upstreams[0].requests.size() + world.upstreams[1].requests.size(); };
+    REQUIRE(loopUntil(world.loop, [&] { return arrived() == 1; }));
+    auto& used = upstream.requests.empty() ? world.upstreams[1] : upstream;
+    used.requests.at(0).stream->write(
+        scripted_upstream::streamHead(used.requests.at(0)) + scripted_upstream::event(1, "one"));
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("data: one"); }));
+    used.cut(used.requests.at(0).stream);
+    CHECK(loopUntil(world.loop, [&] { return caller.isClosed(); }));
+    CHECK_FALSE(caller.has("\r\n0\r\n\r\n"));
+    CHECK(arrived() == 1);
+}
+
+TEST_CASE("relay: a resumable stream goes on behind its last whole event on another upstream")
+{
+    relay_world world;
+    auto& first = world.addUpstream("u1");
+    auto& second = world.addUpstream("u2");
+    auto& caller = world.addCaller();
+    caller.request("POST", "/resume/a", "", "x");
+    REQUIRE(loopUntil(world.loop, [&] { return first.requests.size() + second.requests.size() == 1; }));
+    auto& broken = first.requests.empty() ? second : first;
+    auto& next = first.requests.empty() ? first : second;
+    std::string part;
+    appendChunk(part, "id: 3\ndata: thr");
+    broken.requests.at(0).stream->write(scripted_upstream::streamHead(broken.requests.at(0))
+        + scripted_upstream::event(1, "one") + scripted_upstream::event(2, "two") + part);
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("data: two"); }));
+    broken.cut(broken.requests.at(0).stream);
+    REQUIRE(loopUntil(world.loop, [&] { return next.requests.size() == 1; }));
+    CHECK(next.requests.at(0).get("Last-Event-Id") == "2");
+    next.requests.at(0).stream->write(scripted_upstream::streamHead(next.requests.at(0))
+        + scripted_upstream::event(3, "three") + std::string(lastChunk));
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("\r\n0\r\n\r\n"); }));
+    CHECK(caller.has("data: three"));
+    CHECK_FALSE(caller.has("thr\r\n"));
+    // One head, that of the first upstream.
+    CHECK(caller.text().find("HTTP/1.1", 1) == std::string::npos);
+}
+
+TEST_CASE(
+    "relay: a connection that no upstream accepts is no send, so another is tried for a call that runs once")
+{
+    relay_world world;
+    world.addUpstream("u1");
+    auto& sound = world.addUpstream("u2");
+    answerWith(sound, 200, "booked");
+    // The first one's address refuses connections.
+    std::map<std::string, upstream_entry> entries;
+    for (const auto& upstream : world.upstreams) {
+        auto entry = upstream.entry();
+        if (entry.id == "u1")
+            entry.where.port = 1;
+        entries.emplace(entry.id, entry);
+    }
+    world.tested.onUpstreams(entries);
+    for (int call = 0; call < 4; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("POST", "/unsafe/a", "", "deposit");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 200);
+    }
+    CHECK(sound.requests.size() == 4);
+}
--- /dev/null
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -0,0 +1,230 @@
+#include "Relay/relay_fixture.h"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+using request = scripted_upstream::request;
+
+} // namespace
+
+TEST_CASE("relay: routes, keys and configurations decide before anything is sent")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    const auto statusOf = [&](const std::string& text) {
+        auto& caller = world.addCaller();
+        caller.send(text);
+        REQUIRE(world.ended(caller));
+        return caller.status();
+    };
+    CHECK(statusOf("GET /none/ HTTP/1.1\r\nHost: h\r\nKey: key-1\r\n\r\n") == 404);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: other\r\nKey: key-1\r\n\r\n") == 404);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: h\r\nKey: key-2\r\n\r\n") == 401);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: h\r\n\r\n") == 401);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: h\r\nKey: key-1\r\nKey: key-2\r\n\r\n") == 400);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: h\r\nKey: key-1\r\nDeadline-Ms: x\r\n\r\n") == 400);
+    CHECK(statusOf("POST /safe/ HTTP/1.1\r\nHost: h\r\nKey: key-1\r\nContent-Length: 1\r\nContent-Length: "
+                   "2\r\n\r\na")
+        == 400);
+    CHECK(statusOf("GET /safe/ HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'a') + "\r\n\r\n") == 431);
+    CHECK(upstream.requests.empty());
+}
+
+TEST_CASE("relay: before any configuration is known, requests are refused as not run")
+{
+    event_loop loop;
+    decision_lines lines(2, log_level::Error);
+    metric_registry metrics;
+    relay_watch watch { lines, metrics };
+    relay tested(loop, {}, watch, {});
+    tcp_listener listener(loop, { "127.0.0.1", 0 }, [&](evutil_socket_t socket) { tested.accept(socket); });
+    CHECK_FALSE(tested.isReady());
+    scripted_caller caller(loop, listener.port());
+    caller.request("GET", "/safe/a");
+    REQUIRE(loopUntil(loop, [&] { return caller.status() != 0; }));
+    CHECK(caller.status() == 503);
+    CHECK(caller.has("not_run"));
+}
+
+TEST_CASE("relay: a key that was withdrawn stops on an open connection, and while its request waits")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1", { { "m1", {} } });
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 200);
+    auto& waiting = world.addCaller();
+    waiting.request("POST", "/resume/a", "Model: m1/a1\r\nToken-Counts: 10,10\r\n");
+    REQUIRE(loopUntil(world.loop, [&] { return world.tested.waiting() == 1; }));
+    fleet_config without = relay_world::config(2);
+    without.teams.at(0).keys = { "key-2" };
+    world.tested.onConfig(std::make_shared<fleet_config>(without));
+    REQUIRE(world.ended(waiting));
+    CHECK(waiting.status() == 401);
+    caller.request("GET", "/safe/b");
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("401"); }));
+    CHECK(upstream.requests.size() == 1);
+}
+
+TEST_CASE("relay: an older configuration never replaces a newer one")
+{
+    relay_world world;
+    world.tested.onConfig(std::make_shared<fleet_config>(relay_world::config(5)));
+    fleet_config older = relay_world::config(4);
+    older.routes.clear();
+    world.tested.onConfig(std::make_shared<fleet_config>(older));
+    CHECK(world.tested.table()->config().version == 5);
+    CHECK(world.tested.table()->config().routes.size() == 5);
+}
+
+TEST_CASE(
+    "relay: without evidence that the configuration is the newest, keys are refused and open routes served")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    relay stale(world.loop, { "z", milliseconds(0), 0.5, 50, 100 }, world.watch, {});
+    stale.onConfig(std::make_shared<fleet_config>(relay_world::config(1)));
+    stale.onContact(suspendedNow());
+    stale.onUpstreams({ { "u1", upstream.entry() } });
+    tcp_listener listener(
+        world.loop, { "127.0.0.1", 0 }, [&](evutil_socket_t socket) { stale.accept(socket); });
+    CHECK_FALSE(stale.isReady());
+    scripted_caller keyed(world.loop, listener.port());
+    keyed.request("GET", "/safe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return keyed.status() != 0; }));
+    CHECK(keyed.status() == 503);
+    CHECK(keyed.has("keys_not_proven"));
+    scripted_caller open(world.loop, listener.port());
+    open.request("GET", "/open/a");
+    REQUIRE(loopUntil(world.loop, [&] { return open.status() != 0; }));
+    CHECK(open.status() == 200);
+}
+
+TEST_CASE("relay: beyond its limit a team is refused with the time to come back")
+{
+    relay_world world;
+    world.addUpstream("u1");
+    world.grantsCredit = false;
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 429);
+    CHECK(caller.has("Retry-After: 1.50"));
+}
+
+TEST_CASE("relay: a caller that leaves ends the work at its upstream")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    auto& caller = world.addCaller();
+    caller.request("POST", "/stream/a", "", "x");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 1; }));
+    upstream.requests.at(0).stream->write(
+        scripted_upstream::streamHead(upstream.requests.at(0)) + scripted_upstream::event(1, "one"));
+    REQUIRE(loopUntil(world.loop, [&] { return caller.has("data: one"); }));
+    CHECK(upstream.openStreams == 1);
+    caller.leave();
+    CHECK(loopUntil(world.loop, [&] { return upstream.openStreams == 0; }));
+    CHECK(world.tested.isIdle());
+}
+
+TEST_CASE("relay: the deadline ends a request that may have run with 504")
+{
+    relay_world world;
+    world.addUpstream("u1");
+    auto& caller = world.addCaller();
+    caller.send("POST /unsafe/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nKey: key-1\r\nDeadline-Ms: "
+                "150\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 504);
+    CHECK(caller.has("may_have_run"));
+}
+
+TEST_CASE("relay: a draining upstream gets no new request")
+{
+    relay_world world;
+    auto& leaving = world.addUpstream("u1");
+    auto& staying = world.addUpstream("u2");
+    for (auto* upstream : { &leaving, &staying })
+        upstream->onRequest
+            = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    std::map<std::string, upstream_entry> entries;
+    for (const auto& upstream : world.upstreams) {
+        auto entry = upstream.entry();
+        entry.isDraining = entry.id == "u1";
+        entries.emplace(entry.id, entry);
+    }
+    world.tested.onUpstreams(entries);
+    for (int call = 0; call < 5; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("GET", "/safe/a");
+        REQUIRE(world.ended(caller));
+    }
+    CHECK(leaving.requests.empty());
+    CHECK(staying.requests.size() == 5);
+}
+
+TEST_CASE("relay: while draining, running work ends, answers close their connections and late requests are "
+          "declined")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    auto& idle = world.addCaller();
+    idle.request("GET", "/none/");
+    REQUIRE(world.ended(idle));
+    auto& running = world.addCaller();
+    running.request("GET", "/safe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 1; }));
+    world.tested.drain();
+    CHECK_FALSE(world.tested.isReady());
+    CHECK_FALSE(world.tested.isIdle());
+    CHECK(loopUntil(world.loop, [&] { return idle.isClosed(); }));
+    upstream.requests.at(0).stream->write(scripted_upstream::answer(upstream.requests.at(0), 200, "done"));
+    REQUIRE(loopUntil(world.loop, [&] { return running.has("done") && running.isClosed(); }));
+    CHECK(running.has("Connection: close"));
+    world.tested.closeToRequests();
+    auto& late = world.addCaller();
+    late.request("GET", "/safe/b");
+    REQUIRE(world.ended(late));
+    CHECK(late.status() == 503);
+    CHECK(late.has("not_run"));
+    CHECK(loopUntil(world.loop, [&] { return world.tested.isIdle(); }));
+}
+
+TEST_CASE("relay: a caller that does not read holds its upstream back, and memory stays bounded")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    // A caller that sends its request and then never reads.
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(world.listener.port());
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof(target)) == 0);
+    const std::string text
+        = "POST /stream/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nKey: key-1\r\nContent-Length: 0\r\n\r\n";
+    REQUIRE(::send(socket, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 1; }));
+    tcp_stream* const stream = upstream.requests.at(0).stream;
+    stream->write(scripted_upstream::streamHead(upstream.requests.at(0)));
+    const std::string event = scripted_upstream::event(1, std::string(10000, 'x'));
+    // More than the sockets' own buffers hold.
+    for (int count = 0; count < 3000; ++count)
+        stream->write(event);
+    loopFor(world.loop, milliseconds(300));
+    CHECK(stream->unwritten() > 0);
+    ::close(socket);
+    CHECK(loopUntil(world.loop, [&] { return upstream.openStreams == 0; }));
+}
--- /dev/null
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -0,0 +1,136 @@
+#include "Relay/relay_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+using request = scripted_upstream::request;
+
+const std::string modelFields = "Model: m1\r\nToken-Counts: 100,10\r\n";
+const std::string adapterFields = "Model: m1/a1\r\nToken-Counts: 100,10\r\n";
+
+void answerAll(scripted_upstream& upstream)
+{
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+}
+
+} // namespace
+
+TEST_CASE("relay: a request goes to an upstream that holds its model and adapter")
+{
+    relay_world world;
+    auto& without = world.addUpstream("u1", { { "m1", {} } });
+    auto& with = world.addUpstream("u2", { { "m1", { "a1" } } });
+    answerAll(without);
+    answerAll(with);
+    auto& caller = world.addCaller();
+    caller.request("POST", "/resume/a", adapterFields);
+    REQUIRE(world.ended(caller));
+    CHECK(with.requests.size() == 1);
+    CHECK(without.requests.empty());
+}
+
+TEST_CASE("relay: a request whose adapter is on its way waits for it and is sent when it is there")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1", { { "m1", {} } });
+    answerAll(upstream);
+    auto& caller = world.addCaller();
+    caller.request("POST", "/resume/a", adapterFields);
+    REQUIRE(loopUntil(world.loop, [&] { return world.tested.waiting() == 1; }));
+    CHECK(world.wanted >= 1);
+    world.tested.onHoldings("u1", { "m1", "m1/a1" });
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 200);
+}
+
+TEST_CASE("relay: a request whose model nobody holds is refused at once and asked for")
+{
+    relay_world world;
+    world.addUpstream("u1", { { "m2", {} } });
+    auto& caller = world.addCaller();
+    caller.request("POST", "/resume/a", modelFields);
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 503);
+    CHECK(caller.has("model_absent"));
+    CHECK(world.wanted == 1);
+    CHECK(world.refunded == doctest::Approx(110));
+}
+
+TEST_CASE(
+    "relay: a burst that one engine cannot begin in time is turned away early, and callers return in turn")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1", { { "m1", {} } });
+    int refused = 0;
+    for (int call = 0; call < 60; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("POST", "/resume/a" + std::to_string(call), "Model: m1\r\nToken-Counts: 2000,100\r\n");
+    }
+    REQUIRE(loopUntil(world.loop, [&] {
+        refused = 0;
+        for (const auto& caller : world.callers)
+            refused += caller.status() == 503 ? 1 : 0;
+        return upstream.requests.size() + static_cast<std::size_t>(refused) == 60;
+    }));
+    // About 12 prompts of 2,000 tokens are read within an objective of 1 s.
+    CHECK(upstream.requests.size() >= 8);
+    CHECK(upstream.requests.size() <= 20);
+    std::set<std::string> times;
+    for (const auto& caller : world.callers) {
+        const auto at = caller.text().find("Retry-After: ");
+        if (at != std::string::npos)
+            times.insert(caller.text().substr(at, 18));
+    }
+    CHECK(times.size() > 10);
+}
+
+TEST_CASE("relay: an upstream that failed is avoided while another can take the request")
+{
+    relay_world world;
+    auto& broken = world.addUpstream("u1");
+    auto& sound = world.addUpstream("u2");
+    broken.onRequest = [&](const request& asked) { broken.cut(asked.stream); };
+    answerAll(sound);
+    for (int call = 0; call < 10; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("GET", "/safe/a");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 200);
+    }
+    CHECK(broken.requests.size() <= 2);
+}
+
+TEST_CASE("relay: second sends keep to their budget")
+{
+    relay_world world;
+    auto& first = world.addUpstream("u1");
+    auto& second = world.addUpstream("u2");
+    for (auto* upstream : { &first, &second })
+        upstream->onRequest
+            = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 500, "no")); };
+    for (int call = 0; call < 60; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("GET", "/safe/a");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 500);
+    }
+    // Half of the requests, and a tenth of the slack of 50.
+    CHECK(first.requests.size() + second.requests.size() <= 60 + 30 + 5);
+    CHECK(first.requests.size() + second.requests.size() > 60);
+}
+
+TEST_CASE("relay: an upstream that started anew under its id is asked anew for what it holds")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1", { { "m1", {} } });
+    world.tested.onHoldings("u1", { "m1", "m1/a1" });
+    CHECK(world.tested.upstreams().at("u1")->holds("m1", "a1"));
+    auto entry = upstream.entry();
+    entry.startedAt = 7;
+    world.tested.onUpstreams({ { "u1", entry } });
+    CHECK_FALSE(world.tested.upstreams().at("u1")->holds("m1", "a1"));
+}
--- /dev/null
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -0,0 +1,74 @@
+#include "Wire/fleet_messages.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <stdexcept>
+
+using namespace sagesaddle;
+
+namespace {
+
+fleet_report sampleReport()
+{
+    fleet_report report;
+    report.entry = "front-1";
+    report.number = 7;
+    report.isStoreAway = true;
+    report.credit = { { "atelier", 120, 40 } };
+    report.work = { { "u1", 3, 1500, 4000 } };
+    report.demand = { { "desk", "m1", "a2", 5, 2, 700 } };
+    return report;
+}
+
+fleet_news sampleNews()
+{
+    fleet_news news;
+    news.number = 7;
+    news.leaseEnd = 12;
+    news.leaseHolder = "10.0.0.1:7600#1";
+    news.entries = 4;
+    news.credit = { { "atelier", 100, 250 } };
+    news.work = { { "u1", 1, 2, 3 } };
+    news.holdings = { { "u1", { "m1", "m1/a2" } }, { "u2", {} } };
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("fleet messages: what is encoded is decoded, one frame after another")
+{
+    const std::string bytes = encodeFleetMessage(sampleReport()) + encodeFleetMessage(sampleNews());
+    const auto first = decodeFleetMessage(bytes);
+    REQUIRE(first.message.has_value());
+    CHECK(std::get<fleet_report>(*first.message) == sampleReport());
+    const auto second = decodeFleetMessage(std::string_view(bytes).substr(first.size));
+    REQUIRE(second.message.has_value());
+    CHECK(std::get<fleet_news>(*second.message) == sampleNews());
+    CHECK(first.size + second.size == bytes.size());
+}
+
+TEST_CASE("fleet messages: a frame that is not whole yet waits for the rest")
+{
+    const std::string bytes = encodeFleetMessage(sampleNews());
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK(decodeFleetMessage(std::string_view(bytes).substr(0, size)).size == 0);
+}
+
+TEST_CASE("fleet messages: bytes that are no frame are refused and never read beyond their end")
+{
+    std::minstd_rand random(1);
+    const std::string sound = encodeFleetMessage(sampleNews());
+    int refused = 0;
+    for (int round = 0; round < 3000; ++round) {
+        std::string bytes = sound;
+        for (int change = 0; change < 3; ++change)
+            bytes[4 + random() % (bytes.size() - 4)] = static_cast<char>(random());
+        try {
+            decodeFleetMessage(bytes);
+        } catch (const std::runtime_error&) {
+            ++refused;
+        }
+    }
+    CHECK(refused > 0);
+    CHECK_THROWS_AS(decodeFleetMessage(std::string("\xff\xff\xff\x7f rest")), std::runtime_error);
+}
