--- a/Source/Fleet/duty_lease.cpp
+++ b/Source/Fleet/duty_lease.cpp
@@ -55,9 +55,9 @@
         m_isBusy = true;
         return append { m_record.end, false };
     }
-    const bool mayTake = m_knowsRecord
-        && (m_record.holder.empty() || isFromHere(m_record.holder)
-            || now - m_recordSeenAt >= m_times.timeToLive);
+    const bool isFree = m_record.holder.empty() || isFromHere(m_record.holder);
+    const monotonic_span wait = m_times.reluctance + (isFree ? monotonic_span::zero() : m_times.timeToLive);
+    const bool mayTake = m_knowsRecord && now - m_recordSeenAt >= wait;
     if (hearsHolder)
         return {};
     m_isBusy = true;
--- a/Source/Fleet/duty_lease.h
+++ b/Source/Fleet/duty_lease.h
@@ -31,6 +31,8 @@
     monotonic_span renewal { milliseconds(600) };
     /// From taking the lease over from another holder to the first order.
     monotonic_span settle { milliseconds(3500) };
+    /// How much longer this process waits before it takes a lease that is free, so that others come first.
+    monotonic_span reluctance { 0 };
 };
 
 /// \brief The lease of the duty to coordinate, held through conditional appends to the store; pure.
--- a/Source/Fleet/upstream_list.cpp
+++ b/Source/Fleet/upstream_list.cpp
@@ -76,4 +76,10 @@
     return m_revision != before;
 }
 
+std::uint64_t upstream_list::offsetOf(const std::string& id) const
+{
+    const auto found = m_offsets.find(id);
+    return found == m_offsets.end() ? 0 : found->second;
+}
+
 } // namespace sagesaddle
--- a/Source/Fleet/upstream_list.h
+++ b/Source/Fleet/upstream_list.h
@@ -73,6 +73,9 @@
 
     const std::map<std::string, upstream_entry>& entries() const { return m_entries; }
 
+    /// \return the offset of an entry's newest record, or 0 where it is not known.
+    std::uint64_t offsetOf(const std::string& id) const;
+
     /// \return a number that rises with each change.
     std::uint64_t revision() const { return m_revision; }
 
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -1,6 +1,8 @@
 #include "Gateway/coordinator.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 
 namespace sagesaddle {
 
@@ -10,8 +12,22 @@
 constexpr milliseconds silentAfter { 1500 };
 // Time for which a gateway counts among those that share the limits.
 constexpr milliseconds countedFor { 10000 };
-// Age of a report up to which it tells how things are; reports come every 100 ms.
-constexpr milliseconds heardWithin { 400 };
+// Age of a report up to which it tells how things are; reports of a small fleet come every 100 ms.
+constexpr milliseconds heardWithin { 700 };
+
+// Differences of load that are too small to change a choice.
+constexpr std::uint32_t smallInFlight = 1;
+constexpr double smallTokensAhead = 400;
+constexpr double smallMemoryTokens = 3000;
+
+bool isAlike(const upstream_work& told, const upstream_work& value)
+{
+    const auto inFlight
+        = static_cast<std::int64_t>(value.inFlight) - static_cast<std::int64_t>(told.inFlight);
+    return std::abs(inFlight) <= smallInFlight
+        && std::abs(value.tokensAhead - told.tokensAhead) <= smallTokensAhead
+        && std::abs(value.memoryTokens - told.memoryTokens) <= smallMemoryTokens;
+}
 
 } // namespace
 
@@ -26,7 +42,7 @@
         m_engines.emplace(service.name, *service.engine);
         m_planners.try_emplace(service.name, service.engine->loadsPerSecond);
     }
-    onUpstreams(m_entries);
+    makeBooks();
 }
 
 void coordinator::begin(monotonic_time now)
@@ -34,52 +50,72 @@
     m_bank = {};
     m_bank.setTeams(m_teams, now);
     m_reporters.clear();
+    m_work.clear();
     m_books.clear();
     m_planners.clear();
     for (const auto& [name, engine] : m_engines)
         m_planners.try_emplace(name, engine.loadsPerSecond);
-    onUpstreams(m_entries);
+    makeBooks();
 }
 
-void coordinator::onUpstreams(const std::map<std::string, upstream_entry>& entries)
+void coordinator::onUpstreams(const upstream_list& list)
 {
-    std::erase_if(m_books, [&](const auto& item) {
-        const auto listed = entries.find(item.first);
-        const auto known = m_entries.find(item.first);
-        return listed == entries.end() || known == m_entries.end()
-            || known->second.startedAt != listed->second.startedAt
-            || known->second.where != listed->second.where;
-    });
-    if (&entries != &m_entries)
-        m_entries = entries;
-    for (const auto& [id, entry] : m_entries) {
-        const auto engine = m_engines.find(entry.service);
-        if (engine != m_engines.end())
+    ++m_listRevision;
+    for (auto& [id, known] : m_listings) {
+        if (known.isRemoved || list.entries().contains(id))
+            continue;
+        known.isRemoved = true;
+        known.revision = m_listRevision;
+        // A removal without a record of its own still comes after the entry's last one.
+        known.offset = std::max(list.offsetOf(id), known.offset + 1);
+        m_books.erase(id);
+    }
+    for (const auto& [id, entry] : list.entries()) {
+        const auto [place, isNew] = m_listings.try_emplace(id);
+        listing& known = place->second;
+        if (!isNew && !known.isRemoved && known.entry == entry)
+            continue;
+        if (known.entry.startedAt != entry.startedAt || known.entry.where != entry.where)
+            m_books.erase(id);
+        known = { entry, list.offsetOf(id), m_listRevision, false };
+    }
+    makeBooks();
+}
+
+void coordinator::makeBooks()
+{
+    for (const auto& [id, known] : m_listings) {
+        const auto engine = m_engines.find(known.entry.service);
+        if (!known.isRemoved && engine != m_engines.end())
             m_books.try_emplace(id, id, engine->second);
     }
 }
 
-std::map<std::string, upstream_work> coordinator::workWithout(const std::string& gateway) const
+void coordinator::replaceWork(reporter& from, const std::vector<upstream_work>& work)
 {
-    std::map<std::string, upstream_work> total;
-    for (const auto& [name, known] : m_reporters) {
-        if (name == gateway)
-            continue;
-        for (const auto& work : known.work) {
-            auto& sum = total.try_emplace(work.upstream, upstream_work { work.upstream }).first->second;
-            sum.inFlight += work.inFlight;
-            sum.tokensAhead += work.tokensAhead;
-            sum.memoryTokens += work.memoryTokens;
-        }
+    for (const auto& [id, old] : from.work) {
+        auto& sum = m_work[id];
+        sum.inFlight -= old.inFlight;
+        sum.tokensAhead -= old.tokensAhead;
+        sum.memoryTokens -= old.memoryTokens;
+        if (sum.inFlight == 0)
+            m_work.erase(id);
+    }
+    from.work.clear();
+    for (const auto& added : work) {
+        auto& sum = m_work.try_emplace(added.upstream, upstream_work { added.upstream }).first->second;
+        sum.inFlight += added.inFlight;
+        sum.tokensAhead += added.tokensAhead;
+        sum.memoryTokens += added.memoryTokens;
+        from.work[added.upstream] = added;
     }
-    return total;
 }
 
 void coordinator::forgetSilent(monotonic_time now)
 {
     for (auto& [name, known] : m_reporters) {
-        if (now - known.heardAt > silentAfter)
-            known.work.clear();
+        if (now - known.heardAt > silentAfter && !known.work.empty())
+            replaceWork(known, {});
     }
     std::erase_if(m_reporters, [&](const auto& item) { return now - item.second.heardAt > countedFor; });
 }
@@ -99,17 +135,18 @@
     return count;
 }
 
-fleet_news coordinator::onReport(const fleet_report& report, const void* link, monotonic_time now)
+fleet_news coordinator::onReport(const fleet_report& report, monotonic_time now)
 {
     forgetSilent(now);
     reporter& from = m_reporters[report.entry];
-    from.work = report.work;
+    if (report.wantsAll) {
+        from.toldHoldings.clear();
+        from.toldWork.clear();
+        from.toldList = 0;
+    }
+    replaceWork(from, report.work);
     from.heardAt = now;
     from.isStoreAway = report.isStoreAway;
-    if (from.link != link) {
-        from.link = link;
-        from.toldRevisions.clear();
-    }
     for (const auto& item : report.demand) {
         m_demand.onRequests(item.model, item.requests, item.unplaced, now);
         if (!item.adapter.empty())
@@ -123,34 +160,88 @@
         news.credit.push_back(
             { ask.team, grant.tokens, static_cast<std::uint32_t>(grant.retryAfter.count()) });
     }
-    for (auto& [id, work] : workWithout(report.entry))
-        news.work.push_back(std::move(work));
+    tellWork(from, news);
+    tellHoldings(from, news);
+    tellList(from, news);
+    return news;
+}
+
+void coordinator::tellWork(reporter& to, fleet_news& news) const
+{
+    std::map<std::string, upstream_work> others;
+    for (const auto& [id, sum] : m_work) {
+        upstream_work value = sum;
+        const auto own = to.work.find(id);
+        if (own != to.work.end()) {
+            value.inFlight -= own->second.inFlight;
+            value.tokensAhead = std::max(0.0, value.tokensAhead - own->second.tokensAhead);
+            value.memoryTokens = std::max(0.0, value.memoryTokens - own->second.memoryTokens);
+        }
+        if (value.inFlight > 0)
+            others.emplace(id, std::move(value));
+    }
+    for (const auto& [id, told] : to.toldWork) {
+        if (!others.contains(id))
+            news.work.push_back({ id });
+    }
+    for (const auto& [id, value] : others) {
+        const auto told = to.toldWork.find(id);
+        if (told != to.toldWork.end() && isAlike(told->second, value))
+            continue;
+        news.work.push_back(value);
+        to.toldWork[id] = value;
+    }
+    std::erase_if(to.toldWork, [&](const auto& item) { return !others.contains(item.first); });
+}
+
+void coordinator::tellHoldings(reporter& to, fleet_news& news) const
+{
     for (const auto& [id, book] : m_books) {
         if (!book.isKnown() && book.held().empty())
             continue;
         // Revision 0 is told too: it may differ from the listing.
-        const std::uint64_t told = book.revision() + 1;
-        if (from.toldRevisions[id] == told)
+        const std::uint64_t revision = book.revision() + 1;
+        auto& told = to.toldHoldings[id];
+        if (told == revision)
             continue;
-        from.toldRevisions[id] = told;
+        told = revision;
         news.holdings.push_back({ id, { book.held().begin(), book.held().end() } });
     }
-    return news;
+}
+
+void coordinator::tellList(reporter& to, fleet_news& news) const
+{
+    if (to.toldList == m_listRevision)
+        return;
+    news.isListWhole = to.toldList == 0;
+    for (const auto& [id, known] : m_listings) {
+        if (known.revision <= to.toldList || (news.isListWhole && known.isRemoved))
+            continue;
+        listed_upstream item { id, known.offset, known.isRemoved, known.entry.service,
+            formatAddress(known.entry.where), known.entry.zone, static_cast<std::uint32_t>(known.entry.slots),
+            known.entry.isDraining, known.entry.startedAt, known.entry.orders, {} };
+        for (const auto& model : known.entry.models) {
+            item.held.push_back(model.name);
+            for (const auto& adapter : model.adapters)
+                item.held.push_back(holdingName(model.name, adapter));
+        }
+        news.listed.push_back(std::move(item));
+    }
+    to.toldList = m_listRevision;
 }
 
 std::vector<planned_order> coordinator::plan(monotonic_time now)
 {
-    const auto work = workWithout({});
     std::vector<planned_order> orders;
     for (const auto& [service, config] : m_engines) {
         std::vector<engine_sight> engines;
-        for (const auto& [id, entry] : m_entries) {
-            const auto book = m_books.find(id);
-            if (entry.service != service || book == m_books.end())
+        for (const auto& [id, book] : m_books) {
+            const listing& known = m_listings.at(id);
+            if (known.entry.service != service)
                 continue;
-            const auto load = work.find(id);
-            engines.push_back({ &book->second, entry.zone, entry.isDraining,
-                load == work.end() ? 0 : static_cast<int>(load->second.inFlight), entry.slots });
+            const auto load = m_work.find(id);
+            engines.push_back({ &book, known.entry.zone, known.entry.isDraining,
+                load == m_work.end() ? 0 : static_cast<int>(load->second.inFlight), known.entry.slots });
         }
         auto planned = m_planners.at(service).plan(engines, config, m_demand, now);
         orders.insert(orders.end(), planned.begin(), planned.end());
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/fleet_config.h"
+#include "Fleet/upstream_list.h"
 #include "Limit/credit_bank.h"
 #include "Place/engine_book.h"
 #include "Plan/holding_planner.h"
@@ -21,16 +22,16 @@
     /// Begins a tenure: what was granted before may still be spent, so buckets start half full.
     void begin(monotonic_time now);
 
-    /// Answers a report.
-    /// \param link tells connections apart: news of holdings are sent once on each
-    fleet_news onReport(const fleet_report& report, const void* link, monotonic_time now);
+    /// Answers a report: credit, and what changed since the last news to that gateway.
+    fleet_news onReport(const fleet_report& report, monotonic_time now);
 
     /// \return whether every gateway that was heard lately is still heard and finds the store away: then
     /// nobody can take the lease, and credit may go on beyond it.
     bool isStoreAwayFromAll(monotonic_time now) const;
 
     /// Makes or drops the books so that there is one for each engine.
-    void onUpstreams(const std::map<std::string, upstream_entry>& entries);
+    /// \param list the platform's list as it is known here
+    void onUpstreams(const upstream_list& list);
 
     std::map<std::string, engine_book>& books() { return m_books; }
 
@@ -43,21 +44,37 @@
 
 private:
     struct reporter {
-        std::vector<upstream_work> work;
+        std::map<std::string, upstream_work> work;
         monotonic_time heardAt {};
         bool isStoreAway { false };
-        const void* link { nullptr };
-        std::map<std::string, std::uint64_t> toldRevisions;
+        std::map<std::string, std::uint64_t> toldHoldings;
+        std::map<std::string, upstream_work> toldWork;
+        std::uint64_t toldList { 0 };
+    };
+
+    /// An upstream of the list with the revision in which it changed last.
+    struct listing {
+        upstream_entry entry;
+        std::uint64_t offset { 0 };
+        std::uint64_t revision { 0 };
+        bool isRemoved { false };
     };
 
     void forgetSilent(monotonic_time now);
-    std::map<std::string, upstream_work> workWithout(const std::string& gateway) const;
+    void replaceWork(reporter& from, const std::vector<upstream_work>& work);
+    void tellWork(reporter& to, fleet_news& news) const;
+    void tellHoldings(reporter& to, fleet_news& news) const;
+    void tellList(reporter& to, fleet_news& news) const;
+    void makeBooks();
 
     credit_bank m_bank;
     demand_meter m_demand;
     std::vector<team_config> m_teams;
     std::map<std::string, engine_config> m_engines;
-    std::map<std::string, upstream_entry> m_entries;
+    std::map<std::string, listing> m_listings;
+    std::uint64_t m_listRevision { 0 };
+    /// Work of all gateways together.
+    std::map<std::string, upstream_work> m_work;
     std::map<std::string, engine_book> m_books;
     std::map<std::string, holding_planner> m_planners;
     std::map<std::string, reporter> m_reporters;
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -120,6 +120,9 @@
             if (known != m_plans.books().end())
                 known->second.onOrderAnswered(
                     answer ? std::optional<int>(answer->status) : std::nullopt, monotonicNow());
+            // Room that an adapter left is used at once.
+            if (!planned.adapter.empty() && !isLoad)
+                work();
         });
 }
 
--- a/Source/Gateway/fleet_link.h
+++ b/Source/Gateway/fleet_link.h
@@ -34,9 +34,9 @@
 /// \brief Takes reports of other gateways and answers each with news.
 class report_server {
 public:
-    /// Receives a report and the connection's key.
+    /// Receives a report.
     /// \return the news; nothing where this gateway does not coordinate, which closes the connection
-    using on_report = std::function<std::optional<fleet_news>(const fleet_report&, const void* connection)>;
+    using on_report = std::function<std::optional<fleet_news>(const fleet_report&)>;
 
     report_server(event_loop& loop, const address& where, on_report handler);
 
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 // Time between reports; the coordinator's news of the others' load is as old as that.
-constexpr milliseconds reportPause { 100 };
+constexpr milliseconds leastReportPause { 100 };
+// Time that the coordinator has for each gateway's report, so that its work does not grow with the fleet.
+constexpr milliseconds pauseForEach { 8 };
 // Delay of a report that a request waits for, so that several share one.
 constexpr milliseconds soon { 2 };
 // Life of granted credit; a process that stood still longer spends none of it.
@@ -23,6 +25,22 @@
 // When to come back where no coordinator is known.
 constexpr milliseconds unknownRetryAfter { 600 };
 
+// Age of the coordinator's evidence up to which this gateway leaves the reading to it.
+constexpr milliseconds proofIsRecent { 1500 };
+
+std::vector<held_model> heldModels(const std::vector<std::string>& held)
+{
+    std::vector<held_model> models;
+    for (const auto& name : held) {
+        const std::size_t slash = name.find('/');
+        if (slash == std::string::npos)
+            models.push_back({ name, {} });
+        else if (!models.empty() && models.back().name == name.substr(0, slash))
+            models.back().adapters.push_back(name.substr(slash + 1));
+    }
+    return models;
+}
+
 } // namespace
 
 fleet_share::fleet_share(
@@ -39,7 +57,12 @@
 
 void fleet_share::start()
 {
-    m_reportTimer.start(reportPause);
+    m_reportTimer.start(reportPause());
+}
+
+milliseconds fleet_share::reportPause() const
+{
+    return std::max(leastReportPause, pauseForEach * m_gateways);
 }
 
 void fleet_share::onConfig(const fleet_config& config)
@@ -59,6 +82,7 @@
         return;
     m_lostLink = std::move(m_link);
     m_linkedAt = monotonicNow();
+    m_wantsAll = true;
     m_link = std::make_unique<coordinator_link>(m_loop, where,
         coordinator_link::handlers { [this](const fleet_news& news) {
                                         monotonic_time askedAt {};
@@ -144,6 +168,7 @@
     value.entry = m_self;
     value.number = ++m_number;
     value.isStoreAway = m_hooks.isStoreAway();
+    value.wantsAll = m_wantsAll;
     const monotonic_time now = suspendedNow();
     std::set<std::string> teams;
     if (m_relay.table()) {
@@ -173,7 +198,7 @@
 
 void fleet_share::report()
 {
-    m_reportTimer.start(reportPause);
+    m_reportTimer.start(reportPause());
     const monotonic_time now = monotonicNow();
     const monotonic_time sentAt = suspendedNow();
     auto value = makeReport();
@@ -182,7 +207,8 @@
     if (const auto news = m_hooks.coordinateHere(value)) {
         m_link.reset();
         m_asked.clear();
-        onNews(*news, sentAt);
+        // What this gateway read itself needs no telling.
+        onNews(*news, {});
         if (hasWanted)
             m_hooks.onWanted();
         return;
@@ -191,13 +217,13 @@
         m_asked.push_back({ value.number, sentAt });
         m_link->send(value);
     }
-    const bool isSilent = now - std::max(m_newsAt, m_linkedAt) >= newsTimeout;
+    const bool isSilent = now - std::max(m_newsAt, m_linkedAt) >= newsTimeout + reportPause();
     if (!m_link || isSilent) {
         m_lostLink = std::move(m_link);
         m_asked.clear();
         m_linkedAt = now;
     }
-    if (now - m_newsAt >= newsTimeout)
+    if (now - m_newsAt >= newsTimeout + reportPause())
         setAlone(true);
     // Without an answer in time, the own share decides.
     for (const auto& [team, waiting] : m_waiting) {
@@ -214,27 +240,58 @@
     setAlone(false);
     if (!news.leaseHolder.empty())
         m_hooks.onLease({ news.leaseHolder, news.entries, news.leaseEnd });
+    m_gateways = std::max(news.entries, 1U);
     m_purse.setEntries(news.entries);
     m_relay.onGateways(news.entries);
-    std::set<std::string> heard;
-    for (const auto& work : news.work) {
-        heard.insert(work.upstream);
+    m_wantsAll = false;
+    if (askedAt != monotonic_time {})
+        takeList(news);
+    if (news.proof && askedAt != monotonic_time {}) {
+        // Counted from the ask: the answer's way would make the evidence seem younger.
+        const monotonic_time provenAt = askedAt - milliseconds(news.proof->ageMs);
+        m_toldProofAt = provenAt;
+        m_hooks.onProof(news.proof->configEnd, provenAt);
+    }
+    for (const auto& work : news.work)
         m_relay.onForeignLoad(
             work.upstream, { static_cast<int>(work.inFlight), work.tokensAhead, work.memoryTokens });
-    }
-    for (const auto& [id, upstream] : m_relay.upstreams()) {
-        if (!heard.contains(id))
-            upstream->foreign = {};
-    }
     for (const auto& holding : news.holdings)
         m_relay.onHoldings(holding.upstream, { holding.held.begin(), holding.held.end() });
     for (const auto& grant : news.credit) {
-        m_purse.onGrant(grant.team, grant.tokens, askedAt);
+        m_purse.onGrant(grant.team, grant.tokens, askedAt == monotonic_time {} ? suspendedNow() : askedAt);
         settleCredit(grant.team,
             grant.retryAfterMs > 0 ? std::optional(milliseconds(grant.retryAfterMs)) : std::nullopt);
     }
 }
 
+void fleet_share::takeList(const fleet_news& news)
+{
+    std::vector<upstream_record> records;
+    for (const auto& item : news.listed) {
+        upstream_record record { item.upstream, item.offset, std::nullopt };
+        if (!item.isRemoved) {
+            upstream_entry entry;
+            entry.id = item.upstream;
+            entry.service = item.service;
+            entry.where = parseAddress(item.address);
+            entry.zone = item.zone;
+            entry.slots = static_cast<int>(item.slots);
+            entry.isDraining = item.isDraining;
+            entry.startedAt = item.startedAt;
+            entry.orders = item.orders;
+            entry.models = heldModels(item.held);
+            record.entry = std::move(entry);
+        }
+        records.push_back(std::move(record));
+    }
+    m_hooks.onListed(records, news.isListWhole);
+}
+
+bool fleet_share::isReadFor() const
+{
+    return !m_isAlone && m_link && m_link->isConnected() && suspendedNow() - m_toldProofAt < proofIsRecent;
+}
+
 void fleet_share::settleCredit(const std::string& team, std::optional<milliseconds> retryAfter)
 {
     auto& waiting = m_waiting[team];
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -19,6 +19,9 @@
         /// Answers a report in place, where this gateway coordinates itself; nothing where it does not.
         std::function<std::optional<fleet_news>(const fleet_report&)> coordinateHere;
         std::function<bool()> isStoreAway;
+        /// The coordinator read the configuration up to an offset, beginning at that time.
+        std::function<void(std::uint64_t configEnd, monotonic_time provenAt)> onProof;
+        std::function<void(const std::vector<upstream_record>&, bool isWhole)> onListed;
         /// The coordinator told the newest record of its lease.
         std::function<void(const lease_record&)> onLease;
         /// Something is wanted that the coordinator should see to at once.
@@ -35,6 +38,8 @@
     void onHolder(const address& where);
     /// \return whether a coordinator answered lately.
     bool hearsCoordinator() const { return !m_isAlone; }
+    /// \return whether another gateway coordinates and its evidence of the configuration is recent.
+    bool isReadFor() const;
 
     void askCredit(const exchange_ptr& request);
     void refund(const std::string& team, double tokens);
@@ -46,6 +51,7 @@
     void reportSoon();
     fleet_report makeReport();
     void onNews(const fleet_news& news, monotonic_time askedAt);
+    void takeList(const fleet_news& news);
     void onLinkLost();
     void setAlone(bool isAlone);
     void settleCredit(const std::string& team, std::optional<milliseconds> retryAfter);
@@ -72,10 +78,16 @@
     std::map<std::string, std::list<waiting_credit>> m_waiting;
     std::map<std::string, model_demand> m_demand;
     std::list<asked_report> m_asked;
+    milliseconds reportPause() const;
+
     std::uint64_t m_number { 0 };
+    unsigned m_gateways { 1 };
     monotonic_time m_newsAt {};
     monotonic_time m_linkedAt {};
+    monotonic_time m_toldProofAt {};
     bool m_isAlone { true };
+    /// Nothing was told on the link yet.
+    bool m_wantsAll { true };
 };
 
 } // namespace sagesaddle
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -43,6 +43,17 @@
         + std::to_string(::getpid());
 }
 
+// Hosts below these coordinate only where no other does: each report costs about 0.1 ms of a core and 2 KB.
+constexpr double enoughCores = 0.15;
+constexpr double enoughLinkMbps = 50;
+constexpr milliseconds weakReluctance { 700 };
+
+milliseconds reluctanceOf(const gateway_settings& settings)
+{
+    const bool isWeak = settings.cores < enoughCores || settings.linkMbps < enoughLinkMbps;
+    return isWeak ? weakReluctance : milliseconds(0);
+}
+
 address addressOfMember(const std::string& member)
 {
     return parseAddress(member.substr(0, member.find(startMark)));
@@ -64,32 +75,39 @@
               },
               [this](const exchange& request) { m_share.onDemand(request); } })
     , m_follower(loop, m_settings.store, m_member, formatAddress(m_settings.peers) + startMark,
-          lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve }, m_lines,
+          lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve,
+              reluctanceOf(m_settings) },
+          m_lines,
           { [this](const fleet_config_ptr& config) {
                m_coordinator.onConfig(*config, monotonicNow());
                m_share.onConfig(*config);
                m_relay.onConfig(config);
            },
               [this](const std::map<std::string, upstream_entry>& entries) {
-                  m_coordinator.onUpstreams(entries);
+                  m_coordinator.onUpstreams(m_follower.upstreams());
                   m_orders.onUpstreams(entries);
                   m_relay.onUpstreams(entries);
               },
               [this](monotonic_time provenAt) { m_relay.onContact(provenAt); }, [this] { onDuty(); },
               [this](const std::string& member) { m_share.onHolder(addressOfMember(member)); },
-              [this] { return m_share.hearsCoordinator(); },
+              [this] { return m_share.hearsCoordinator(); }, [this] { return m_share.isReadFor(); },
               [this] { return m_coordinator.gateways(monotonicNow()); },
               [this](unsigned count) { m_share.onKnownGateways(count); } })
     , m_orders(
           loop, m_coordinator, m_settings.name, [this]() -> const duty_lease& { return m_follower.lease(); },
           m_lines, m_metrics)
     , m_share(loop, m_settings.name, m_relay, m_lines,
-          { [this](const fleet_report& report) { return answerReport(report, this); },
+          { [this](const fleet_report& report) { return answerReport(report); },
               [this] { return m_follower.isStoreAway(); },
+              [this](std::uint64_t configEnd, monotonic_time provenAt) {
+                  m_follower.onToldProof(configEnd, provenAt);
+              },
+              [this](const std::vector<upstream_record>& records, bool isWhole) {
+                  m_follower.onToldUpstreams(records, isWhole);
+              },
               [this](const lease_record& record) { m_follower.onHeardLease(record); },
               [this] { m_orders.work(); } })
-    , m_reports(loop, m_settings.peers,
-          [this](const fleet_report& report, const void* link) { return answerReport(report, link); })
+    , m_reports(loop, m_settings.peers, [this](const fleet_report& report) { return answerReport(report); })
     , m_readiness(loop, m_settings.readiness,
           [this](const http_head& head) -> status_server::reply {
               if (!platform::isReadinessCall(head))
@@ -139,12 +157,16 @@
     m_coordinates = coordinates;
 }
 
-std::optional<fleet_news> gateway::answerReport(const fleet_report& report, const void* link)
+std::optional<fleet_news> gateway::answerReport(const fleet_report& report)
 {
     onDuty();
     if (!m_coordinates)
         return std::nullopt;
-    auto news = m_coordinator.onReport(report, link, monotonicNow());
+    auto news = m_coordinator.onReport(report, monotonicNow());
+    if (const auto proof = m_follower.proof()) {
+        const auto age = std::chrono::duration_cast<milliseconds>(suspendedNow() - proof->second);
+        news.proof = config_proof { static_cast<std::uint32_t>(age.count()), proof->first };
+    }
     news.leaseHolder = m_follower.lease().record().holder;
     news.leaseEnd = m_follower.lease().record().end;
     const bool hasWanted = std::any_of(report.demand.begin(), report.demand.end(),
--- a/Source/Gateway/gateway_settings.cpp
+++ b/Source/Gateway/gateway_settings.cpp
@@ -13,6 +13,8 @@
 constexpr double mostRetrySlack = 100000;
 constexpr integer_range descriptorRange { 64, 1 << 20 };
 constexpr double mostGraceSeconds = 3600;
+constexpr double mostCores = 1024;
+constexpr double mostLinkMbps = 1e6;
 
 } // namespace
 
@@ -35,6 +37,8 @@
     settings.retryRatio = reader.number("bounds", "retry_ratio", standard.retryRatio, 0, 10);
     settings.retrySlack = reader.number("bounds", "retry_slack", standard.retrySlack, 0, mostRetrySlack);
     settings.descriptors = reader.integer("limits", "descriptors", standard.descriptors, descriptorRange);
+    settings.cores = reader.number("limits", "cores", standard.cores, 0.001, mostCores);
+    settings.linkMbps = reader.number("limits", "link_mbps", standard.linkMbps, 0.001, mostLinkMbps);
     settings.level = parseLogLevel(reader.choice(
         "log", "level", std::string(nameOf(standard.level)), { "debug", "info", "warning", "error" }));
     reader.finish();
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -37,6 +37,9 @@
     double retryRatio { 0.2 };
     double retrySlack { 50 };
     std::int64_t descriptors { 1024 };
+    /// Processor and link of the host; a weak host leaves the coordination to others.
+    double cores { 1 };
+    double linkMbps { 1000 };
 };
 
 /// Reads the settings of a gateway.
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "config_reader.h"
 #include "upstream_reader.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -13,10 +14,14 @@
 
 // Longest wait of a read for news of the configuration; its answer is the evidence that keys rest on.
 constexpr milliseconds configWait { 1000 };
+// The same where others rest on this gateway's evidence.
+constexpr milliseconds configWaitForOthers { 400 };
 // Time beyond the wait within which an answer comes, also from a slow store.
 constexpr milliseconds answerTimeout { 1000 };
 // Pause between looks at the list of upstreams; a leaving one must be known within two seconds.
 constexpr milliseconds listPause { 500 };
+// Pause between looks at whether another gateway still reads the store for this one.
+constexpr milliseconds toldPause { 200 };
 // Pause after a call that was not answered or declined.
 constexpr milliseconds failurePause { 200 };
 // Pause between looks at the lease; it does most looks without a call.
@@ -64,6 +69,7 @@
 
 void store_follower::again(table_reading& reading, milliseconds delay)
 {
+    reading.isBusy = false;
     (&reading == &m_operator ? m_operatorTimer : m_serversTimer).start(delay);
 }
 
@@ -90,6 +96,21 @@
 
 void store_follower::readTable(table_reading& reading)
 {
+    if (m_hooks.isReadForUs()) {
+        // The list changes all the time: it is read whole once nobody tells it any more.
+        if (&reading == &m_servers)
+            reading.next.reset();
+        if (&reading == &m_servers || m_configVersion > 0) {
+            again(reading, toldPause);
+            return;
+        }
+    }
+    readNow(reading);
+}
+
+void store_follower::readNow(table_reading& reading)
+{
+    reading.isBusy = true;
     if (reading.next) {
         readTail(reading);
         return;
@@ -151,7 +172,10 @@
 void store_follower::readTail(table_reading& reading)
 {
     const bool isConfig = &reading == &m_operator;
-    const milliseconds wait = isConfig ? configWait : milliseconds(0);
+    // Where another gateway told of a newer record, it is there already.
+    const milliseconds wait = !isConfig || m_hooks.isReadForUs() ? milliseconds(0)
+        : m_lease.holds(suspendedNow())                          ? configWaitForOthers
+                                                                 : configWait;
     const monotonic_time sentAt = suspendedNow();
     const std::uint64_t from = *reading.next;
     m_store.call(platform::writeTailCall(m_store.peer(), reading.table, from, wait), wait + answerTimeout,
@@ -195,8 +219,10 @@
             if (record.key == platform::configKey())
                 takeConfig(record);
         }
-        if (m_configVersion > 0)
+        if (m_configVersion > 0) {
+            m_provenAt = sentAt;
             m_hooks.onContact(sentAt);
+        }
         return;
     }
     for (const auto& record : records) {
@@ -207,6 +233,41 @@
     tellUpstreams();
 }
 
+void store_follower::onToldProof(std::uint64_t configEnd, monotonic_time provenAt)
+{
+    if (m_operator.next && m_configVersion > 0 && *m_operator.next >= configEnd) {
+        m_hooks.onContact(provenAt);
+        return;
+    }
+    if (!m_operator.isBusy)
+        readNow(m_operator);
+}
+
+void store_follower::onToldUpstreams(const std::vector<upstream_record>& records, bool isWhole)
+{
+    if (records.empty() && !isWhole)
+        return;
+    const monotonic_time now = monotonicNow();
+    if (isWhole) {
+        std::uint64_t end = 0;
+        for (const auto& record : records)
+            end = std::max(end, record.offset + 1);
+        m_upstreams.onListing(records, end, now);
+    } else {
+        for (const auto& record : records)
+            m_upstreams.onRecord(record, now);
+    }
+    m_listed = m_listed || isWhole;
+    tellUpstreams();
+}
+
+std::optional<std::pair<std::uint64_t, monotonic_time>> store_follower::proof() const
+{
+    if (!m_provenAt || !m_operator.next)
+        return std::nullopt;
+    return std::pair(*m_operator.next, *m_provenAt);
+}
+
 void store_follower::tellUpstreams()
 {
     if (!m_listed || (m_toldRevision == m_upstreams.revision() && m_toldRevision != 0))
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -7,6 +7,8 @@
 #include "Watch/decision_lines.h"
 #include "store_calls.h"
 
+#include <utility>
+
 namespace sagesaddle {
 
 /// \brief What the follower tells.
@@ -22,6 +24,8 @@
     std::function<void(const std::string&)> onHolder;
     /// \return whether the holder is heard to coordinate.
     std::function<bool()> hearsHolder;
+    /// \return whether another gateway reads the store and tells what it finds.
+    std::function<bool()> isReadForUs;
     /// \return gateways to be told in the lease.
     std::function<unsigned()> gateways;
     /// Gateways that the lease's record tells.
@@ -41,6 +45,16 @@
 
     /// The holder told its newest record.
     void onHeardLease(const lease_record& record) { m_lease.onHeard(record, suspendedNow()); }
+    /// Another gateway tells that it read the configuration up to an offset.
+    /// \param provenAt when it began to read, on the clock that counts suspension
+    void onToldProof(std::uint64_t configEnd, monotonic_time provenAt);
+    /// Another gateway tells records of the list.
+    /// \param isWhole whether all others are gone
+    void onToldUpstreams(const std::vector<upstream_record>& records, bool isWhole);
+
+    /// \return the offset up to which the configuration was read here, and when that read began.
+    std::optional<std::pair<std::uint64_t, monotonic_time>> proof() const;
+    const upstream_list& upstreams() const { return m_upstreams; }
     const duty_lease& lease() const { return m_lease; }
     bool isStoreAway() const { return m_isAway; }
 
@@ -51,9 +65,12 @@
         std::optional<std::uint64_t> next;
         std::vector<platform::table_record> pages;
         std::uint64_t listingEnd { 0 };
+        /// A call is under way.
+        bool isBusy { false };
     };
 
     void readTable(table_reading& reading);
+    void readNow(table_reading& reading);
     void readPage(table_reading& reading, const std::string& after);
     void readTail(table_reading& reading);
     void onPage(table_reading& reading, const platform::table_page& page, monotonic_time sentAt);
@@ -76,12 +93,13 @@
     decision_lines& m_lines;
     follower_hooks m_hooks;
     upstream_list m_upstreams;
-    table_reading m_operator { platform::store_table::Operator, {}, {}, 0 };
-    table_reading m_servers { platform::store_table::Upstreams, {}, {}, 0 };
+    table_reading m_operator { platform::store_table::Operator, {}, {}, 0, false };
+    table_reading m_servers { platform::store_table::Upstreams, {}, {}, 0, false };
     timer m_operatorTimer;
     timer m_serversTimer;
     timer m_leaseTimer;
     std::uint64_t m_configVersion { 0 };
+    std::optional<monotonic_time> m_provenAt;
     std::uint64_t m_toldRevision { 0 };
     monotonic_time m_answeredAt {};
     bool m_isAway { false };
--- a/Source/Place/engine_book.cpp
+++ b/Source/Place/engine_book.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Time from an accepted adapter order until the adapter counts as there; it takes 5 to 30 ms.
-constexpr milliseconds adapterReadyAfter { 50 };
+constexpr milliseconds adapterReadyAfter { 35 };
 // How far an engine's report may lie behind.
 constexpr milliseconds reportLag { 350 };
 // Time between reports while a model loads or leaves.
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -34,6 +34,9 @@
 struct Holding;
 struct HoldingBuilder;
 
+struct Listed;
+struct ListedBuilder;
+
 struct News;
 struct NewsBuilder;
 
@@ -395,9 +398,10 @@
     VT_ENTRY = 4,
     VT_NUMBER = 6,
     VT_STORE_AWAY = 8,
-    VT_CREDIT = 10,
-    VT_WORK = 12,
-    VT_DEMAND = 14
+    VT_WANTS_ALL = 10,
+    VT_CREDIT = 12,
+    VT_WORK = 14,
+    VT_DEMAND = 16
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -408,6 +412,9 @@
   bool store_away() const {
     return GetField<uint8_t>(VT_STORE_AWAY, 0) != 0;
   }
+  bool wants_all() const {
+    return GetField<uint8_t>(VT_WANTS_ALL, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *credit() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *>(VT_CREDIT);
   }
@@ -423,6 +430,7 @@
            verifier.VerifyString(entry()) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_AWAY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_ALL, 1) &&
            VerifyOffset(verifier, VT_CREDIT) &&
            verifier.VerifyVector(credit()) &&
            verifier.VerifyVectorOfTables(credit()) &&
@@ -449,6 +457,9 @@
   void add_store_away(bool store_away) {
     fbb_.AddElement<uint8_t>(Report::VT_STORE_AWAY, static_cast<uint8_t>(store_away), 0);
   }
+  void add_wants_all(bool wants_all) {
+    fbb_.AddElement<uint8_t>(Report::VT_WANTS_ALL, static_cast<uint8_t>(wants_all), 0);
+  }
   void add_credit(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>> credit) {
     fbb_.AddOffset(Report::VT_CREDIT, credit);
   }
@@ -475,6 +486,7 @@
     flatbuffers::Offset<flatbuffers::String> entry = 0,
     uint64_t number = 0,
     bool store_away = false,
+    bool wants_all = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>> demand = 0) {
@@ -484,6 +496,7 @@
   builder_.add_work(work);
   builder_.add_credit(credit);
   builder_.add_entry(entry);
+  builder_.add_wants_all(wants_all);
   builder_.add_store_away(store_away);
   return builder_.Finish();
 }
@@ -498,6 +511,7 @@
     const char *entry = nullptr,
     uint64_t number = 0,
     bool store_away = false,
+    bool wants_all = false,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>> *demand = nullptr) {
@@ -510,6 +524,7 @@
       entry__,
       number,
       store_away,
+      wants_all,
       credit__,
       work__,
       demand__);
@@ -670,6 +685,193 @@
       held__);
 }
 
+struct Listed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_OFFSET = 6,
+    VT_IS_REMOVED = 8,
+    VT_SERVICE = 10,
+    VT_ADDRESS = 12,
+    VT_ZONE = 14,
+    VT_SLOTS = 16,
+    VT_IS_DRAINING = 18,
+    VT_STARTED_AT = 20,
+    VT_ORDERS = 22,
+    VT_HELD = 24
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool is_removed() const {
+    return GetField<uint8_t>(VT_IS_REMOVED, 0) != 0;
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  bool is_draining() const {
+    return GetField<uint8_t>(VT_IS_DRAINING, 0) != 0;
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  uint64_t orders() const {
+    return GetField<uint64_t>(VT_ORDERS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *held() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HELD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_DRAINING, 1) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDERS, 8) &&
+           VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) &&
+           verifier.VerifyVectorOfStrings(held()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ListedBuilder {
+  typedef Listed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Listed::VT_UPSTREAM, upstream);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(Listed::VT_OFFSET, offset, 0);
+  }
+  void add_is_removed(bool is_removed) {
+    fbb_.AddElement<uint8_t>(Listed::VT_IS_REMOVED, static_cast<uint8_t>(is_removed), 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(Listed::VT_SERVICE, service);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Listed::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Listed::VT_ZONE, zone);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(Listed::VT_SLOTS, slots, 0);
+  }
+  void add_is_draining(bool is_draining) {
+    fbb_.AddElement<uint8_t>(Listed::VT_IS_DRAINING, static_cast<uint8_t>(is_draining), 0);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(Listed::VT_STARTED_AT, started_at, 0);
+  }
+  void add_orders(uint64_t orders) {
+    fbb_.AddElement<uint64_t>(Listed::VT_ORDERS, orders, 0);
+  }
+  void add_held(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> held) {
+    fbb_.AddOffset(Listed::VT_HELD, held);
+  }
+  explicit ListedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Listed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Listed>(end);
+    fbb_.Required(o, Listed::VT_UPSTREAM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Listed> CreateListed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t offset = 0,
+    bool is_removed = false,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t slots = 0,
+    bool is_draining = false,
+    int64_t started_at = 0,
+    uint64_t orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> held = 0) {
+  ListedBuilder builder_(_fbb);
+  builder_.add_orders(orders);
+  builder_.add_started_at(started_at);
+  builder_.add_offset(offset);
+  builder_.add_held(held);
+  builder_.add_slots(slots);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  builder_.add_service(service);
+  builder_.add_upstream(upstream);
+  builder_.add_is_draining(is_draining);
+  builder_.add_is_removed(is_removed);
+  return builder_.Finish();
+}
+
+struct Listed::Traits {
+  using type = Listed;
+  static auto constexpr Create = CreateListed;
+};
+
+inline flatbuffers::Offset<Listed> CreateListedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint64_t offset = 0,
+    bool is_removed = false,
+    const char *service = nullptr,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    uint32_t slots = 0,
+    bool is_draining = false,
+    int64_t started_at = 0,
+    uint64_t orders = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *held = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*held) : 0;
+  return sagesaddle::fleet_wire::CreateListed(
+      _fbb,
+      upstream__,
+      offset,
+      is_removed,
+      service__,
+      address__,
+      zone__,
+      slots,
+      is_draining,
+      started_at,
+      orders,
+      held__);
+}
+
 struct News FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NewsBuilder Builder;
   struct Traits;
@@ -677,10 +879,15 @@
     VT_NUMBER = 4,
     VT_LEASE_END = 6,
     VT_LEASE_HOLDER = 8,
-    VT_ENTRIES = 10,
-    VT_CREDIT = 12,
-    VT_WORK = 14,
-    VT_HOLDINGS = 16
+    VT_HAS_PROOF = 10,
+    VT_PROOF_AGE_MS = 12,
+    VT_CONFIG_END = 14,
+    VT_LIST_IS_WHOLE = 16,
+    VT_LISTED = 18,
+    VT_ENTRIES = 20,
+    VT_CREDIT = 22,
+    VT_WORK = 24,
+    VT_HOLDINGS = 26
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -691,6 +898,21 @@
   const flatbuffers::String *lease_holder() const {
     return GetPointer<const flatbuffers::String *>(VT_LEASE_HOLDER);
   }
+  bool has_proof() const {
+    return GetField<uint8_t>(VT_HAS_PROOF, 0) != 0;
+  }
+  uint32_t proof_age_ms() const {
+    return GetField<uint32_t>(VT_PROOF_AGE_MS, 0);
+  }
+  uint64_t config_end() const {
+    return GetField<uint64_t>(VT_CONFIG_END, 0);
+  }
+  bool list_is_whole() const {
+    return GetField<uint8_t>(VT_LIST_IS_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>> *listed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>> *>(VT_LISTED);
+  }
   uint32_t entries() const {
     return GetField<uint32_t>(VT_ENTRIES, 0);
   }
@@ -709,6 +931,13 @@
            VerifyField<uint64_t>(verifier, VT_LEASE_END, 8) &&
            VerifyOffset(verifier, VT_LEASE_HOLDER) &&
            verifier.VerifyString(lease_holder()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_PROOF, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PROOF_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_END, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LIST_IS_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_LISTED) &&
+           verifier.VerifyVector(listed()) &&
+           verifier.VerifyVectorOfTables(listed()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
            VerifyOffset(verifier, VT_CREDIT) &&
            verifier.VerifyVector(credit()) &&
@@ -736,6 +965,21 @@
   void add_lease_holder(flatbuffers::Offset<flatbuffers::String> lease_holder) {
     fbb_.AddOffset(News::VT_LEASE_HOLDER, lease_holder);
   }
+  void add_has_proof(bool has_proof) {
+    fbb_.AddElement<uint8_t>(News::VT_HAS_PROOF, static_cast<uint8_t>(has_proof), 0);
+  }
+  void add_proof_age_ms(uint32_t proof_age_ms) {
+    fbb_.AddElement<uint32_t>(News::VT_PROOF_AGE_MS, proof_age_ms, 0);
+  }
+  void add_config_end(uint64_t config_end) {
+    fbb_.AddElement<uint64_t>(News::VT_CONFIG_END, config_end, 0);
+  }
+  void add_list_is_whole(bool list_is_whole) {
+    fbb_.AddElement<uint8_t>(News::VT_LIST_IS_WHOLE, static_cast<uint8_t>(list_is_whole), 0);
+  }
+  void add_listed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>> listed) {
+    fbb_.AddOffset(News::VT_LISTED, listed);
+  }
   void add_entries(uint32_t entries) {
     fbb_.AddElement<uint32_t>(News::VT_ENTRIES, entries, 0);
   }
@@ -764,18 +1008,28 @@
     uint64_t number = 0,
     uint64_t lease_end = 0,
     flatbuffers::Offset<flatbuffers::String> lease_holder = 0,
+    bool has_proof = false,
+    uint32_t proof_age_ms = 0,
+    uint64_t config_end = 0,
+    bool list_is_whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>> listed = 0,
     uint32_t entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>> holdings = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
   builder_.add_holdings(holdings);
   builder_.add_work(work);
   builder_.add_credit(credit);
   builder_.add_entries(entries);
+  builder_.add_listed(listed);
+  builder_.add_proof_age_ms(proof_age_ms);
   builder_.add_lease_holder(lease_holder);
+  builder_.add_list_is_whole(list_is_whole);
+  builder_.add_has_proof(has_proof);
   return builder_.Finish();
 }
 
@@ -789,11 +1043,17 @@
     uint64_t number = 0,
     uint64_t lease_end = 0,
     const char *lease_holder = nullptr,
+    bool has_proof = false,
+    uint32_t proof_age_ms = 0,
+    uint64_t config_end = 0,
+    bool list_is_whole = false,
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>> *listed = nullptr,
     uint32_t entries = 0,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *holdings = nullptr) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
+  auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>(*work) : 0;
   auto holdings__ = holdings ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>(*holdings) : 0;
@@ -802,6 +1062,11 @@
       number,
       lease_end,
       lease_holder__,
+      has_proof,
+      proof_age_ms,
+      config_end,
+      list_is_whole,
+      listed__,
       entries,
       credit__,
       work__,
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -47,11 +47,19 @@
                   item.unplaced, item.tokens);
           });
     const auto work = encodeWork(builder, value.work);
-    return fleet_wire::CreateReport(
-        builder, builder.CreateString(value.entry), value.number, value.isStoreAway, credit, work, demand)
+    return fleet_wire::CreateReport(builder, builder.CreateString(value.entry), value.number,
+        value.isStoreAway, value.wantsAll, credit, work, demand)
         .Union();
 }
 
+Offset<fleet_wire::Listed> encodeListed(FlatBufferBuilder& builder, const listed_upstream& item)
+{
+    return fleet_wire::CreateListed(builder, builder.CreateString(item.upstream), item.offset, item.isRemoved,
+        builder.CreateString(item.service), builder.CreateString(item.address),
+        builder.CreateString(item.zone), item.slots, item.isDraining, item.startedAt, item.orders,
+        builder.CreateVectorOfStrings(item.held));
+}
+
 Offset<void> encodeNews(FlatBufferBuilder& builder, const fleet_news& value)
 {
     const auto credit
@@ -65,8 +73,12 @@
                   builder, builder.CreateString(item.upstream), builder.CreateVectorOfStrings(item.held));
           });
     const auto work = encodeWork(builder, value.work);
+    const auto listed = vectorOf<fleet_wire::Listed>(
+        builder, value.listed, [&](const listed_upstream& item) { return encodeListed(builder, item); });
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
-        builder.CreateString(value.leaseHolder), value.entries, credit, work, holdings)
+        builder.CreateString(value.leaseHolder), value.proof.has_value(),
+        value.proof ? value.proof->ageMs : 0, value.proof ? value.proof->configEnd : 0, value.isListWhole,
+        listed, value.entries, credit, work, holdings)
         .Union();
 }
 
@@ -87,6 +99,7 @@
     value.entry = table.entry()->str();
     value.number = table.number();
     value.isStoreAway = table.store_away();
+    value.wantsAll = table.wants_all();
     if (table.credit() != nullptr) {
         for (const auto* ask : *table.credit())
             value.credit.push_back({ ask->team()->str(), ask->needed(), ask->ahead() });
@@ -100,13 +113,36 @@
     return value;
 }
 
+std::string textOf(const flatbuffers::String* text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+listed_upstream decodeListed(const fleet_wire::Listed& item)
+{
+    listed_upstream value { item.upstream()->str(), item.offset(), item.is_removed(), textOf(item.service()),
+        textOf(item.address()), textOf(item.zone()), item.slots(), item.is_draining(), item.started_at(),
+        item.orders(), {} };
+    if (item.held() != nullptr) {
+        for (const auto* name : *item.held())
+            value.held.push_back(name->str());
+    }
+    return value;
+}
+
 fleet_news decodeNews(const fleet_wire::News& table)
 {
     fleet_news value;
     value.number = table.number();
     value.leaseEnd = table.lease_end();
-    if (table.lease_holder() != nullptr)
-        value.leaseHolder = table.lease_holder()->str();
+    value.leaseHolder = textOf(table.lease_holder());
+    if (table.has_proof())
+        value.proof = config_proof { table.proof_age_ms(), table.config_end() };
+    value.isListWhole = table.list_is_whole();
+    if (table.listed() != nullptr) {
+        for (const auto* item : *table.listed())
+            value.listed.push_back(decodeListed(*item));
+    }
     value.entries = table.entries();
     if (table.credit() != nullptr) {
         for (const auto* grant : *table.credit())
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -60,12 +60,41 @@
     auto operator<=>(const upstream_holding&) const = default;
 };
 
+/// \brief An upstream of the platform's list, or its removal.
+struct listed_upstream {
+    std::string upstream;
+    /// Offset of its record in the list.
+    std::uint64_t offset { 0 };
+    bool isRemoved { false };
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint32_t slots { 0 };
+    bool isDraining { false };
+    std::int64_t startedAt { 0 };
+    std::uint64_t orders { 0 };
+    /// `model` or `model/adapter`.
+    std::vector<std::string> held;
+
+    auto operator<=>(const listed_upstream&) const = default;
+};
+
+/// \brief Evidence that the configuration was read up to an offset.
+struct config_proof {
+    std::uint32_t ageMs { 0 };
+    std::uint64_t configEnd { 0 };
+
+    auto operator<=>(const config_proof&) const = default;
+};
+
 /// \brief An entry's report to the coordinator.
 struct fleet_report {
     std::string entry;
     std::uint64_t number { 0 };
     /// Whether the platform's store is away from the gateway.
     bool isStoreAway { false };
+    /// Nothing was told on this connection yet: the answer tells everything.
+    bool wantsAll { false };
     std::vector<credit_request> credit;
     std::vector<upstream_work> work;
     std::vector<model_demand> demand;
@@ -79,6 +108,10 @@
     /// Offset behind the newest record of the lease, and the holder's name in it.
     std::uint64_t leaseEnd { 0 };
     std::string leaseHolder;
+    std::optional<config_proof> proof;
+    /// Whether `listed` is the whole list, or what changed in it since the last news.
+    bool isListWhole { false };
+    std::vector<listed_upstream> listed;
     std::uint32_t entries { 0 };
     std::vector<credit_answer> credit;
     /// Work of the other entries.
