Gateway: Judge the store's calls by silence, and read the newest after a failure

Now: a call is given up after its timeout without a byte; after a failure the newest record is read instead of all that were missed. A gateway is ready only once it knows how many share the limits, and makes room for a caller by closing the connection that was idle longest.

--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -72,8 +72,10 @@
 
 void fleet_share::onKnownGateways(unsigned count)
 {
-    if (m_isAlone && !m_purse.knowsEntries())
-        m_purse.setEntries(count);
+    if (!m_isAlone || m_purse.knowsEntries() || count == 0)
+        return;
+    m_purse.setEntries(count);
+    m_relay.onLimitsKnown();
 }
 
 void fleet_share::onHolder(const address& where)
@@ -243,6 +245,7 @@
     m_gateways = std::max(news.entries, 1U);
     m_purse.setEntries(news.entries);
     m_relay.onGateways(news.entries);
+    m_relay.onLimitsKnown();
     m_wantsAll = false;
     if (askedAt != monotonic_time {})
         takeList(news);
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -188,6 +188,8 @@
             }
             if (!answer || answer->status != 200) {
                 onLost("tail");
+                // Versions that were missed meanwhile are not worth their way: the newest is enough.
+                reading.next.reset();
                 again(reading, failurePause);
                 return;
             }
@@ -221,6 +223,7 @@
         }
         if (m_configVersion > 0) {
             m_provenAt = sentAt;
+            m_configEnd = std::max(m_configEnd, reading.next.value_or(0));
             m_hooks.onContact(sentAt);
         }
         return;
@@ -235,7 +238,7 @@
 
 void store_follower::onToldProof(std::uint64_t configEnd, monotonic_time provenAt)
 {
-    if (m_operator.next && m_configVersion > 0 && *m_operator.next >= configEnd) {
+    if (m_configVersion > 0 && m_configEnd >= configEnd) {
         m_hooks.onContact(provenAt);
         return;
     }
@@ -263,9 +266,9 @@
 
 std::optional<std::pair<std::uint64_t, monotonic_time>> store_follower::proof() const
 {
-    if (!m_provenAt || !m_operator.next)
+    if (!m_provenAt)
         return std::nullopt;
-    return std::pair(*m_operator.next, *m_provenAt);
+    return std::pair(m_configEnd, *m_provenAt);
 }
 
 void store_follower::tellUpstreams()
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -100,6 +100,8 @@
     timer m_leaseTimer;
     std::uint64_t m_configVersion { 0 };
     std::optional<monotonic_time> m_provenAt;
+    /// Offset up to which the configuration is known here, whether or not the next read goes on there.
+    std::uint64_t m_configEnd { 0 };
     std::uint64_t m_toldRevision { 0 };
     monotonic_time m_answeredAt {};
     bool m_isAway { false };
--- a/Source/Loop/http_caller.cpp
+++ b/Source/Loop/http_caller.cpp
@@ -17,6 +17,7 @@
     std::unique_ptr<tcp_stream> stream;
     std::unique_ptr<http_reader> reader;
     std::unique_ptr<timer> deadline;
+    milliseconds timeout { 0 };
     on_answer handler;
     http_answer answer;
     bool keepsAlive { true };
@@ -57,6 +58,7 @@
             const auto bytes = raw->stream->readable();
             const bool expected = raw->handler != nullptr;
             raw->stream->consume(raw->reader->feed(bytes));
+            raw->deadline->start(raw->timeout);
             if (!expected || raw->reader->failed() || (raw->answered && !raw->stream->readable().empty()))
                 finish(*raw, std::nullopt, false);
             else if (raw->answered)
@@ -80,6 +82,7 @@
     }
     target->answer = {};
     target->answered = false;
+    target->timeout = timeout;
     target->handler = std::move(handler);
     target->stream->write(request);
     target->deadline->start(timeout);
--- a/Source/Loop/http_caller.h
+++ b/Source/Loop/http_caller.h
@@ -31,7 +31,8 @@
     http_caller& operator=(const http_caller&) = delete;
 
     /// \param request the whole message, head and body
-    /// \param timeout from now until the whole answer is there
+    /// \param timeout time without a byte of the answer after which the call is given up; a large answer on a
+    /// thin link may take longer as a whole
     void call(std::string request, milliseconds timeout, on_answer handler);
 
     const address& peer() const { return m_peer; }
--- a/Source/Relay/caller_link.cpp
+++ b/Source/Relay/caller_link.cpp
@@ -171,6 +171,7 @@
         m_patience.start(closingTime);
         return;
     }
+    m_idleSince = monotonicNow();
     m_patience.start(m_owner.limits().idleTimeout);
     m_stream->pauseReading(false);
     m_owner.readAgain(shared_from_this());
--- a/Source/Relay/caller_link.h
+++ b/Source/Relay/caller_link.h
@@ -36,7 +36,8 @@
 
     /// No further request is taken; an idle connection closes.
     void drain();
-    bool isIdle() const { return !m_exchange && !m_reader->isInMessage(); }
+    bool isIdle() const { return !m_exchange && !m_reader->isInMessage() && !m_closesWhenWritten; }
+    monotonic_time idleSince() const { return m_idleSince; }
 
 private:
     void read();
@@ -56,6 +57,7 @@
     http_head m_head;
     std::string m_body;
     monotonic_time m_arrivedAt {};
+    monotonic_time m_idleSince { monotonicNow() };
     std::shared_ptr<exchange> m_exchange;
     bool m_keepsAlive { true };
     bool m_isHead { false };
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -63,8 +63,10 @@
 
 void relay::accept(evutil_socket_t socket)
 {
-    if (m_callers.size() >= m_options.maxCallers) {
+    if (m_callers.size() >= m_options.maxCallers && !closeIdleCaller()) {
         m_watch.metrics.add("sagesaddle_callers_turned_away", "Connections closed for want of descriptors");
+        m_watch.lines.write(
+            log_level::Warning, "caller_turned_away", { { "callers", m_callers.size() } }, monotonicNow());
         evutil_closesocket(socket);
         return;
     }
@@ -72,6 +74,20 @@
     m_callers.emplace(link.get(), link);
 }
 
+bool relay::closeIdleCaller()
+{
+    const auto oldest
+        = std::min_element(m_callers.begin(), m_callers.end(), [](const auto& left, const auto& right) {
+              return std::pair(!left.second->isIdle(), left.second->idleSince())
+                  < std::pair(!right.second->isIdle(), right.second->idleSince());
+          });
+    if (oldest == m_callers.end() || !oldest->second->isIdle())
+        return false;
+    const auto link = oldest->second;
+    link->drain();
+    return true;
+}
+
 void relay::forget(const caller_link& link)
 {
     const auto found = m_callers.find(&link);
@@ -207,7 +223,7 @@
 {
     if (m_draining || !m_table || !m_knowsUpstreams)
         return false;
-    return m_table->config().teams.empty() || mayUseKeys();
+    return m_table->config().teams.empty() || (m_knowsLimits && mayUseKeys());
 }
 
 void relay::drain()
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -89,6 +89,8 @@
     bool isClosedToRequests() const { return m_closedToRequests; }
     /// \return whether nothing runs and every answer left for its caller.
     bool isIdle() const;
+    /// The teams' limits can be kept: it is known how many gateways share them.
+    void onLimitsKnown() { m_knowsLimits = true; }
     /// \return whether callers should be sent here.
     bool isReady() const;
     /// Gateways that share the fleet's budget of second sends.
@@ -147,6 +149,8 @@
         const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
     relay_choice whenFull(const exchange& request, const engine_full& full);
     void placeWaiting();
+    /// Closes the connection that was idle longest, to make room.
+    bool closeIdleCaller();
     return_schedule& returnsOf(const exchange& request);
     std::string affinityKey(const exchange& request) const;
 
@@ -174,6 +178,7 @@
     bool m_draining { false };
     bool m_closedToRequests { false };
     bool m_knowsUpstreams { false };
+    bool m_knowsLimits { false };
 };
 
 } // namespace sagesaddle
--- /dev/null
+++ b/Tests/Gateway/gateway_process_tests.cpp
@@ -0,0 +1,248 @@
+#include "Gateway/platform_world.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+const std::string adapterFields = "Model: m1/a3\r\nToken-Counts: 100,20\r\n";
+const std::string modelFields = "Model: m1\r\nToken-Counts: 100,20\r\n";
+
+/// Two engines and a plain service, with gateways that are ready.
+void ready(platform_world& world, int gateways, int events = 5)
+{
+    world.streamEvents = events;
+    world.configure({ "key-1" });
+    world.addEngine({ "e1" }, { "m1", "m2" });
+    world.addEngine({ "e2" }, { "m1", "m3" });
+    world.addEngine({ "l1", "ledger" });
+    for (int gateway = 0; gateway < gateways; ++gateway)
+        world.addGateway();
+    for (const auto& gateway : world.gateways)
+        REQUIRE(world.waitReady(gateway));
+}
+
+void checkPromises(platform_world& world)
+{
+    for (const auto& attempt : world.attempts)
+        world.audit(attempt);
+    for (const auto& text : world.broken)
+        FAIL_CHECK(text);
+}
+
+} // namespace
+
+TEST_CASE("gateway: the whole path serves each kind of request, streams event by event")
+{
+    platform_world world;
+    ready(world, 2);
+    for (const auto& gateway : world.gateways) {
+        for (const char* path : { "/safe/", "/unsafe/" }) {
+            const auto& attempt = world.send(gateway, path);
+            REQUIRE(world.waitEnd(attempt));
+            CHECK(attempt.caller->status() == 200);
+        }
+        for (const char* path : { "/stream/", "/resume/" }) {
+            const auto& attempt = world.send(gateway, path, "key-1", modelFields);
+            REQUIRE(world.waitEnd(attempt));
+            CHECK(attempt.caller->status() == 200);
+            CHECK(platform_world::isWhole(attempt));
+        }
+    }
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: an adapter that no engine holds is loaded by the coordinator for any gateway's caller")
+{
+    platform_world world;
+    ready(world, 2);
+    for (const auto& gateway : world.gateways) {
+        const auto served = [&] {
+            const auto& attempt = world.send(gateway, "/resume/", "key-1", adapterFields);
+            return world.waitEnd(attempt) && attempt.caller->status() == 200;
+        };
+        CHECK(loopUntil(world.loop, served));
+    }
+    std::set<std::string> holders;
+    for (const auto& engine : world.engines) {
+        for (const auto& [holder, fence] : engine.holders)
+            holders.insert(holder);
+    }
+    CHECK(holders.size() == 1);
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: SIGTERM ends readiness at once, lets streams finish and ends the process")
+{
+    platform_world world;
+    ready(world, 1, 60);
+    auto& gateway = world.gateways.at(0);
+    const auto& stream = world.send(gateway, "/stream/", "key-1", modelFields);
+    REQUIRE(loopUntil(world.loop, [&] { return stream.caller->has("event 1 "); }));
+    gateway.process->terminate();
+    CHECK(loopUntil(world.loop, [&] { return world.readiness(gateway) == 503; }));
+    REQUIRE(world.waitEnd(stream));
+    CHECK(platform_world::isWhole(stream));
+    CHECK(loopUntil(world.loop, [&] { return !gateway.process->isRunning(); }));
+    CHECK(gateway.process->waitFor(milliseconds(0)) == 0);
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: after the coordinator is killed another gives orders, later than the lease and with a "
+          "higher fence")
+{
+    platform_world world;
+    ready(world, 2);
+    const auto holder = [&]() -> platform_world::gateway_process* {
+        for (auto& gateway : world.gateways) {
+            if (world.outputOf(gateway).find("duty_taken") != std::string::npos)
+                return &gateway;
+        }
+        return nullptr;
+    };
+    REQUIRE(loopUntil(world.loop, [&] { return holder() != nullptr; }));
+    auto& first = *holder();
+    auto& second = &first == &world.gateways.at(0) ? world.gateways.at(1) : world.gateways.at(0);
+    REQUIRE(loopUntil(world.loop, [&] { return !world.engines.at(0).holders.empty(); }));
+    first.process->kill();
+    // Adapters of a model that comes anew have to be loaded by the next one.
+    world.engines.at(0).held = { "m2", "m3" };
+    world.list(world.engines.at(0));
+    CHECK(loopUntil(
+        world.loop, [&] { return world.outputOf(second).find("duty_taken") != std::string::npos; }));
+    CHECK(loopUntil(world.loop, [&] {
+        world.send(second, "/resume/", "key-1", adapterFields);
+        loopFor(world.loop, milliseconds(200));
+        for (const auto& engine : world.engines) {
+            if (!engine.holders.empty() && engine.holders.back().first == second.name)
+                return true;
+        }
+        return false;
+    }));
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: a withdrawn key stops, and while the store is silent all keys stop within the bound")
+{
+    platform_world world;
+    ready(world, 1);
+    auto& gateway = world.gateways.at(0);
+    world.configure({ "key-2" });
+    const auto statusWith = [&](const std::string& key) {
+        const auto& attempt = world.send(gateway, "/safe/", key);
+        return world.waitEnd(attempt) ? attempt.caller->status() : 0;
+    };
+    CHECK(loopUntil(world.loop, [&] { return statusWith("key-1") == 401; }));
+    CHECK(statusWith("key-2") == 200);
+    gateway.storeLink.setMode(fault_proxy::behaviour::Silent);
+    const monotonic_time silentAt = monotonicNow();
+    CHECK(statusWith("key-2") == 200);
+    REQUIRE(loopUntil(world.loop, [&] { return statusWith("key-2") == 503; }));
+    CHECK(monotonicNow() - silentAt <= platform_world::revoke);
+    gateway.storeLink.setMode(fault_proxy::behaviour::Passing);
+    CHECK(loopUntil(world.loop, [&] { return statusWith("key-2") == 200; }));
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: a gateway whose own way to the store is cut serves on the coordinator's evidence")
+{
+    platform_world world;
+    ready(world, 2);
+    auto& coordinating = world.outputOf(world.gateways.at(0)).find("duty_taken") != std::string::npos
+        ? world.gateways.at(0)
+        : world.gateways.at(1);
+    auto& cut = &coordinating == &world.gateways.at(0) ? world.gateways.at(1) : world.gateways.at(0);
+    loopFor(world.loop, milliseconds(500));
+    cut.storeLink.setMode(fault_proxy::behaviour::Silent);
+    loopFor(world.loop, platform_world::revoke + milliseconds(500));
+    const auto& served = world.send(cut, "/safe/");
+    REQUIRE(world.waitEnd(served));
+    CHECK(served.caller->status() == 200);
+    // A newer configuration cannot be read there, so its evidence ends.
+    world.configure({ "key-2" });
+    loopFor(world.loop, platform_world::revoke);
+    const auto& refused = world.send(cut, "/safe/", "key-1");
+    REQUIRE(world.waitEnd(refused));
+    CHECK(refused.caller->status() == 503);
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: a hot team keeps to its limit over all gateways, whichever it reaches")
+{
+    platform_world world;
+    ready(world, 2);
+    constexpr double rate = 400;
+    world.configure({ "key-1" }, rate);
+    loopFor(world.loop, milliseconds(500));
+    const monotonic_time begin = monotonicNow();
+    int refused = 0;
+    // Ten tokens each, three times the rate.
+    for (int round = 0; round < 40; ++round) {
+        for (int call = 0; call < 6; ++call)
+            world.send(world.gateways.at(static_cast<std::size_t>(call % 2)), "/safe/");
+        loopFor(world.loop, milliseconds(50));
+    }
+    for (const auto& attempt : world.attempts) {
+        if (attempt.path != "/safe/")
+            continue;
+        REQUIRE(world.waitEnd(attempt));
+        refused += attempt.caller->status() == 429 ? 1 : 0;
+    }
+    const double elapsed = secondsBetween(begin, monotonicNow());
+    double tokens = 0;
+    for (const auto& [at, team, amount] : world.engines.at(2).spent)
+        tokens += at >= begin ? amount : 0;
+    CHECK(tokens <= (rate * elapsed + rate) * 1.1);
+    CHECK(refused > 0);
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: bad settings at SIGHUP leave the process as it is and are told")
+{
+    platform_world world;
+    ready(world, 1);
+    auto& gateway = world.gateways.at(0);
+    testing::writeFile(gateway.settings, "[process]\nname = 7\n");
+    ::kill(gateway.process->pid(), SIGHUP);
+    CHECK(loopUntil(
+        world.loop, [&] { return world.outputOf(gateway).find("reload_failed") != std::string::npos; }));
+    const auto& attempt = world.send(gateway, "/safe/");
+    REQUIRE(world.waitEnd(attempt));
+    CHECK(attempt.caller->status() == 200);
+}
+
+TEST_CASE("gateway: unreadable records of the store are left out and told, the others hold")
+{
+    platform_world world;
+    ready(world, 1);
+    auto& gateway = world.gateways.at(0);
+    world.store.put("keyed.servers", "odd", "{nonsense");
+    world.store.put("keyed.op", "config", R"({"version":"x"})");
+    CHECK(loopUntil(world.loop, [&] {
+        const std::string output = world.outputOf(gateway);
+        return output.find("upstream_unreadable") != std::string::npos
+            && output.find("config_unreadable") != std::string::npos;
+    }));
+    const auto& attempt = world.send(gateway, "/safe/");
+    REQUIRE(world.waitEnd(attempt));
+    CHECK(attempt.caller->status() == 200);
+    checkPromises(world);
+}
+
+TEST_CASE("gateway: history that the store drops loses neither configuration nor upstreams")
+{
+    platform_world world;
+    ready(world, 2);
+    world.store.compact();
+    world.configure({ "key-2" });
+    world.store.compact();
+    for (const auto& gateway : world.gateways) {
+        CHECK(loopUntil(world.loop, [&] {
+            const auto& attempt = world.send(gateway, "/safe/", "key-2");
+            return world.waitEnd(attempt) && attempt.caller->status() == 200;
+        }));
+    }
+    checkPromises(world);
+}
--- /dev/null
+++ b/Tests/Gateway/platform_world.cpp
@@ -0,0 +1,192 @@
+#include "Gateway/platform_world.h"
+
+#include "Support/free_port.h"
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace sagesaddle {
+
+namespace {
+
+nlohmann::json routeOf(
+    const std::string& prefix, const std::string& type, const std::string& service, bool isResumable)
+{
+    return { { "name", prefix }, { "hostname", "h" }, { "path-prefix", prefix }, { "route-type", type },
+        { "timeout-ms", 8000 }, { "target-latency-ms", 2000 }, { "priority", 1 }, { "service", service },
+        { "max-attempts", isResumable || type == "safe" ? 2 : 1 }, { "resumable", isResumable } };
+}
+
+} // namespace
+
+platform_world::gateway_process::gateway_process(event_loop& loop, const address& store)
+    : callers(testing::freeAddress())
+    , readiness(testing::freeAddress())
+    , peers(testing::freeAddress())
+    , storeLink(loop, store)
+{
+}
+
+platform_world::platform_world(unsigned seed)
+    : store(loop, seed)
+{
+    // As in the programs: a peer that is gone shows as an error of the write.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+platform_world::~platform_world() = default;
+
+platform_world::gateway_process& platform_world::addGateway()
+{
+    gateways.emplace_back(loop, store.where());
+    auto& made = gateways.back();
+    made.name = "g" + std::to_string(gateways.size());
+    made.settings = m_folder.path() / (made.name + ".toml");
+    made.output = m_folder.path() / (made.name + ".log");
+    testing::writeFile(made.settings,
+        "[process]\nname = \"" + made.name + "\"\nzone = \"z\"\n[listen]\ncallers = \""
+            + formatAddress(made.callers) + "\"\nreadiness = \"" + formatAddress(made.readiness)
+            + "\"\npeers = \"" + formatAddress(made.peers) + "\"\n[store]\naddress = \""
+            + formatAddress(made.storeLink.where()) + "\"\n[bounds]\ngrace_s = "
+            + std::to_string(static_cast<double>(grace.count()) / 1000) + "\nrevoke_ms = "
+            + std::to_string(revoke.count()) + "\nlease_ms = " + std::to_string(lease.count()) + "\n");
+    start(made);
+    return made;
+}
+
+void platform_world::start(gateway_process& which)
+{
+    which.process = std::make_unique<testing::child_process>(
+        std::vector<std::string> {
+            SAGESADDLE_BIN "/sagesaddle-gateway", "--config=" + which.settings.string() },
+        which.output);
+}
+
+engine_stand_in& platform_world::addEngine(engine_stand_in::settings value, std::set<std::string> held)
+{
+    value.lease = lease;
+    value.events = streamEvents;
+    engines.emplace_back(loop, std::move(value), broken);
+    engines.back().held = std::move(held);
+    list(engines.back());
+    return engines.back();
+}
+
+void platform_world::list(const engine_stand_in& engine)
+{
+    store.put("keyed.servers", engine.id(), engine.listing());
+}
+
+void platform_world::configure(const std::vector<std::string>& keysOfAtelier, double rate)
+{
+    nlohmann::json models = nlohmann::json::array();
+    for (const char* name : { "m1", "m2", "m3" })
+        models.push_back({ { "name", name }, { "weights-mb", 100 }, { "load-time-s", 0.3 }, { "adapters", 3 },
+            { "adapter-mb", 1 } });
+    const nlohmann::json engine { { "slots", 8 }, { "kv-capacity", 100000 }, { "weights-mb", 206 },
+        { "adapter-slots", 2 }, { "loads-per-s", 5 }, { "models", models } };
+    const nlohmann::json config { { "version", m_version += 3 },
+        { "routes",
+            { routeOf("/safe/", "safe", "ledger", false), routeOf("/unsafe/", "unsafe", "ledger", false),
+                routeOf("/stream/", "streaming", "desk", false),
+                routeOf("/resume/", "streaming", "desk", true) } },
+        { "services", { { { "name", "desk" }, { "engine", engine } }, { { "name", "ledger" } } } },
+        { "tenants",
+            { { { "name", "atelier" }, { "api-keys", keysOfAtelier }, { "unit", "tokens" },
+                  { "plain-tokens", 10 }, { "rate-per-s", rate }, { "burst", rate } },
+                { { "name", "dealers" }, { "api-keys", { "key-9" } } } } } };
+    store.put("keyed.op", "config", config.dump());
+}
+
+platform_world::attempt& platform_world::send(
+    const gateway_process& to, const std::string& path, const std::string& key, const std::string& fields)
+{
+    attempts.emplace_back();
+    auto& made = attempts.back();
+    made.id = "r" + std::to_string(++m_nextId);
+    made.path = path;
+    made.key = key;
+    made.sentAt = monotonicNow();
+    made.caller = std::make_unique<scripted_caller>(loop, to.callers.port);
+    made.caller->send("POST " + path + made.id + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + made.id
+        + "\r\nKey: " + key + "\r\nConnection: close\r\nDeadline-Ms: 6000\r\n" + fields
+        + "Content-Length: 4\r\n\r\nbody");
+    return made;
+}
+
+int platform_world::readiness(const gateway_process& of)
+{
+    scripted_caller caller(loop, of.readiness.port);
+    caller.send("GET /sagesaddle/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    loopUntil(loop, [&] { return caller.status() != 0 || caller.isClosed(); });
+    return caller.status();
+}
+
+bool platform_world::waitReady(const gateway_process& of)
+{
+    return loopUntil(loop, [&] { return readiness(of) == 200; });
+}
+
+bool platform_world::isWhole(const attempt& of)
+{
+    const std::string& text = of.caller->text();
+    const std::size_t head = text.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return false;
+    const std::size_t length = text.find("Content-Length: ");
+    if (length != std::string::npos && length < head)
+        return text.size() - head - 4 >= std::stoul(text.substr(length + 16));
+    return text.ends_with(lastChunk);
+}
+
+bool platform_world::waitEnd(const attempt& of)
+{
+    return loopUntil(loop, [&] { return isWhole(of) || of.caller->isClosed(); });
+}
+
+int platform_world::runsOf(const std::string& id) const
+{
+    int runs = 0;
+    for (const auto& engine : engines) {
+        const auto found = engine.runs.find(id);
+        runs += found == engine.runs.end() ? 0 : found->second;
+    }
+    return runs;
+}
+
+void platform_world::audit(const attempt& of)
+{
+    const int status = of.caller->status();
+    const int runs = runsOf(of.id);
+    const bool isOnce = of.path == "/unsafe/" || of.path == "/stream/";
+    if (isOnce && runs > 1)
+        broken.push_back(of.id + " of " + of.path + " ran " + std::to_string(runs) + " times");
+    if (of.caller->has("\"not_run\"") && runs > 0)
+        broken.push_back(of.id + " was told not to have run, and ran");
+    if (status != 200 || !isWhole(of))
+        return;
+    if (of.path == "/safe/" || of.path == "/unsafe/") {
+        if (!of.caller->has("answer to " + of.id))
+            broken.push_back(of.id + " got another answer");
+        return;
+    }
+    std::size_t at = 0;
+    for (int event = 1; event <= streamEvents; ++event) {
+        at = of.caller->text().find(eventData(of.id, event), at);
+        if (at == std::string::npos) {
+            broken.push_back(
+                of.id + " lacks event " + std::to_string(event) + " in order, and looks complete");
+            return;
+        }
+    }
+    if (of.caller->text().find(eventData(of.id, 1), at) != std::string::npos)
+        broken.push_back(of.id + " got an event twice");
+}
+
+std::string platform_world::outputOf(const gateway_process& of) const
+{
+    return testing::readFile(of.output);
+}
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Tests/Gateway/store_stand_in.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Loop/timer.h"
+#include "Support/scripted_http.h"
+
+#include <map>
+#include <random>
+
+namespace sagesaddle {
+
+/// \brief A small stand-in for the platform's store: keyed topics of one partition, with faults.
+class store_stand_in {
+public:
+    enum class behaviour {
+        Sound,
+        /// Takes calls and answers nothing.
+        Silent,
+        /// Declines with 503.
+        Busy,
+        /// Closes each connection.
+        Resetting,
+    };
+
+    store_stand_in(event_loop& loop, unsigned seed);
+
+    address where() const { return m_server.entry().where; }
+    /// Writes a record as the operator or an upstream does.
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Drops a key.
+    void drop(const std::string& topic, const std::string& key) { put(topic, key, ""); }
+    /// Forgets all records but the newest of each key.
+    void compact();
+
+    behaviour mode { behaviour::Sound };
+    milliseconds delay { 0 };
+    /// Share of the appends that are carried out and not answered.
+    double lostAnswers { 0 };
+    int calls { 0 };
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    struct topic_log {
+        std::uint64_t first { 0 };
+        std::deque<record> records;
+        std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+        std::uint64_t end() const { return first + records.size(); }
+    };
+    struct waiting_read {
+        tcp_stream* stream;
+        std::string topic;
+        std::uint64_t from;
+        monotonic_time until;
+    };
+
+    void onCall(const scripted_upstream::request& call);
+    void answer(tcp_stream* stream, int status, const std::string& body);
+    void answerTail(tcp_stream* stream, const topic_log& log, std::uint64_t from);
+    void onAppend(const scripted_upstream::request& call, const std::string& topic);
+    void look();
+
+    event_loop& m_loop;
+    std::map<std::string, topic_log> m_topics;
+    std::vector<waiting_read> m_waiting;
+    std::deque<std::tuple<monotonic_time, tcp_stream*, std::string>> m_delayed;
+    std::minstd_rand m_random;
+    timer m_timer;
+    scripted_upstream m_server;
+};
+
+} // namespace sagesaddle
--- a/Tests/Loop/http_caller_tests.cpp
+++ b/Tests/Loop/http_caller_tests.cpp
@@ -73,6 +73,26 @@
     CHECK(server.accepted == 2);
 }
 
+TEST_CASE("http caller: a large answer on a thin link may take longer than the timeout as a whole")
+{
+    event_loop loop;
+    raw_server server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+    http_caller caller(loop, server.where());
+    std::optional<http_answer> got;
+    bool ended = false;
+    caller.call(request, milliseconds(400), [&](std::optional<http_answer> answer) {
+        ended = true;
+        got = std::move(answer);
+    });
+    for (int part = 0; part < 8 && !ended; ++part) {
+        loopFor(loop, milliseconds(100));
+        server.streams.at(0)->write("x");
+    }
+    REQUIRE(loopUntil(loop, [&] { return ended; }));
+    REQUIRE(got.has_value());
+    CHECK(got->body == "xxxxxxxx");
+}
+
 TEST_CASE("http caller: a second answer on the connection is nobody's")
 {
     event_loop loop;
--- a/Tests/Relay/relay_answer_tests.cpp
+++ b/Tests/Relay/relay_answer_tests.cpp
@@ -124,18 +124,18 @@
     for (const bool isSigned : { true, false }) {
         relay_world world;
         auto& upstream = world.addUpstream("u1");
-        upstream.onRequest = [&upstream, isSigned](const request& asked) {
-            std::string text = scripted_upstream::answer(asked, 200, "whole body", isSigned);
-            if (isSigned)
-                text.resize(text.size() - 3);
-            asked.stream->write(text);
-            if (isSigned)
-                loopFor(upstream.loop(), milliseconds(50));
-            if (isSigned)
-                upstream.cut(asked.stream);
-        };
         auto& caller = world.addCaller();
         caller.request("POST", "/unsafe/a", "", "deposit");
+        REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == 1; }));
+        const auto& asked = upstream.requests.at(0);
+        std::string text = scripted_upstream::answer(asked, 200, "whole body", isSigned);
+        if (isSigned)
+            text.resize(text.size() - 3);
+        asked.stream->write(text);
+        if (isSigned) {
+            REQUIRE(loopUntil(world.loop, [&] { return asked.stream->unwritten() == 0; }));
+            upstream.cut(asked.stream);
+        }
         REQUIRE(world.ended(caller));
         CHECK(caller.status() == 502);
         CHECK_FALSE(caller.has("whole"));
--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -52,6 +52,22 @@
     CHECK(caller.has("not_run"));
 }
 
+TEST_CASE("relay: with as many callers as there is room for, the longest idle connection makes way")
+{
+    relay_world world;
+    for (int caller = 0; caller < 100; ++caller) {
+        auto& added = world.addCaller();
+        added.request("GET", "/none/");
+        REQUIRE(world.ended(added));
+    }
+    auto& next = world.addCaller();
+    next.request("GET", "/none/");
+    REQUIRE(world.ended(next));
+    CHECK(next.status() == 404);
+    CHECK(loopUntil(world.loop, [&] { return world.callers.at(0).isClosed(); }));
+    CHECK_FALSE(world.callers.at(1).isClosed());
+}
+
 TEST_CASE("relay: a key that was withdrawn stops on an open connection, and while its request waits")
 {
     relay_world world;
