Relay: Notice an upstream that falls silent, and move what may run again

Now: an engine that sends nothing for 1 s while it has requests, or a plain service for 0.45 s, gets nothing new while another can take it, and one request at a time otherwise; what may run again goes elsewhere within the budget.

--- a/Source/Loop/http_caller.cpp
+++ b/Source/Loop/http_caller.cpp
@@ -45,7 +45,7 @@
 {
     connection* const raw = target.get();
     target->reader = std::make_unique<http_reader>(http_reader::message::Answers, maxAnswerHeadBytes,
-        http_reader::handlers { [raw](http_head head) {
+        http_reader::handlers { [raw](const http_head& head) {
                                    raw->answer.status = head.status;
                                    raw->keepsAlive = head.keepsAlive;
                                },
@@ -71,7 +71,7 @@
         } });
 }
 
-void http_caller::call(std::string request, milliseconds timeout, on_answer handler)
+void http_caller::call(std::string_view request, milliseconds timeout, on_answer handler)
 {
     m_ended.clear();
     auto target = takeIdle();
--- a/Source/Loop/http_caller.h
+++ b/Source/Loop/http_caller.h
@@ -33,7 +33,7 @@
     /// \param request the whole message, head and body
     /// \param timeout time without a byte of the answer after which the call is given up; a large answer on a
     /// thin link may take longer as a whole
-    void call(std::string request, milliseconds timeout, on_answer handler);
+    void call(std::string_view request, milliseconds timeout, on_answer handler);
 
     const address& peer() const { return m_peer; }
 
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -247,6 +247,7 @@
         }
         std::sort(lacking.begin(), lacking.end());
         std::vector<const model_config*> models;
+        models.reserve(lacking.size());
         for (const auto& [weight, model] : lacking)
             models.push_back(model);
         return models;
--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -192,6 +192,7 @@
     target->inFlight += 1;
     target->tokensAhead += m_aheadTokens;
     target->memoryTokens += m_memoryTokens;
+    target->requests.insert(this);
     m_counted = true;
     m_sentAt = monotonicNow();
     m_answerBegun = false;
@@ -247,7 +248,6 @@
         return;
     m_firstByteCame = true;
     const monotonic_time now = monotonicNow();
-    m_upstream->lastSign = now;
     m_upstream->failures = 0;
     m_upstream->suspectUntil = {};
     m_upstream->tokensAhead -= m_aheadTokens;
@@ -258,6 +258,7 @@
 
 void exchange::onHead(http_head head)
 {
+    m_owner.noteSign(*m_upstream);
     const answer_terms terms = platform::readAnswer(head);
     const bool declines = terms.isNotRun || head.status == misdirected;
     const bool isOurs = terms.requestId == m_request.id || (terms.requestId.empty() && declines);
@@ -289,6 +290,7 @@
 {
     if (m_isForeignAnswer)
         return;
+    m_owner.noteSign(*m_upstream);
     const bool isSound = isSuccess(m_answer.status) && platform::readAnswer(m_answer).isSigned;
     if (m_delivering) {
         if (!isSound)
@@ -392,6 +394,18 @@
     retryOr(relay_reason::UpstreamBroke);
 }
 
+void exchange::onUpstreamSilent()
+{
+    const bool canGoOn = !m_delivering || !m_events.lastEventId().empty();
+    if (m_over || !m_link || !m_mayHaveRun || !m_route->isIdempotent() || !canGoOn || !mayRetry()
+        || !m_owner.tryRetry(m_service))
+        return;
+    const auto self = shared_from_this();
+    leaveUpstream(false);
+    m_events.dropPartial();
+    place();
+}
+
 void exchange::onConnectTimeout()
 {
     onBroken();
@@ -420,6 +434,7 @@
     m_connecting.stop();
     if (m_counted) {
         m_upstream->inFlight -= 1;
+        m_upstream->requests.erase(this);
         m_upstream->tokensAhead -= m_aheadTokens;
         m_upstream->memoryTokens -= m_memoryTokens;
         m_aheadTokens = 0;
@@ -441,8 +456,6 @@
     if (m_over)
         return;
     const auto self = shared_from_this();
-    if (m_upstream && m_mayHaveRun && !m_firstByteCame)
-        m_owner.noteSilence(*m_upstream, secondsBetween(m_sentAt, monotonicNow()));
     refuse(m_mayHaveRun ? relay_reason::NoAnswerInTime : relay_reason::NotSentInTime);
 }
 
--- a/Source/Relay/exchange.h
+++ b/Source/Relay/exchange.h
@@ -34,6 +34,10 @@
     /// The caller does not read, or reads again.
     void holdBack(bool isHeld);
 
+    /// Its upstream fell silent: what may run again goes elsewhere.
+    void onUpstreamSilent();
+    monotonic_time sentAt() const { return m_sentAt; }
+
     /// Credit of its team came or was denied.
     void onCredit(bool isGranted, std::optional<milliseconds> retryAfter);
 
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-// Silence of an upstream with work at hand before it is avoided; above the longest pause of a loaded engine.
-constexpr double suspectSilenceSeconds = 1.2;
+// Silence of an upstream with requests after which it is avoided: above the longest pause of a loaded engine,
+// and above the usual time of a call of a plain service.
+constexpr milliseconds engineSilence { 1000 };
+constexpr milliseconds serviceSilence { 450 };
+constexpr milliseconds silencePause { 100 };
 // First span for which a failed upstream is avoided; it doubles with each failure in a row.
 constexpr milliseconds firstSuspicion { 250 };
 constexpr int mostDoublings = 4;
@@ -55,8 +58,14 @@
                   link->readPending();
           })
     , m_placeTimer(loop, [this] { placeWaiting(); })
+    , m_silenceTimer(loop,
+          [this] {
+              m_silenceTimer.start(silencePause);
+              lookForSilence();
+          })
     , m_random(std::random_device {}())
 {
+    m_silenceTimer.start(silencePause);
 }
 
 relay::~relay() = default;
@@ -268,6 +277,12 @@
             && upstream->holds(request.request().model, request.request().adapter))
             found.push_back(upstream);
     }
+    // A silent one gets a request only to see whether it answers again, and only where no other can take it.
+    const bool anyHeard = std::any_of(
+        found.begin(), found.end(), [](const upstream_state_ptr& upstream) { return !upstream->isSilent; });
+    std::erase_if(found, [&](const upstream_state_ptr& upstream) {
+        return upstream->isSilent && (anyHeard || upstream->inFlight > 0);
+    });
     return found;
 }
 
@@ -502,10 +517,43 @@
         now);
 }
 
-void relay::noteSilence(upstream_state& upstream, double silentSeconds)
+void relay::noteSign(upstream_state& upstream)
+{
+    upstream.lastSign = monotonicNow();
+    if (!upstream.isSilent)
+        return;
+    upstream.isSilent = false;
+    m_watch.lines.write(
+        log_level::Info, "upstream_heard", { { "upstream", upstream.entry.id } }, upstream.lastSign);
+}
+
+void relay::lookForSilence()
 {
-    if (silentSeconds >= suspectSilenceSeconds)
-        noteFailure(upstream, true);
+    const monotonic_time now = monotonicNow();
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (upstream->requests.empty())
+            continue;
+        monotonic_time oldest = now;
+        for (const auto* request : upstream->requests)
+            oldest = std::min(oldest, request->sentAt());
+        const service_config* service = m_table ? m_table->findService(upstream->entry.service) : nullptr;
+        const milliseconds limit = service != nullptr && service->engine ? engineSilence : serviceSilence;
+        if (now - std::max(oldest, upstream->lastSign) < limit)
+            continue;
+        if (!upstream->isSilent)
+            m_watch.lines.write(log_level::Warning, "upstream_silent",
+                { { "upstream", id }, { "requests", upstream->requests.size() },
+                    { "seconds", secondsBetween(std::max(oldest, upstream->lastSign), now) } },
+                now);
+        upstream->isSilent = true;
+        // Moving a request changes the set.
+        std::vector<exchange_ptr> requests;
+        requests.reserve(upstream->requests.size());
+        for (auto* request : upstream->requests)
+            requests.push_back(request->shared_from_this());
+        for (const auto& request : requests)
+            request->onUpstreamSilent();
+    }
 }
 
 void relay::noteRefusal(const exchange& request, relay_reason reason)
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -129,7 +129,8 @@
         const exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
     void noteForeignAnswer(const exchange& request, const upstream_state& upstream);
     void noteFailure(upstream_state& upstream, bool beforeFirstByte);
-    void noteSilence(upstream_state& upstream, double silentSeconds);
+    /// A byte of an answer came from it.
+    void noteSign(upstream_state& upstream);
     void noteRefusal(const exchange& request, relay_reason reason);
     void noteEnd(const exchange& request, std::string_view outcome, int status, int sends,
         const upstream_state* upstream);
@@ -149,6 +150,8 @@
         const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
     relay_choice whenFull(const exchange& request, const engine_full& full);
     void placeWaiting();
+    /// Looks for upstreams that have requests and send nothing.
+    void lookForSilence();
     /// Closes the connection that was idle longest, to make room.
     bool closeIdleCaller();
     return_schedule& returnsOf(const exchange& request);
@@ -173,6 +176,7 @@
     std::unordered_map<std::string, std::string> m_affinity;
     timer m_readTimer;
     timer m_placeTimer;
+    timer m_silenceTimer;
     std::minstd_rand m_random;
     std::size_t m_running { 0 };
     bool m_draining { false };
--- a/Source/Relay/upstream_link.cpp
+++ b/Source/Relay/upstream_link.cpp
@@ -153,7 +153,7 @@
 {
     const monotonic_time now = monotonicNow();
     while (!fresh && !m_idle.empty()) {
-        const auto link = m_idle.back();
+        auto link = m_idle.back();
         m_idle.pop_back();
         if (now - link->idleSince() < link->idleLimit())
             return link;
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -6,9 +6,12 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace sagesaddle {
 
+class exchange;
+
 /// \brief Load that other entries put on an upstream, as last heard.
 struct foreign_load {
     int inFlight { 0 };
@@ -39,8 +42,11 @@
     monotonic_time suspectUntil {};
     /// Failures in a row, which lengthen the suspicion.
     int failures { 0 };
-    /// Since when requests are at it and no byte came.
+    /// When the last byte of any answer came.
     monotonic_time lastSign {};
+    /// Sent nothing for too long while it had requests; it is tried with one request at a time.
+    bool isSilent { false };
+    std::unordered_set<exchange*> requests;
     bool isGone { false };
 
     bool holds(const std::string& model, const std::string& adapter) const
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -1,7 +1,7 @@
 #include "Wire/fleet_messages.h"
 
 #include "Base/overloaded.h"
-#include "Wire/fleet_generated.h"
+#include "Wire/frame_tables.h"
 
 #include <stdexcept>
 
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -9,7 +9,7 @@
 
 constexpr monotonic_time start { seconds(500) };
 
-upstream_list listOf(std::vector<std::string> ids, std::uint64_t offset)
+upstream_list listOf(const std::vector<std::string>& ids, std::uint64_t offset)
 {
     upstream_list list(seconds(2));
     for (const auto& id : ids) {
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -104,6 +104,49 @@
     CHECK(broken.requests.size() <= 2);
 }
 
+TEST_CASE("relay: an upstream that falls silent loses what may run again to another, and gets nothing new")
+{
+    relay_world world;
+    auto& silent = world.addUpstream("u1");
+    auto& caller = world.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return silent.requests.size() == 1; }));
+    auto& once = world.addCaller();
+    once.request("POST", "/unsafe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return silent.requests.size() == 2; }));
+    auto& sound = world.addUpstream("u2");
+    answerAll(sound);
+    REQUIRE(world.ended(caller));
+    CHECK(caller.status() == 200);
+    CHECK(once.status() == 0);
+    for (int call = 0; call < 10; ++call) {
+        auto& next = world.addCaller();
+        next.request("GET", "/safe/b");
+        REQUIRE(world.ended(next));
+    }
+    CHECK(silent.requests.size() == 2);
+    // Its late answer to the call that runs once is delivered, and it is used again.
+    silent.requests.at(1).stream->write(scripted_upstream::answer(silent.requests.at(1), 200, "booked"));
+    REQUIRE(world.ended(once));
+    CHECK(once.has("booked"));
+    CHECK_FALSE(world.tested.upstreams().at("u1")->isSilent);
+}
+
+TEST_CASE("relay: a silent upstream that no other can stand in for is tried with one request at a time")
+{
+    relay_world world;
+    auto& silent = world.addUpstream("u1");
+    auto& first = world.addCaller();
+    first.request("POST", "/unsafe/a");
+    REQUIRE(loopUntil(world.loop, [&] { return world.tested.upstreams().at("u1")->isSilent; }));
+    auto& second = world.addCaller();
+    second.request("POST", "/unsafe/b");
+    REQUIRE(world.ended(second));
+    CHECK(second.status() == 503);
+    CHECK(second.has("not_run"));
+    CHECK(silent.requests.size() == 1);
+}
+
 TEST_CASE("relay: second sends keep to their budget")
 {
     relay_world world;
