Relay: Watch plain services only for silence, and try a silent one by a connection

An engine that reads long prompts is silent as well, and one that was silent once was never tried again. Now: engines are not watched (their entry lapses where they are gone), decliners are not avoided, and a plain service's upstream that fell silent is used again once it accepts a connection.

--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -333,8 +333,6 @@
     if (declines) {
         if (status == misdirected)
             m_owner.onMisdirected(m_upstream);
-        else
-            m_owner.noteFailure(*m_upstream, true);
         leaveUpstream(true);
         if (status >= 400 && status < firstServerError && status != misdirected && status != 429) {
             refuse(relay_reason::BadRequest);
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-// Silence of an upstream with requests after which it is avoided: above the longest pause of a loaded engine,
-// and above the usual time of a call of a plain service.
-constexpr milliseconds engineSilence { 1000 };
+// Silence of a plain service's upstream with requests after which it is avoided: above the usual time of a
+// call.
 constexpr milliseconds serviceSilence { 450 };
 constexpr milliseconds silencePause { 100 };
+// Pause between tries whether a silent upstream accepts connections again.
+constexpr milliseconds probePause { 500 };
 // First span for which a failed upstream is avoided; it doubles with each failure in a row.
 constexpr milliseconds firstSuspicion { 250 };
 constexpr int mostDoublings = 4;
@@ -527,24 +528,47 @@
         log_level::Info, "upstream_heard", { { "upstream", upstream.entry.id } }, upstream.lastSign);
 }
 
+void relay::probe(const upstream_state_ptr& upstream, monotonic_time now)
+{
+    if (now - upstream->probedAt < probePause)
+        return;
+    if (upstream->probe)
+        upstream->probe->close();
+    upstream->probedAt = now;
+    upstream->probe = upstream->pool.take(true);
+    const std::weak_ptr<upstream_state> probed = upstream;
+    upstream->probe->use({ [this, probed] {
+                              if (const auto alive = probed.lock()) {
+                                  const auto link = std::exchange(alive->probe, nullptr);
+                                  noteSign(*alive);
+                                  alive->pool.giveBack(link);
+                              }
+                          },
+        {}, {}, {}, {} });
+}
+
 void relay::lookForSilence()
 {
     const monotonic_time now = monotonicNow();
     for (const auto& [id, upstream] : m_upstreams) {
-        if (upstream->requests.empty())
+        if (upstream->isSilent)
+            probe(upstream, now);
+        // An engine that reads long prompts is silent too; its list entry lapses where it is gone.
+        const service_config* service = m_table ? m_table->findService(upstream->entry.service) : nullptr;
+        if (upstream->requests.empty() || (service != nullptr && service->engine))
             continue;
         monotonic_time oldest = now;
         for (const auto* request : upstream->requests)
             oldest = std::min(oldest, request->sentAt());
-        const service_config* service = m_table ? m_table->findService(upstream->entry.service) : nullptr;
-        const milliseconds limit = service != nullptr && service->engine ? engineSilence : serviceSilence;
-        if (now - std::max(oldest, upstream->lastSign) < limit)
+        if (now - std::max(oldest, upstream->lastSign) < serviceSilence)
             continue;
         if (!upstream->isSilent)
             m_watch.lines.write(log_level::Warning, "upstream_silent",
                 { { "upstream", id }, { "requests", upstream->requests.size() },
                     { "seconds", secondsBetween(std::max(oldest, upstream->lastSign), now) } },
                 now);
+        if (!upstream->isSilent)
+            upstream->probedAt = now;
         upstream->isSilent = true;
         // Moving a request changes the set.
         std::vector<exchange_ptr> requests;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -152,6 +152,8 @@
     void placeWaiting();
     /// Looks for upstreams that have requests and send nothing.
     void lookForSilence();
+    /// Tries now and then whether a silent upstream accepts connections again.
+    void probe(const upstream_state_ptr& upstream, monotonic_time now);
     /// Closes the connection that was idle longest, to make room.
     bool closeIdleCaller();
     return_schedule& returnsOf(const exchange& request);
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -46,6 +46,9 @@
     monotonic_time lastSign {};
     /// Sent nothing for too long while it had requests; it is tried with one request at a time.
     bool isSilent { false };
+    /// A connection that is tried, to see whether a silent one is back; and when the last one was.
+    upstream_link_ptr probe;
+    monotonic_time probedAt {};
     std::unordered_set<exchange*> requests;
     bool isGone { false };
 
