--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -180,9 +180,7 @@
 void exchange::send(const upstream_state_ptr& target, double forecast)
 {
     m_upstream = target;
-    const bool mustNotCross = !m_route->isIdempotent();
     m_link = target->pool.take(false);
-    (void)mustNotCross;
     const double prompt = m_request.promptTokens.value_or(0);
     m_aheadTokens = prompt;
     m_memoryTokens = prompt
--- a/Tests/Platform/settings_template_tests.cpp
+++ b/Tests/Platform/settings_template_tests.cpp
@@ -6,13 +6,44 @@
 #include <doctest/doctest.h>
 #include <fstream>
 #include <map>
-#include <regex>
 #include <sstream>
 
 using namespace sagesaddle;
 
 namespace {
 
+using template_values = std::map<std::string, std::string>;
+
+/// \return what stands between the marks that begin at a position, and where the end mark ends.
+std::pair<std::string, std::size_t> between(const std::string& text, std::size_t from, const std::string& end)
+{
+    const std::size_t at = text.find(end, from);
+    REQUIRE(at != std::string::npos);
+    return { text.substr(from, at - from), at + end.size() };
+}
+
+/// Keeps the sections that have a value.
+std::string withSections(std::string text, const template_values& values)
+{
+    for (std::size_t at = 0; (at = text.find("{{#")) != std::string::npos;) {
+        const auto [name, contentFrom] = between(text, at + 3, "}}");
+        const auto [content, end] = between(text, contentFrom, "{{/" + name + "}}");
+        text.replace(at, end - at, values.contains(name) ? content : "");
+    }
+    return text;
+}
+
+/// Puts values in place of their names; nothing where there is none.
+std::string withValues(std::string text, const template_values& values)
+{
+    for (std::size_t at = 0; (at = text.find("{{")) != std::string::npos;) {
+        const auto [name, end] = between(text, at + 2, "}}");
+        const auto found = values.find(name);
+        text.replace(at, end - at, found == values.end() ? "" : found->second);
+    }
+    return text;
+}
+
 /// Fills the template as the platform does: sections once where there is a value, and values in place.
 std::string filled(const std::map<std::string, std::string>& values)
 {
@@ -20,16 +51,7 @@
     std::stringstream read;
     read << file.rdbuf();
     std::string text = read.str();
-    const std::regex section(R"(\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/\1\}\})");
-    for (std::smatch match; std::regex_search(text, match, section);)
-        text
-            = match.prefix().str() + (values.contains(match[1]) ? match[2].str() : "") + match.suffix().str();
-    const std::regex value(R"(\{\{([a-z0-9.-]+)\}\})");
-    for (std::smatch match; std::regex_search(text, match, value);) {
-        const auto found = values.find(match[1]);
-        text = match.prefix().str() + (found == values.end() ? "" : found->second) + match.suffix().str();
-    }
-    return text;
+    return withValues(withSections(text, values), values);
 }
 
 std::map<std::string, std::string> needed()
