Relay: Read an answer's signature once, and build its fields in one place

Each event of a stream parsed the answer's head anew to see its signature, on the hot path; the fields that a caller gets were put together twice; upstream_link kept a flag that nobody read. Behaviour is as before; no test changed.

--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/exchange.cpp
@@ -6,7 +6,6 @@
 #include "caller_wire.h"
 
 #include <algorithm>
-#include <cmath>
 #include <stdexcept>
 
 namespace sagesaddle {
@@ -266,22 +265,28 @@
         return;
     }
     m_answer = std::move(head);
+    m_isSigned = terms.isSigned;
     m_answerBegun = true;
     if (declines)
         m_mayHaveRun = false;
 }
 
-void exchange::deliverStart()
+std::vector<http_field> exchange::answerFields() const
 {
     std::vector<http_field> fields;
     for (const auto& field : m_answer.fields) {
         if (!isHopField(field.name) && !sameName(field.name, "Content-Length"))
             fields.push_back(field);
     }
+    return fields;
+}
+
+void exchange::deliverStart()
+{
     m_delivering = true;
     const std::string first = m_route->isResumable ? m_events.feed(m_held) : std::move(m_held);
     m_held.clear();
-    m_caller->beginBody(m_answer.status, fields, first);
+    m_caller->beginBody(m_answer.status, answerFields(), first);
 }
 
 void exchange::onBody(std::string_view bytes)
@@ -289,7 +294,7 @@
     if (m_isForeignAnswer)
         return;
     m_owner.noteSign(*m_upstream);
-    const bool isSound = isSuccess(m_answer.status) && platform::readAnswer(m_answer).isSigned;
+    const bool isSound = isSuccess(m_answer.status) && m_isSigned;
     if (m_delivering) {
         if (!isSound)
             return;
@@ -325,7 +330,6 @@
     }
     const auto self = shared_from_this();
     countFirstByte();
-    const bool isSigned = platform::readAnswer(m_answer).isSigned;
     const bool declines = !m_mayHaveRun;
     const int status = m_answer.status;
     if (declines) {
@@ -339,7 +343,7 @@
         retryOr(relay_reason::DeclinedByUpstream);
         return;
     }
-    if (isSuccess(status) && !isSigned) {
+    if (isSuccess(status) && !m_isSigned) {
         leaveUpstream(false);
         retryOr(relay_reason::UpstreamGarbled);
         return;
@@ -368,12 +372,7 @@
         caller->endBody();
         return;
     }
-    std::vector<http_field> fields;
-    for (const auto& field : m_answer.fields) {
-        if (!isHopField(field.name) && !sameName(field.name, "Content-Length"))
-            fields.push_back(field);
-    }
-    caller->answer(status, fields, m_held);
+    caller->answer(status, answerFields(), m_held);
 }
 
 void exchange::onBroken()
--- a/Source/Relay/exchange.h
+++ b/Source/Relay/exchange.h
@@ -63,6 +63,8 @@
     void onBroken();
     void onConnectTimeout();
     void onDeadline();
+    /// \return the fields of the upstream's answer that its caller gets.
+    std::vector<http_field> answerFields() const;
     void deliverStart();
     bool mayRetry() const;
     void retryOr(relay_reason reason);
@@ -96,6 +98,8 @@
     double m_aheadAtSend { 0 };
 
     http_head m_answer;
+    /// The answer at hand bears the upstream's signature.
+    bool m_isSigned { false };
     std::string m_held;
     event_cutter m_events;
     /// The answer at hand belongs to another request.
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -3,7 +3,6 @@
 #include "Base/overloaded.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sagesaddle {
 
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Base/priority.h"
 #include "Fleet/contact_clock.h"
 #include "Fleet/route_table.h"
 #include "Limit/return_schedule.h"
--- a/Source/Relay/upstream_link.cpp
+++ b/Source/Relay/upstream_link.cpp
@@ -70,7 +70,6 @@
 {
     m_user = {};
     m_inUse = false;
-    m_wasUsed = true;
     m_idleSince = monotonicNow();
 }
 
--- a/Source/Relay/upstream_link.h
+++ b/Source/Relay/upstream_link.h
@@ -33,8 +33,6 @@
     bool hasUnwritten() const { return m_stream->unwritten() > 0; }
     void pauseReading(bool paused) { m_stream->pauseReading(paused); }
     bool isConnected() const { return m_connected; }
-    /// \return whether a request used it before.
-    bool wasUsed() const { return m_wasUsed; }
     /// \return whether it may be used again: whole answer, kept alive, nothing behind it.
     bool isReusable();
     /// Cuts the connection.
@@ -55,7 +53,6 @@
     std::function<void(upstream_link&)> m_onIdleEnd;
     bool m_inUse { false };
     bool m_connected { false };
-    bool m_wasUsed { false };
     bool m_keepsAlive { true };
     bool m_closed { false };
     bool m_answerEnded { false };
