--- a/Source/Agree/fleet_follower.cpp
+++ b/Source/Agree/fleet_follower.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr std::uint32_t readLimit = 500;
 constexpr milliseconds readWait { 500 };
 constexpr milliseconds logTimeout { 500 };
 constexpr milliseconds emptyReadPause { 100 };
@@ -30,7 +29,7 @@
 constexpr milliseconds tick { 50 };
 constexpr milliseconds writerTick { 200 };
 constexpr milliseconds askLifetime { 5000 };
-constexpr std::size_t mostTailBytes = 256 * 1024;
+constexpr std::size_t mostRelayedBytes = 256 * 1024;
 
 monotonic_time currentTime()
 {
@@ -175,7 +174,7 @@
     }
     const monotonic_time askedAt = currentTime();
     try {
-        const log_batch batch = log.read(settings.stream, from, readLimit, readWait);
+        const log_batch batch = log.read(settings.stream, from, recordsPerRead, readWait);
         onBatch(askedAt, batch);
         const bool waited = !batch.records.empty() || currentTime() - askedAt >= readWait;
         return waited ? milliseconds(0) : emptyReadPause;
@@ -395,7 +394,7 @@
     {
         const std::lock_guard lock(m_impl->replicaMutex);
         if (m_impl->replica.holdsFrom(answer.first)) {
-            answer.records = m_impl->replica.recordsFrom(answer.first, mostTailBytes);
+            answer.records = m_impl->replica.recordsFrom(answer.first, mostRelayedBytes);
             return answer;
         }
         snapshot = m_impl->replica.state();
--- a/Source/Agree/log_client.cpp
+++ b/Source/Agree/log_client.cpp
@@ -1,5 +1,6 @@
 #include "Agree/log_client.h"
 
+#include "Base/http_status.h"
 #include "Base/scope_guard.h"
 #include "Serve/http_client.h"
 
@@ -13,11 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t statusOk = 200;
-constexpr std::uint16_t statusNotFound = 404;
-constexpr std::uint16_t statusLapsed = 410;
-constexpr std::uint16_t statusThrottled = 429;
-
 std::string recordsPath(const std::string& stream)
 {
     return "/v1/streams/" + stream + "/records";
--- a/Source/Agree/log_client.h
+++ b/Source/Agree/log_client.h
@@ -12,6 +12,9 @@
 
 namespace sagesaddle {
 
+/// Records asked for in one read: at some kilobytes each a batch stays well under the log's longest answer.
+inline constexpr std::uint32_t recordsPerRead = 500;
+
 /// \brief Why a call to the log failed.
 enum class log_failure {
     /// No answer, or the log says that it is away.
--- a/Source/Agree/state_reader.cpp
+++ b/Source/Agree/state_reader.cpp
@@ -4,14 +4,12 @@
 
 namespace {
 
-constexpr std::uint32_t readLimit = 500;
-
 // Reads one batch; false where the end of the stream was reached.
 bool readBatch(log_client& log, const std::string& stream, state_replica& replica,
     const state_replica::observer& observe)
 {
     try {
-        const log_batch batch = log.read(stream, replica.readFrom(), readLimit, milliseconds(0));
+        const log_batch batch = log.read(stream, replica.readFrom(), recordsPerRead, milliseconds(0));
         replica.takeRecords(batch.first, batch.records, observe);
         return batch.next < batch.end;
     } catch (const log_error& error) {
--- /dev/null
+++ b/Source/Base/http_status.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace sagesaddle {
+
+// Status codes of HTTP that the programs give or look at; the names say what they mean here.
+inline constexpr std::uint16_t statusOk = 200;
+inline constexpr std::uint16_t statusAccepted = 202;
+inline constexpr std::uint16_t statusNoContent = 204;
+inline constexpr std::uint16_t statusNotModified = 304;
+inline constexpr std::uint16_t statusNotFound = 404;
+inline constexpr std::uint16_t statusConflict = 409;
+inline constexpr std::uint16_t statusLapsed = 410;
+inline constexpr std::uint16_t statusThrottled = 429;
+inline constexpr std::uint16_t statusUnavailable = 503;
+inline constexpr std::uint16_t statusNoMemory = 507;
+
+} // namespace sagesaddle
--- /dev/null
+++ b/Source/Base/letter_case.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace sagesaddle {
+
+/// \return the text in lower case; only ASCII letters change, as header names need.
+std::string lowered(std::string_view text);
+
+} // namespace sagesaddle
--- a/Source/Command/status_commands.cpp
+++ b/Source/Command/status_commands.cpp
@@ -1,3 +1,4 @@
+#include "Base/http_status.h"
 #include "Command/commands.h"
 #include "Command/entry_status.h"
 #include "Serve/http_client.h"
@@ -13,8 +14,6 @@
 using nlohmann::json;
 
 constexpr std::size_t traceIdDigits = 32;
-constexpr std::uint16_t statusOk = 200;
-constexpr std::uint16_t statusNotFound = 404;
 constexpr milliseconds explainTimeout { 2000 };
 
 std::string formatStatusLine(const entry_status& status)
--- a/Source/Entry/admin_handler.cpp
+++ b/Source/Entry/admin_handler.cpp
@@ -1,5 +1,6 @@
 #include "Entry/admin_handler.h"
 
+#include "Record/json_text.h"
 #include "Record/log_record.h"
 #include "Watch/log.h"
 
@@ -66,11 +67,6 @@
     return plan;
 }
 
-std::string textOf(const ordered_json& value)
-{
-    return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
-}
-
 void respondJson(http_call& call, std::uint16_t status, const std::string& text)
 {
     call.respond(status, { { "Content-Type", "application/json" } }, text);
@@ -96,7 +92,7 @@
     }
     for (const auto& [name, up] : report.peerLinks)
         value["peers"].push_back({ { "name", name }, { "link_up", up } });
-    return textOf(value);
+    return formatJsonText(value);
 }
 
 std::string formatDecisions(const std::vector<decision_record>& decisions)
@@ -107,7 +103,7 @@
             { "team", record.team }, { "model", record.model }, { "service", record.service },
             { "steps", record.steps }, { "status", record.status }, { "verdict", nameOf(record.ran) },
             { "reason", record.reason }, { "took_ms", record.took.count() } });
-    return textOf({ { "decisions", list } });
+    return formatJsonText({ { "decisions", list } });
 }
 
 admin_handler::admin_handler(
--- a/Source/Entry/caller_answer.cpp
+++ b/Source/Entry/caller_answer.cpp
@@ -1,5 +1,7 @@
 #include "Entry/caller_answer.h"
 
+#include "Base/letter_case.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -14,14 +16,6 @@
     "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer", "te", "date",
     "traceparent" };
 
-std::string lowered(std::string_view text)
-{
-    std::string result(text);
-    std::transform(
-        result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
-    return result;
-}
-
 bool isPassedOn(const std::string& loweredName)
 {
     return !loweredName.starts_with("x-sagesaddle-")
--- a/Source/Entry/caller_request.cpp
+++ b/Source/Entry/caller_request.cpp
@@ -1,5 +1,6 @@
 #include "Entry/caller_request.h"
 
+#include "Base/letter_case.h"
 #include "Entry/entry_settings.h"
 #include "Entry/refusal.h"
 #include "Record/json_text.h"
@@ -27,14 +28,6 @@
     "x-request-id", "idempotency-key", "x-priority", "x-request-timeout-ms", "http2-settings", "forwarded",
     "x-forwarded-for", "x-real-ip" };
 
-std::string lowered(std::string_view text)
-{
-    std::string result(text);
-    std::transform(
-        result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
-    return result;
-}
-
 std::string_view trimmed(std::string_view text)
 {
     const auto first = text.find_first_not_of(" \t");
--- a/Source/Entry/chat_body.cpp
+++ b/Source/Entry/chat_body.cpp
@@ -1,6 +1,7 @@
 #include "Entry/caller_request.h"
 #include "Entry/entry_settings.h"
 #include "Entry/refusal.h"
+#include "Record/json_text.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -97,11 +98,6 @@
     return document.at("messages");
 }
 
-std::string textOf(const ordered_json& value)
-{
-    return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
-}
-
 // Engines name a cached prompt prefix by xxHash64, seed 0, of the first message's first bytes.
 std::vector<std::uint64_t> prefixHashes(const ordered_json& messages)
 {
@@ -119,13 +115,13 @@
     for (const auto& message : document.at("messages")) {
         for (const auto& [member, value] : message.items()) {
             if (member != "role" && !value.is_null())
-                bytes
-                    += value.is_string() ? value.get_ref<const std::string&>().size() : textOf(value).size();
+                bytes += value.is_string() ? value.get_ref<const std::string&>().size()
+                                           : formatJsonText(value).size();
         }
     }
     for (const char* member : { "tools", "functions", "response_format" }) {
         if (!isAbsent(document, member))
-            bytes += textOf(document.at(member)).size();
+            bytes += formatJsonText(document.at(member)).size();
     }
     return bytes;
 }
@@ -143,7 +139,7 @@
     const std::size_t promptTokens = (promptBytes(document) + bytesPerToken - 1) / bytesPerToken;
     const std::uint32_t choices = countOf(document, "n", maxChoices).value_or(1);
     const double answerTokens = boundAnswer(document, limits);
-    result.body = textOf(document);
+    result.body = formatJsonText(document);
     result.tokens = static_cast<double>(promptTokens) + answerTokens * choices;
     return result;
 }
--- a/Source/Fleet/duty_lease.cpp
+++ b/Source/Fleet/duty_lease.cpp
@@ -66,7 +66,7 @@
     return read {};
 }
 
-void duty_lease::onRead(const lease_record& record, monotonic_time now)
+void duty_lease::onRead(const duty_record& record, monotonic_time now)
 {
     m_isBusy = false;
     m_notBefore = now + readPause;
@@ -81,7 +81,7 @@
         m_notBefore = now;
 }
 
-void duty_lease::onHeard(const lease_record& record, monotonic_time now)
+void duty_lease::onHeard(const duty_record& record, monotonic_time now)
 {
     if (m_isBusy || (m_knowsRecord && record.end <= m_record.end))
         return;
--- a/Source/Fleet/engine_report.h
+++ b/Source/Fleet/holding_report.h
@@ -5,7 +5,7 @@
 namespace sagesaddle {
 
 /// \brief What an engine reports of its load; some hundred milliseconds old.
-struct engine_report {
+struct holding_report {
     int queued { 0 };
     int running { 0 };
     /// Memory that cannot be freed, in tokens.
@@ -21,11 +21,11 @@
     /// Adapters on their way, as `model/adapter`.
     std::vector<std::string> coming;
 
-    auto operator<=>(const engine_report&) const = default;
+    auto operator<=>(const holding_report&) const = default;
 };
 
 /// \brief An order to an engine.
-struct engine_order {
+struct holding_order {
     enum class action {
         Load,
         Unload,
@@ -40,7 +40,7 @@
     /// The engine declines where it accepted another number of orders.
     std::uint64_t expectedOrders { 0 };
 
-    auto operator<=>(const engine_order&) const = default;
+    auto operator<=>(const holding_order&) const = default;
 };
 
 } // namespace sagesaddle
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -230,9 +230,9 @@
     to.toldList = m_listRevision;
 }
 
-std::vector<planned_order> coordinator::plan(monotonic_time now)
+std::vector<planned_holding> coordinator::plan(monotonic_time now)
 {
-    std::vector<planned_order> orders;
+    std::vector<planned_holding> orders;
     for (const auto& [service, config] : m_engines) {
         std::vector<engine_sight> engines;
         for (const auto& [id, book] : m_books) {
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -36,7 +36,7 @@
     std::map<std::string, engine_book>& books() { return m_books; }
 
     /// \return what to order now.
-    std::vector<planned_order> plan(monotonic_time now);
+    std::vector<planned_holding> plan(monotonic_time now);
     void onModelOrdered(const std::string& service, monotonic_time now);
 
     /// \return gateways that reported lately.
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -89,7 +89,7 @@
         });
 }
 
-void engine_orders::give(const planned_order& planned)
+void engine_orders::give(const planned_holding& planned)
 {
     const auto peer = m_peers.find(planned.upstream);
     const auto found = m_plans.books().find(planned.upstream);
@@ -99,11 +99,11 @@
     if (!m_lease().mayOrder(suspendedNow()))
         return;
     engine_book& book = found->second;
-    const engine_order order { planned.what, planned.model, planned.adapter, m_holder, m_lease().fence(),
+    const holding_order order { planned.what, planned.model, planned.adapter, m_holder, m_lease().fence(),
         book.expectedOrders() };
     const monotonic_time sentAt = monotonicNow();
     book.onOrderSent(order, sentAt);
-    const bool isLoad = planned.what == engine_order::action::Load;
+    const bool isLoad = planned.what == holding_order::action::Load;
     if (planned.adapter.empty() && isLoad && !book.isAtHand(planned.model))
         m_plans.onModelOrdered(peer->second.entry.service, sentAt);
     m_metrics.add("sagesaddle_engine_orders", "Orders given to engines",
--- a/Source/Gateway/engine_orders.h
+++ b/Source/Gateway/engine_orders.h
@@ -28,7 +28,7 @@
     };
 
     void askReport(const std::string& id, engine_book& book);
-    void give(const planned_order& planned);
+    void give(const planned_holding& planned);
 
     event_loop& m_loop;
     coordinator& m_plans;
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -115,7 +115,7 @@
         m_relay.onCoordinatorLost();
 }
 
-void fleet_share::askCredit(const exchange_ptr& request)
+void fleet_share::askCredit(const relay_exchange_ptr& request)
 {
     auto& waiting = m_waiting[request->team()];
     if (waiting.empty() && m_purse.take(request->team(), request->tokens(), suspendedNow())) {
@@ -136,7 +136,7 @@
     m_purse.refund(team, tokens, suspendedNow());
 }
 
-void fleet_share::onDemand(const exchange& request)
+void fleet_share::onDemand(const relay_exchange& request)
 {
     const auto& asked = request.request();
     if (asked.model.empty())
@@ -205,7 +205,7 @@
     const monotonic_time sentAt = suspendedNow();
     auto value = makeReport();
     const bool hasWanted = std::any_of(
-        value.demand.begin(), value.demand.end(), [](const model_demand& item) { return item.unplaced > 0; });
+        value.demand.begin(), value.demand.end(), [](const demand_count& item) { return item.unplaced > 0; });
     if (const auto news = m_hooks.coordinateHere(value)) {
         m_link.reset();
         m_asked.clear();
@@ -300,7 +300,7 @@
     auto& waiting = m_waiting[team];
     const monotonic_time now = suspendedNow();
     while (!waiting.empty()) {
-        const exchange_ptr request = waiting.front().request;
+        const relay_exchange_ptr request = waiting.front().request;
         if (!request->isOver() && !m_purse.take(team, request->tokens(), now))
             break;
         waiting.pop_front();
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -23,7 +23,7 @@
         std::function<void(std::uint64_t configEnd, monotonic_time provenAt)> onProof;
         std::function<void(const std::vector<upstream_record>&, bool isWhole)> onListed;
         /// The coordinator told the newest record of its lease.
-        std::function<void(const lease_record&)> onLease;
+        std::function<void(const duty_record&)> onLease;
         /// Something is wanted that the coordinator should see to at once.
         std::function<void()> onWanted;
     };
@@ -41,9 +41,9 @@
     /// \return whether another gateway coordinates and its evidence of the configuration is recent.
     bool isReadFor() const;
 
-    void askCredit(const exchange_ptr& request);
+    void askCredit(const relay_exchange_ptr& request);
     void refund(const std::string& team, double tokens);
-    void onDemand(const exchange& request);
+    void onDemand(const relay_exchange& request);
     void onWanted(const std::string& service, const std::string& model, const std::string& adapter);
 
 private:
@@ -62,7 +62,7 @@
     };
 
     struct waiting_credit {
-        exchange_ptr request;
+        relay_exchange_ptr request;
         monotonic_time since {};
     };
 
@@ -76,7 +76,7 @@
     std::unique_ptr<coordinator_link> m_lostLink;
     timer m_reportTimer;
     std::map<std::string, std::list<waiting_credit>> m_waiting;
-    std::map<std::string, model_demand> m_demand;
+    std::map<std::string, demand_count> m_demand;
     std::list<asked_report> m_asked;
     milliseconds reportPause() const;
 
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -68,12 +68,12 @@
     , m_lines(STDOUT_FILENO, m_settings.level)
     , m_watch { m_lines, m_metrics }
     , m_relay(loop, relayOptions(), m_watch,
-          { [this](const exchange_ptr& request) { m_share.askCredit(request); },
+          { [this](const relay_exchange_ptr& request) { m_share.askCredit(request); },
               [this](const std::string& team, double tokens) { m_share.refund(team, tokens); },
               [this](const std::string& service, const std::string& model, const std::string& adapter) {
                   m_share.onWanted(service, model, adapter);
               },
-              [this](const exchange& request) { m_share.onDemand(request); } })
+              [this](const relay_exchange& request) { m_share.onDemand(request); } })
     , m_follower(loop, m_settings.store, m_member, formatAddress(m_settings.peers) + startMark,
           lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve,
               reluctanceOf(m_settings) },
@@ -105,7 +105,7 @@
               [this](const std::vector<upstream_record>& records, bool isWhole) {
                   m_follower.onToldUpstreams(records, isWhole);
               },
-              [this](const lease_record& record) { m_follower.onHeardLease(record); },
+              [this](const duty_record& record) { m_follower.onHeardLease(record); },
               [this] { m_orders.work(); } })
     , m_reports(loop, m_settings.peers, [this](const fleet_report& report) { return answerReport(report); })
     , m_readiness(loop, m_settings.readiness,
@@ -170,7 +170,7 @@
     news.leaseHolder = m_follower.lease().record().holder;
     news.leaseEnd = m_follower.lease().record().end;
     const bool hasWanted = std::any_of(report.demand.begin(), report.demand.end(),
-        [](const model_demand& item) { return item.unplaced > 0; });
+        [](const demand_count& item) { return item.unplaced > 0; });
     if (hasWanted)
         m_orders.work();
     return news;
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -44,7 +44,7 @@
     void resign();
 
     /// The holder told its newest record.
-    void onHeardLease(const lease_record& record) { m_lease.onHeard(record, suspendedNow()); }
+    void onHeardLease(const duty_record& record) { m_lease.onHeard(record, suspendedNow()); }
     /// Another gateway tells that it read the configuration up to an offset.
     /// \param provenAt when it began to read, on the clock that counts suspension
     void onToldProof(std::uint64_t configEnd, monotonic_time provenAt);
--- a/Source/Limit/credit_holder.cpp
+++ b/Source/Limit/credit_holder.cpp
@@ -12,8 +12,8 @@
 constexpr double maxTokensPerSecond = 1e9;
 constexpr token_count maxBurst = 4'000'000'000;
 /// Prefetch is granted while less than this share of the burst is outstanding.
-constexpr token_count prefetchDivisor = 2;
-constexpr milliseconds longestWait { 86'400'000 };
+constexpr token_count holderPrefetchDivisor = 2;
+constexpr milliseconds longestHolderWait { 86'400'000 };
 
 __extension__ using wide = __int128;
 
@@ -96,7 +96,7 @@
     account.lastAskId = settlement.askId;
     const token_count available = level(now);
     token_count tokens = std::clamp<token_count>(needed, 0, available);
-    const token_count room = m_burst / prefetchDivisor - m_outstanding - tokens;
+    const token_count room = m_burst / holderPrefetchDivisor - m_outstanding - tokens;
     tokens += std::max<token_count>(std::min({ prefetch, (available - tokens) / 2, room }), 0);
     m_level -= tokens * nano;
     m_outstanding += tokens;
@@ -130,9 +130,9 @@
     if (missing <= 0)
         return milliseconds(0);
     if (m_nanoTokensPerSecond == 0)
-        return longestWait;
+        return longestHolderWait;
     const wide wait = missing * 1000 / m_nanoTokensPerSecond + 1;
-    return milliseconds(static_cast<milliseconds::rep>(std::min<wide>(wait, longestWait.count())));
+    return milliseconds(static_cast<milliseconds::rep>(std::min<wide>(wait, longestHolderWait.count())));
 }
 
 } // namespace sagesaddle
--- a/Source/Place/engine_book.cpp
+++ b/Source/Place/engine_book.cpp
@@ -37,7 +37,7 @@
 {
 }
 
-void engine_book::onReport(const engine_report& report, monotonic_time askedAt, monotonic_time now)
+void engine_book::onReport(const holding_report& report, monotonic_time askedAt, monotonic_time now)
 {
     m_reportPending = false;
     if (m_outstanding || askedAt < m_lastOrderAt + reportLag) {
@@ -73,12 +73,12 @@
     m_reportDueAt = now + failureDelay;
 }
 
-void engine_book::onOrderSent(const engine_order& order, monotonic_time now)
+void engine_book::onOrderSent(const holding_order& order, monotonic_time now)
 {
     m_outstanding = order;
     m_lastOrderAt = now;
     const std::string name = holdingName(order.model, order.adapter);
-    if (order.what == engine_order::action::Unload && m_held.erase(name) > 0) {
+    if (order.what == holding_order::action::Unload && m_held.erase(name) > 0) {
         m_leaving.insert(name);
         ++m_revision;
     }
@@ -88,9 +88,9 @@
 {
     if (!m_outstanding)
         return;
-    const engine_order order = *std::exchange(m_outstanding, std::nullopt);
+    const holding_order order = *std::exchange(m_outstanding, std::nullopt);
     const std::string name = holdingName(order.model, order.adapter);
-    const bool isLoad = order.what == engine_order::action::Load;
+    const bool isLoad = order.what == holding_order::action::Load;
     m_lastOrderAt = now;
     const bool isAccepted = status == acceptedStatus || (status == doneStatus && !isLoad);
     if (!status && isLoad)
--- a/Source/Place/engine_book.h
+++ b/Source/Place/engine_book.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Base/clock.h"
-#include "Fleet/engine_report.h"
 #include "Fleet/fleet_config.h"
+#include "Fleet/holding_report.h"
 
 #include <map>
 #include <optional>
@@ -27,10 +27,10 @@
     const engine_config& config() const { return m_config; }
 
     /// Takes in a report that was asked for at that time; one asked for before the last order is ignored.
-    void onReport(const engine_report& report, monotonic_time askedAt, monotonic_time now);
+    void onReport(const holding_report& report, monotonic_time askedAt, monotonic_time now);
     void onReportLost(monotonic_time now);
 
-    void onOrderSent(const engine_order& order, monotonic_time now);
+    void onOrderSent(const holding_order& order, monotonic_time now);
     /// \param status the answer's status, nothing where none came
     void onOrderAnswered(std::optional<int> status, monotonic_time now);
 
@@ -72,7 +72,7 @@
 
     std::string m_upstream;
     engine_config m_config;
-    std::optional<engine_report> m_report;
+    std::optional<holding_report> m_report;
     std::set<std::string> m_held;
     std::set<std::string> m_coming;
     /// The model that an accepted order loads; reports do not name it.
@@ -80,7 +80,7 @@
     /// Ordered to be dropped: not to be used, though its memory is not free yet.
     std::set<std::string> m_leaving;
     std::set<std::string> m_atHand;
-    std::optional<engine_order> m_outstanding;
+    std::optional<holding_order> m_outstanding;
     /// Adapters on their way, with the time from which they count as there.
     std::map<std::string, monotonic_time> m_arriving;
     /// Loads without an answer, with the number of orders that each expected.
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -59,7 +59,7 @@
     const engine_config& config;
     const demand_meter& demand;
     monotonic_time now;
-    std::vector<planned_order> orders;
+    std::vector<planned_holding> orders;
     std::set<std::string> ordered;
     /// Requests a second for all models together.
     double total { 0 };
@@ -81,7 +81,7 @@
         return known.lastAsked == monotonic_time {} || now - known.lastAsked >= span;
     }
 
-    void order(const engine_sight& engine, engine_order::action what, const std::string& model,
+    void order(const engine_sight& engine, holding_order::action what, const std::string& model,
         const std::string& adapter)
     {
         orders.push_back({ engine.book->upstream(), what, model, adapter });
@@ -123,12 +123,12 @@
         if (best == nullptr)
             return;
         if (best->book->freeAdapterPlaces() > 0) {
-            order(*best, engine_order::action::Load, model, adapter);
+            order(*best, holding_order::action::Load, model, adapter);
             return;
         }
         const std::string dropped = *adapterToDrop(*best);
         const std::size_t slash = dropped.find('/');
-        order(*best, engine_order::action::Unload, dropped.substr(0, slash), dropped.substr(slash + 1));
+        order(*best, holding_order::action::Unload, dropped.substr(0, slash), dropped.substr(slash + 1));
     }
 
     void placeAdapters(bool wantedOnly)
@@ -172,7 +172,7 @@
         }
         if (!best->book->isAtHand(model.name))
             allowance -= 1;
-        order(*best, engine_order::action::Load, model.name, {});
+        order(*best, holding_order::action::Load, model.name, {});
     }
 
     /// \return engines that have room for a model, or will have it soon.
@@ -221,7 +221,7 @@
             }
         }
         if (where != nullptr)
-            order(*where, engine_order::action::Unload, victim, {});
+            order(*where, holding_order::action::Unload, victim, {});
     }
 
     /// \return copies that a model's part of the demand asks for.
@@ -276,7 +276,7 @@
             if (best.empty())
                 continue;
             const std::size_t slash = best.find('/');
-            order(engine, engine_order::action::Load, best.substr(0, slash), best.substr(slash + 1));
+            order(engine, holding_order::action::Load, best.substr(0, slash), best.substr(slash + 1));
         }
     }
 };
@@ -301,7 +301,7 @@
     m_loadAllowance -= 1;
 }
 
-std::vector<planned_order> holding_planner::plan(const std::vector<engine_sight>& engines,
+std::vector<planned_holding> holding_planner::plan(const std::vector<engine_sight>& engines,
     const engine_config& config, const demand_meter& demand, monotonic_time now)
 {
     pass current { engines, config, demand, now, {}, {} };
--- a/Source/Plan/holding_planner.h
+++ b/Source/Plan/holding_planner.h
@@ -32,13 +32,13 @@
 };
 
 /// \brief An order for one engine.
-struct planned_order {
+struct planned_holding {
     std::string upstream;
-    engine_order::action what { engine_order::action::Load };
+    holding_order::action what { holding_order::action::Load };
     std::string model;
     std::string adapter;
 
-    auto operator<=>(const planned_order&) const = default;
+    auto operator<=>(const planned_holding&) const = default;
 };
 
 /// \brief What the planner sees of an engine.
@@ -62,7 +62,7 @@
     explicit holding_planner(double loadsPerSecond);
 
     /// \return orders to give now, at most one for each engine.
-    std::vector<planned_order> plan(const std::vector<engine_sight>& engines, const engine_config& config,
+    std::vector<planned_holding> plan(const std::vector<engine_sight>& engines, const engine_config& config,
         const demand_meter& demand, monotonic_time now);
 
     /// An order to load a model went out.
--- a/Source/Record/json_text.cpp
+++ b/Source/Record/json_text.cpp
@@ -28,6 +28,11 @@
     }
 }
 
+std::string formatJsonText(const nlohmann::ordered_json& value)
+{
+    return value.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
 std::string formatHex(std::span<const unsigned char> bytes)
 {
     static constexpr std::string_view digits = "0123456789abcdef";
--- a/Source/Record/json_text.h
+++ b/Source/Record/json_text.h
@@ -12,6 +12,9 @@
 /// \throws record_error
 nlohmann::json parseJsonText(std::string_view text, const std::string& what);
 
+/// \return the value as compact JSON text; bytes that are not UTF-8 are replaced, so that it never fails.
+std::string formatJsonText(const nlohmann::ordered_json& value);
+
 /// \return the bytes in lower-case hexadecimal.
 std::string formatHex(std::span<const unsigned char> bytes);
 
--- a/Source/Relay/caller_link.cpp
+++ b/Source/Relay/caller_link.cpp
@@ -1,8 +1,8 @@
 #include "Relay/caller_link.h"
 
-#include "Relay/exchange.h"
 #include "Relay/refusal_reason.h"
 #include "Relay/relay.h"
+#include "Relay/relay_exchange.h"
 
 namespace sagesaddle {
 
@@ -91,7 +91,7 @@
     if (m_refusedEarly)
         return;
     m_patience.stop();
-    m_exchange = std::make_shared<exchange>(m_owner, *this, m_arrivedAt);
+    m_exchange = std::make_shared<relay_exchange>(m_owner, *this, m_arrivedAt);
     // Kept here, since the exchange may end at once.
     const auto started = m_exchange;
     started->start(m_head, std::move(m_body));
--- a/Source/Relay/caller_link.h
+++ b/Source/Relay/caller_link.h
@@ -8,7 +8,7 @@
 
 namespace sagesaddle {
 
-class exchange;
+class relay_exchange;
 class relay;
 
 /// \brief A caller's connection: reads one request at a time and writes its answer.
@@ -58,7 +58,7 @@
     std::string m_body;
     monotonic_time m_arrivedAt {};
     monotonic_time m_idleSince { monotonicNow() };
-    std::shared_ptr<exchange> m_exchange;
+    std::shared_ptr<relay_exchange> m_exchange;
     bool m_keepsAlive { true };
     bool m_isHead { false };
     bool m_isChunked { false };
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -255,7 +255,7 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-std::string relay::affinityKey(const exchange& request) const
+std::string relay::affinityKey(const relay_exchange& request) const
 {
     const auto& parts = request.request().parts;
     // The last part is the request's own; those before it are shared.
@@ -266,7 +266,7 @@
 }
 
 std::vector<upstream_state_ptr> relay::candidatesFor(
-    const exchange& request, const std::set<std::string>& tried)
+    const relay_exchange& request, const std::set<std::string>& tried)
 {
     std::vector<upstream_state_ptr> found;
     const auto service = m_byService.find(request.service());
@@ -286,7 +286,7 @@
     return found;
 }
 
-engine_candidate relay::describe(const exchange& request, const upstream_state& upstream) const
+engine_candidate relay::describe(const relay_exchange& request, const upstream_state& upstream) const
 {
     engine_candidate candidate;
     candidate.inFlight = upstream.inFlight + upstream.foreign.inFlight;
@@ -311,7 +311,7 @@
     return candidate;
 }
 
-relay_choice relay::choose(const exchange& request, const std::set<std::string>& tried)
+relay_choice relay::choose(const relay_exchange& request, const std::set<std::string>& tried)
 {
     const auto upstreams = candidatesFor(request, tried);
     if (upstreams.empty())
@@ -340,7 +340,7 @@
         chooseEngine(candidates, demand, lateFactor));
 }
 
-relay_choice relay::whenAbsent(const exchange& request, bool anyUpstream)
+relay_choice relay::whenAbsent(const relay_exchange& request, bool anyUpstream)
 {
     const auto& asked = request.request();
     if (!anyUpstream || asked.model.empty())
@@ -359,7 +359,7 @@
 }
 
 void relay::noteFull(
-    const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates)
+    const relay_exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates)
 {
     int inFlight = 0;
     double ahead = 0;
@@ -375,7 +375,7 @@
         monotonicNow());
 }
 
-relay_choice relay::whenFull(const exchange& request, const engine_full& full)
+relay_choice relay::whenFull(const relay_exchange& request, const engine_full& full)
 {
     const auto excess = milliseconds(static_cast<std::int64_t>(
         full.firstEventMilliseconds - static_cast<double>(request.route().objective.count())));
@@ -383,19 +383,19 @@
         std::max(excess, returnsOf(request).onRefused(1, monotonicNow())) };
 }
 
-return_schedule& relay::returnsOf(const exchange& request)
+return_schedule& relay::returnsOf(const relay_exchange& request)
 {
     return m_returns.try_emplace(request.service() + "/" + request.request().model, leastRetryAfter)
         .first->second;
 }
 
-std::optional<milliseconds> relay::declinedRetryAfter(const exchange&)
+std::optional<milliseconds> relay::declinedRetryAfter(const relay_exchange&)
 {
     return standardRetryAfter
         + milliseconds(static_cast<std::int64_t>(draw() * retrySpread * standardRetryAfter.count()));
 }
 
-void relay::askCredit(const exchange_ptr& request)
+void relay::askCredit(const relay_exchange_ptr& request)
 {
     m_hooks.askCredit(request);
 }
@@ -405,7 +405,7 @@
     m_hooks.refund(team, tokens);
 }
 
-void relay::wait(const exchange_ptr& request)
+void relay::wait(const relay_exchange_ptr& request)
 {
     if (std::find(m_waiting.begin(), m_waiting.end(), request) == m_waiting.end())
         m_waiting.push_back(request);
@@ -413,9 +413,9 @@
         m_placeTimer.start(placePause);
 }
 
-void relay::unwait(const exchange& request)
+void relay::unwait(const relay_exchange& request)
 {
-    m_waiting.remove_if([&](const exchange_ptr& waiting) { return waiting.get() == &request; });
+    m_waiting.remove_if([&](const relay_exchange_ptr& waiting) { return waiting.get() == &request; });
 }
 
 void relay::placeWaiting()
@@ -423,7 +423,7 @@
     if (m_waiting.empty())
         return;
     auto waiting = std::exchange(m_waiting, {});
-    waiting.sort([](const exchange_ptr& left, const exchange_ptr& right) {
+    waiting.sort([](const relay_exchange_ptr& left, const relay_exchange_ptr& right) {
         return std::pair(left->urgency(), left->arrivedAt())
             < std::pair(right->urgency(), right->arrivedAt());
     });
@@ -448,7 +448,7 @@
     return may;
 }
 
-void relay::onDemand(const exchange& request)
+void relay::onDemand(const relay_exchange& request)
 {
     m_retries.try_emplace(request.service(), m_options.retriesPerRequest, m_options.retrySlack / m_gateways)
         .first->second.onRequest();
@@ -469,7 +469,7 @@
     m_watch.lines.write(log_level::Warning, "bad_request", { { "error", what } }, monotonicNow());
 }
 
-void relay::noteSend(const exchange& request, upstream_state& upstream, double forecast, int earlierSends)
+void relay::noteSend(const relay_exchange& request, upstream_state& upstream, double forecast, int earlierSends)
 {
     const auto key = affinityKey(request);
     if (!key.empty()) {
@@ -486,7 +486,7 @@
 }
 
 void relay::noteFirstByte(
-    const exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead)
+    const relay_exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead)
 {
     m_watch.metrics.observeSeconds("sagesaddle_first_byte_seconds", "Time from send to first byte", elapsed);
     const double prompt = request.request().promptTokens.value_or(0);
@@ -499,7 +499,7 @@
     }
 }
 
-void relay::noteForeignAnswer(const exchange& request, const upstream_state& upstream)
+void relay::noteForeignAnswer(const relay_exchange& request, const upstream_state& upstream)
 {
     m_watch.lines.write(log_level::Warning, "foreign_answer",
         { { "id", request.request().id }, { "upstream", upstream.entry.id } }, monotonicNow());
@@ -570,7 +570,7 @@
             upstream->probedAt = now;
         upstream->isSilent = true;
         // Moving a request changes the set.
-        std::vector<exchange_ptr> requests;
+        std::vector<relay_exchange_ptr> requests;
         requests.reserve(upstream->requests.size());
         for (auto* request : upstream->requests)
             requests.push_back(request->shared_from_this());
@@ -579,14 +579,14 @@
     }
 }
 
-void relay::noteRefusal(const exchange& request, relay_reason reason)
+void relay::noteRefusal(const relay_exchange& request, relay_reason reason)
 {
     m_watch.metrics.add("sagesaddle_refusals", "Requests that the system ended itself",
         { { "reason", std::string(refusalOf(reason).name) }, { "team", request.team() } });
 }
 
 void relay::noteEnd(
-    const exchange& request, std::string_view outcome, int status, int sends, const upstream_state* upstream)
+    const relay_exchange& request, std::string_view outcome, int status, int sends, const upstream_state* upstream)
 {
     --m_running;
     const bool isFailure = outcome != "answered" || status >= 500;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -4,7 +4,7 @@
 #include "Fleet/route_table.h"
 #include "Limit/return_schedule.h"
 #include "Relay/caller_link.h"
-#include "Relay/exchange.h"
+#include "Relay/relay_exchange.h"
 #include "Relay/relay_watch.h"
 #include "Route/engine_choice.h"
 #include "Route/retry_budget.h"
@@ -50,15 +50,15 @@
 
 /// \brief The relay's way to the rest of the fleet.
 struct relay_hooks {
-    /// Asks for credit of a team; exchange::onCredit follows, at once or later.
-    std::function<void(const exchange_ptr&)> askCredit;
+    /// Asks for credit of a team; relay_exchange::onCredit follows, at once or later.
+    std::function<void(const relay_exchange_ptr&)> askCredit;
     /// Credit of a request that surely did not run is free again.
     std::function<void(const std::string& team, double tokens)> refund;
     /// A model or adapter is asked for that no upstream holds.
     std::function<void(const std::string& service, const std::string& model, const std::string& adapter)>
         onWanted;
     /// A request asks for a model.
-    std::function<void(const exchange&)> onDemand;
+    std::function<void(const relay_exchange&)> onDemand;
 };
 
 /// \brief Takes callers' requests, places each on an upstream and relays the answers; runs on one loop.
@@ -111,27 +111,27 @@
     double draw();
     bool mayUseKeys() const;
     milliseconds contactRetryAfter() const;
-    std::optional<milliseconds> declinedRetryAfter(const exchange& request);
-    relay_choice choose(const exchange& request, const std::set<std::string>& tried);
-    void askCredit(const exchange_ptr& request);
+    std::optional<milliseconds> declinedRetryAfter(const relay_exchange& request);
+    relay_choice choose(const relay_exchange& request, const std::set<std::string>& tried);
+    void askCredit(const relay_exchange_ptr& request);
     void refund(const std::string& team, double tokens);
-    void wait(const exchange_ptr& request);
-    void unwait(const exchange& request);
+    void wait(const relay_exchange_ptr& request);
+    void unwait(const relay_exchange& request);
     bool tryRetry(const std::string& service);
     void onPlaceFree(const std::string& service);
     void onMisdirected(const upstream_state_ptr& upstream);
     void onArrival() { ++m_running; }
-    void onDemand(const exchange& request);
+    void onDemand(const relay_exchange& request);
     void noteBadRequest(const char* what);
-    void noteSend(const exchange& request, upstream_state& upstream, double forecast, int earlierSends);
+    void noteSend(const relay_exchange& request, upstream_state& upstream, double forecast, int earlierSends);
     void noteFirstByte(
-        const exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
-    void noteForeignAnswer(const exchange& request, const upstream_state& upstream);
+        const relay_exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
+    void noteForeignAnswer(const relay_exchange& request, const upstream_state& upstream);
     void noteFailure(upstream_state& upstream, bool beforeFirstByte);
     /// A byte of an answer came from it.
     void noteSign(upstream_state& upstream);
-    void noteRefusal(const exchange& request, relay_reason reason);
-    void noteEnd(const exchange& request, std::string_view outcome, int status, int sends,
+    void noteRefusal(const relay_exchange& request, relay_reason reason);
+    void noteEnd(const relay_exchange& request, std::string_view outcome, int status, int sends,
         const upstream_state* upstream);
 
 private:
@@ -142,12 +142,12 @@
     };
 
     std::vector<upstream_state_ptr> candidatesFor(
-        const exchange& request, const std::set<std::string>& tried);
-    engine_candidate describe(const exchange& request, const upstream_state& upstream) const;
-    relay_choice whenAbsent(const exchange& request, bool anyUpstream);
+        const relay_exchange& request, const std::set<std::string>& tried);
+    engine_candidate describe(const relay_exchange& request, const upstream_state& upstream) const;
+    relay_choice whenAbsent(const relay_exchange& request, bool anyUpstream);
     void noteFull(
-        const exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
-    relay_choice whenFull(const exchange& request, const engine_full& full);
+        const relay_exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
+    relay_choice whenFull(const relay_exchange& request, const engine_full& full);
     void placeWaiting();
     /// Looks for upstreams that have requests and send nothing.
     void lookForSilence();
@@ -155,8 +155,8 @@
     void probe(const upstream_state_ptr& upstream, monotonic_time now);
     /// Closes the connection that was idle longest, to make room.
     bool closeIdleCaller();
-    return_schedule& returnsOf(const exchange& request);
-    std::string affinityKey(const exchange& request) const;
+    return_schedule& returnsOf(const relay_exchange& request);
+    std::string affinityKey(const relay_exchange& request) const;
 
     event_loop& m_loop;
     relay_options m_options;
@@ -169,7 +169,7 @@
     std::unordered_map<const caller_link*, std::shared_ptr<caller_link>> m_callers;
     std::vector<std::shared_ptr<caller_link>> m_toRead;
     std::vector<std::shared_ptr<caller_link>> m_closed;
-    std::list<exchange_ptr> m_waiting;
+    std::list<relay_exchange_ptr> m_waiting;
     std::unordered_map<std::string, retry_budget> m_retries;
     unsigned m_gateways;
     std::unordered_map<std::string, model_pace> m_paces;
--- a/Source/Relay/exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -1,4 +1,4 @@
-#include "Relay/exchange.h"
+#include "Relay/relay_exchange.h"
 
 #include "Base/overloaded.h"
 #include "Relay/caller_link.h"
@@ -32,7 +32,7 @@
 
 } // namespace
 
-exchange::exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt)
+relay_exchange::relay_exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt)
     : m_owner(owner)
     , m_caller(&caller)
     , m_arrivedAt(arrivedAt)
@@ -41,12 +41,12 @@
 {
 }
 
-milliseconds exchange::timeLeft() const
+milliseconds relay_exchange::timeLeft() const
 {
     return std::chrono::duration_cast<milliseconds>(m_endsAt - monotonicNow());
 }
 
-void exchange::start(const http_head& head, std::string body)
+void relay_exchange::start(const http_head& head, std::string body)
 {
     m_owner.onArrival();
     m_table = m_owner.table();
@@ -73,7 +73,7 @@
     place();
 }
 
-bool exchange::resolve()
+bool relay_exchange::resolve()
 {
     if (!m_table) {
         refuse(relay_reason::NoConfiguration);
@@ -112,7 +112,7 @@
     return true;
 }
 
-bool exchange::isStillAllowed()
+bool relay_exchange::isStillAllowed()
 {
     if (m_team.empty())
         return true;
@@ -131,7 +131,7 @@
     return true;
 }
 
-void exchange::place()
+void relay_exchange::place()
 {
     if (m_over || m_link)
         return;
@@ -162,7 +162,7 @@
         m_owner.choose(*this, m_tried));
 }
 
-void exchange::onCredit(bool isGranted, std::optional<milliseconds> retryAfter)
+void relay_exchange::onCredit(bool isGranted, std::optional<milliseconds> retryAfter)
 {
     if (m_over)
         return;
@@ -176,7 +176,7 @@
     place();
 }
 
-void exchange::send(const upstream_state_ptr& target, double forecast)
+void relay_exchange::send(const upstream_state_ptr& target, double forecast)
 {
     m_upstream = target;
     m_link = target->pool.take(false);
@@ -204,17 +204,17 @@
                 action(*alive, std::forward<decltype(arguments)>(arguments)...);
         };
     };
-    m_link->use({ guarded([](exchange& it) { it.transmit(); }),
-        guarded([](exchange& it, http_head head) { it.onHead(std::move(head)); }),
-        guarded([](exchange& it, std::string_view bytes) { it.onBody(bytes); }),
-        guarded([](exchange& it) { it.onAnswerEnd(); }), guarded([](exchange& it) { it.onBroken(); }) });
+    m_link->use({ guarded([](relay_exchange& it) { it.transmit(); }),
+        guarded([](relay_exchange& it, http_head head) { it.onHead(std::move(head)); }),
+        guarded([](relay_exchange& it, std::string_view bytes) { it.onBody(bytes); }),
+        guarded([](relay_exchange& it) { it.onAnswerEnd(); }), guarded([](relay_exchange& it) { it.onBroken(); }) });
     if (m_link->isConnected())
         transmit();
     else
         m_connecting.start(connectTimeout);
 }
 
-void exchange::transmit()
+void relay_exchange::transmit()
 {
     m_connecting.stop();
     // The process may have stood still since the request was placed.
@@ -239,7 +239,7 @@
     m_link->write(platform::writeRequest(m_request, terms));
 }
 
-void exchange::countFirstByte()
+void relay_exchange::countFirstByte()
 {
     if (m_firstByteCame)
         return;
@@ -253,7 +253,7 @@
     m_aheadTokens = 0;
 }
 
-void exchange::onHead(http_head head)
+void relay_exchange::onHead(http_head head)
 {
     m_owner.noteSign(*m_upstream);
     const answer_terms terms = platform::readAnswer(head);
@@ -271,7 +271,7 @@
         m_mayHaveRun = false;
 }
 
-std::vector<http_field> exchange::answerFields() const
+std::vector<http_field> relay_exchange::answerFields() const
 {
     std::vector<http_field> fields;
     for (const auto& field : m_answer.fields) {
@@ -281,7 +281,7 @@
     return fields;
 }
 
-void exchange::deliverStart()
+void relay_exchange::deliverStart()
 {
     m_delivering = true;
     const std::string first = m_route->isResumable ? m_events.feed(m_held) : std::move(m_held);
@@ -289,7 +289,7 @@
     m_caller->beginBody(m_answer.status, answerFields(), first);
 }
 
-void exchange::onBody(std::string_view bytes)
+void relay_exchange::onBody(std::string_view bytes)
 {
     if (m_isForeignAnswer)
         return;
@@ -321,7 +321,7 @@
     }
 }
 
-void exchange::onAnswerEnd()
+void relay_exchange::onAnswerEnd()
 {
     if (m_isForeignAnswer) {
         // The answer to this request may still follow on the connection.
@@ -375,7 +375,7 @@
     caller->answer(status, answerFields(), m_held);
 }
 
-void exchange::onBroken()
+void relay_exchange::onBroken()
 {
     const auto self = shared_from_this();
     m_connecting.stop();
@@ -391,7 +391,7 @@
     retryOr(relay_reason::UpstreamBroke);
 }
 
-void exchange::onUpstreamSilent()
+void relay_exchange::onUpstreamSilent()
 {
     const bool canGoOn = !m_delivering || !m_events.lastEventId().empty();
     if (m_over || !m_link || !m_mayHaveRun || !m_route->isIdempotent() || !canGoOn || !mayRetry()
@@ -403,19 +403,19 @@
     place();
 }
 
-void exchange::onConnectTimeout()
+void relay_exchange::onConnectTimeout()
 {
     onBroken();
 }
 
-bool exchange::mayRetry() const
+bool relay_exchange::mayRetry() const
 {
     if (m_sends >= std::max(m_route->maxAttempts, m_mayHaveRun ? 1 : 2))
         return false;
     return (!m_mayHaveRun || m_route->isIdempotent()) && timeLeft() > leastTimeToSend * 2;
 }
 
-void exchange::retryOr(relay_reason reason)
+void relay_exchange::retryOr(relay_reason reason)
 {
     const bool canGoOn = !m_delivering || (m_route->isResumable && !m_events.lastEventId().empty());
     if (canGoOn && mayRetry() && m_owner.tryRetry(m_service)) {
@@ -426,7 +426,7 @@
     refuse(reason, m_owner.declinedRetryAfter(*this));
 }
 
-void exchange::leaveUpstream(bool keepLink)
+void relay_exchange::leaveUpstream(bool keepLink)
 {
     m_connecting.stop();
     if (m_counted) {
@@ -448,7 +448,7 @@
     m_owner.onPlaceFree(m_service);
 }
 
-void exchange::onDeadline()
+void relay_exchange::onDeadline()
 {
     if (m_over)
         return;
@@ -456,7 +456,7 @@
     refuse(m_mayHaveRun ? relay_reason::NoAnswerInTime : relay_reason::NotSentInTime);
 }
 
-void exchange::refuse(relay_reason reason, std::optional<milliseconds> retryAfter)
+void relay_exchange::refuse(relay_reason reason, std::optional<milliseconds> retryAfter)
 {
     if (m_over)
         return;
@@ -489,7 +489,7 @@
     caller->answer(told.status, fields, body);
 }
 
-void exchange::onCallerLeft()
+void relay_exchange::onCallerLeft()
 {
     if (m_over)
         return;
@@ -500,18 +500,18 @@
     finish();
 }
 
-void exchange::holdBack(bool isHeld)
+void relay_exchange::holdBack(bool isHeld)
 {
     if (m_link)
         m_link->pauseReading(isHeld);
 }
 
-void exchange::logEnd(std::string_view outcome, int status)
+void relay_exchange::logEnd(std::string_view outcome, int status)
 {
     m_owner.noteEnd(*this, outcome, status, m_sends, m_upstream.get());
 }
 
-void exchange::finish()
+void relay_exchange::finish()
 {
     m_over = true;
     m_deadline.stop();
--- a/Source/Relay/exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -16,12 +16,12 @@
 ///
 /// It is sent again only where it may run twice or surely did not run, and its refusal says "not run" only
 /// while no byte of it left for an upstream that did not decline it.
-class exchange : public std::enable_shared_from_this<exchange> {
+class relay_exchange : public std::enable_shared_from_this<relay_exchange> {
 public:
-    exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt);
+    relay_exchange(relay& owner, caller_link& caller, monotonic_time arrivedAt);
 
-    exchange(const exchange&) = delete;
-    exchange& operator=(const exchange&) = delete;
+    relay_exchange(const relay_exchange&) = delete;
+    relay_exchange& operator=(const relay_exchange&) = delete;
 
     void start(const http_head& head, std::string body);
 
@@ -117,6 +117,6 @@
     bool m_over { false };
 };
 
-using exchange_ptr = std::shared_ptr<exchange>;
+using relay_exchange_ptr = std::shared_ptr<relay_exchange>;
 
 } // namespace sagesaddle
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -10,7 +10,7 @@
 
 namespace sagesaddle {
 
-class exchange;
+class relay_exchange;
 
 /// \brief Load that other entries put on an upstream, as last heard.
 struct foreign_load {
@@ -49,7 +49,7 @@
     /// A connection that is tried, to see whether a silent one is back; and when the last one was.
     upstream_link_ptr probe;
     monotonic_time probedAt {};
-    std::unordered_set<exchange*> requests;
+    std::unordered_set<relay_exchange*> requests;
     bool isGone { false };
 
     bool holds(const std::string& model, const std::string& adapter) const
--- a/Source/Serve/http_client.cpp
+++ b/Source/Serve/http_client.cpp
@@ -1,5 +1,6 @@
 #include "Serve/http_client.h"
 
+#include "Base/letter_case.h"
 #include "Base/scope_guard.h"
 
 #include <algorithm>
@@ -29,14 +30,6 @@
     return text;
 }
 
-std::string lowered(std::string_view text)
-{
-    std::string result(text);
-    std::transform(
-        result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
-    return result;
-}
-
 // What libcurl's callbacks need while one exchange runs.
 struct exchange {
     CURL* easy { nullptr };
--- a/Source/Side/engine_client.cpp
+++ b/Source/Side/engine_client.cpp
@@ -1,5 +1,7 @@
 #include "Side/engine_client.h"
 
+#include "Base/http_status.h"
+
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -10,10 +12,6 @@
 using nlohmann::json;
 
 constexpr milliseconds controlTimeout { 1000 };
-constexpr std::uint16_t statusOk = 200;
-constexpr std::uint16_t statusAccepted = 202;
-constexpr std::uint16_t statusConflict = 409;
-constexpr std::uint16_t statusNoMemory = 507;
 
 resident_state parseState(const std::string& text)
 {
--- a/Source/Side/header_rules.cpp
+++ b/Source/Side/header_rules.cpp
@@ -1,5 +1,8 @@
 #include "Side/header_rules.h"
 
+#include "Base/http_status.h"
+#include "Base/letter_case.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -19,17 +22,6 @@
 constexpr std::array<std::string_view, 5> ownHeaders { "x-sagesaddle-team", "x-request-id", "traceparent",
     "idempotency-key", "x-priority" };
 
-constexpr std::uint16_t statusNoContent = 204;
-constexpr std::uint16_t statusNotModified = 304;
-
-std::string lowered(std::string_view text)
-{
-    std::string result(text);
-    std::transform(
-        result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
-    return result;
-}
-
 bool isOneOf(const auto& names, const std::string& name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
--- a/Source/Side/side_admin.cpp
+++ b/Source/Side/side_admin.cpp
@@ -1,5 +1,6 @@
 #include "Side/side_admin.h"
 
+#include "Base/http_status.h"
 #include "Serve/http_server.h"
 #include "Watch/metric_registry.h"
 
@@ -11,10 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t statusOk = 200;
-constexpr std::uint16_t statusNotFound = 404;
-constexpr std::uint16_t statusUnavailable = 503;
-
 const http_call::header_list plainText { { "Content-Type", "text/plain; charset=utf-8" } };
 const http_call::header_list jsonText { { "Content-Type", "application/json" } };
 
--- a/Source/Side/upstream_exchange.cpp
+++ b/Source/Side/upstream_exchange.cpp
@@ -1,5 +1,6 @@
 #include "Side/upstream_exchange.h"
 
+#include "Base/http_status.h"
 #include "Serve/http_client.h"
 #include "Side/header_rules.h"
 #include "Side/usage_reader.h"
@@ -15,7 +16,6 @@
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 constexpr std::size_t largestPieceBytes = 256 * 1024;
-constexpr std::uint16_t statusNotFound = 404;
 constexpr std::uint16_t lowestErrorStatus = 400;
 constexpr const char* reasonDeadline = "deadline";
 
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -13,7 +13,7 @@
 using flatbuffers::Offset;
 
 // Beyond any report of a fleet of the size that is built for.
-constexpr std::size_t maxFrameBytes = std::size_t { 4 } << 20U;
+constexpr std::size_t maxMessageBytes = std::size_t { 4 } << 20U;
 
 template <typename Table, typename Values, typename Make>
 auto vectorOf(FlatBufferBuilder& builder, const Values& values, const Make& make)
@@ -41,7 +41,7 @@
                   builder, builder.CreateString(ask.team), ask.needed, ask.ahead);
           });
     const auto demand
-        = vectorOf<fleet_wire::ModelDemand>(builder, value.demand, [&](const model_demand& item) {
+        = vectorOf<fleet_wire::ModelDemand>(builder, value.demand, [&](const demand_count& item) {
               return fleet_wire::CreateModelDemand(builder, builder.CreateString(item.service),
                   builder.CreateString(item.model), builder.CreateString(item.adapter), item.requests,
                   item.unplaced, item.tokens);
@@ -186,7 +186,7 @@
         return {};
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
     const std::size_t size = prefix + flatbuffers::ReadScalar<flatbuffers::uoffset_t>(data);
-    if (size > maxFrameBytes)
+    if (size > maxMessageBytes)
         throw std::runtime_error("a frame of " + std::to_string(size) + " bytes is over the bound");
     if (bytes.size() < size)
         return {};
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -41,7 +41,7 @@
 };
 
 /// \brief Requests that asked for a model or adapter lately.
-struct model_demand {
+struct demand_count {
     std::string service;
     std::string model;
     std::string adapter;
@@ -49,7 +49,7 @@
     std::uint32_t unplaced { 0 };
     double tokens { 0 };
 
-    auto operator<=>(const model_demand&) const = default;
+    auto operator<=>(const demand_count&) const = default;
 };
 
 /// \brief What an upstream holds, as `model` or `model/adapter`.
@@ -97,7 +97,7 @@
     bool wantsAll { false };
     std::vector<credit_request> credit;
     std::vector<upstream_work> work;
-    std::vector<model_demand> demand;
+    std::vector<demand_count> demand;
 
     auto operator<=>(const fleet_report&) const = default;
 };
--- a/Source/Wire/frame_codec.cpp
+++ b/Source/Wire/frame_codec.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::uint16_t frameVersion = 1;
-constexpr std::size_t sizePrefixBytes = 4;
 constexpr std::size_t frameAlignment = 8;
 constexpr std::uint16_t lowestStatus = 100;
 constexpr std::uint16_t highestStatus = 599;
--- a/Source/Wire/frame_codec.h
+++ b/Source/Wire/frame_codec.h
@@ -11,6 +11,7 @@
 namespace sagesaddle {
 
 /// Largest frame that is sent or accepted, in bytes.
+inline constexpr std::size_t sizePrefixBytes = 4;
 inline constexpr std::size_t maxFrameBytes = 16 * 1024 * 1024;
 
 /// \brief A frame that cannot be read.
--- a/Source/Wire/frame_connection.cpp
+++ b/Source/Wire/frame_connection.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t sizePrefixBytes = 4;
 constexpr std::size_t inputBytes = 64 * 1024;
 constexpr std::size_t largestSpareBytes = 1024 * 1024;
 constexpr int keepAliveIdleSeconds = 5;
--- a/Tests/Agree/freshness_differential_tests.cpp
+++ b/Tests/Agree/freshness_differential_tests.cpp
@@ -1,4 +1,5 @@
 #include "Agree/freshness_judge.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -10,10 +11,7 @@
 
 constexpr std::int64_t freshForMs = 2000;
 
-monotonic_time at(std::int64_t ms)
-{
-    return monotonic_time {} + milliseconds(1000000 + ms);
-}
+using testing::at;
 
 // One entry of a simulated fleet, with what the property needs to know of it.
 struct simulated_entry {
--- a/Tests/Agree/freshness_judge_tests.cpp
+++ b/Tests/Agree/freshness_judge_tests.cpp
@@ -1,4 +1,5 @@
 #include "Agree/freshness_judge.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -8,10 +9,7 @@
 
 constexpr milliseconds freshFor { 2000 };
 
-monotonic_time at(std::int64_t ms)
-{
-    return monotonic_time {} + milliseconds(100000 + ms);
-}
+using testing::at;
 
 std::map<std::string, entry_host> entries(std::initializer_list<const char*> names)
 {
--- a/Tests/Agree/membership_watch_tests.cpp
+++ b/Tests/Agree/membership_watch_tests.cpp
@@ -1,4 +1,5 @@
 #include "Agree/membership_watch.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -8,10 +9,7 @@
 
 using names = std::vector<std::string>;
 
-monotonic_time at(std::int64_t ms)
-{
-    return monotonic_time {} + milliseconds(100000 + ms);
-}
+using testing::at;
 
 fleet_state fleet(const names& members)
 {
--- a/Tests/Agree/snapshot_schedule_tests.cpp
+++ b/Tests/Agree/snapshot_schedule_tests.cpp
@@ -1,5 +1,6 @@
 #include "Agree/snapshot_schedule.h"
 #include "Record/objects.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -9,19 +10,16 @@
 
 namespace {
 
-monotonic_time at(std::int64_t ms)
-{
-    return monotonic_time {} + milliseconds(100000 + ms);
-}
+using testing::at;
 
-const std::map<std::string, entry_host> entries { { "a", {} }, { "b", {} }, { "c", {} } };
+const std::map<std::string, entry_host> members { { "a", {} }, { "b", {} }, { "c", {} } };
 
 // When an entry's turn comes where a snapshot falls due at once.
 std::int64_t turnOf(const std::string& self, std::uint64_t snapshotOffset)
 {
     snapshot_schedule schedule(self);
     for (std::int64_t ms = 0; ms < 60000; ms += 100)
-        if (schedule.isDue(at(ms), snapshotOffset, snapshotOffset + 500, 0, entries))
+        if (schedule.isDue(at(ms), snapshotOffset, snapshotOffset + 500, 0, members))
             return ms;
     return -1;
 }
--- a/Tests/Entry/planner_sight_tests.cpp
+++ b/Tests/Entry/planner_sight_tests.cpp
@@ -1,4 +1,5 @@
 #include "Entry/planner_sight.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-const monotonic_time start { seconds(1000) };
+using testing::start;
 
 // Model `draft` declared on engine `a`; engine `b` is empty.
 fleet_state twoEngines()
--- a/Tests/Fakes/fake_engine.cpp
+++ b/Tests/Fakes/fake_engine.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/clock.h"
 #include "Base/scope_guard.h"
+#include "Fakes/fake_call.h"
 #include "Fakes/fake_program.h"
 
 #include <algorithm>
@@ -13,15 +14,8 @@
 namespace {
 
 constexpr std::uint64_t defaultAnswerTokens = 16;
-constexpr seconds longestHold { 30 };
 constexpr std::size_t keptClasses = 100;
 
-std::string firstOf(const http_call& call, std::string_view name)
-{
-    const auto values = call.header(name);
-    return values.empty() ? std::string() : values.front();
-}
-
 std::string textOf(const nlohmann::json& content)
 {
     if (content.is_string())
--- a/Tests/Fakes/fake_program.cpp
+++ b/Tests/Fakes/fake_program.cpp
@@ -1,6 +1,7 @@
 #include "Fakes/fake_program.h"
 
 #include "Base/stop_signals.h"
+#include "Fakes/fake_call.h"
 
 #include <array>
 #include <civetweb.h>
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t maxBodyBytes = 64U * 1024 * 1024;
 constexpr milliseconds keepAliveTimeout { 60000 };
 constexpr std::uint32_t defaultWorkers = 64;
 
--- a/Tests/Fakes/fake_service.cpp
+++ b/Tests/Fakes/fake_service.cpp
@@ -1,24 +1,12 @@
 #include "Fakes/fake_service.h"
 
+#include "Fakes/fake_call.h"
 #include "Fakes/fake_program.h"
 
 #include <thread>
 
 namespace sagesaddle::testing {
 
-namespace {
-
-constexpr std::size_t maxBodyBytes = 64U * 1024 * 1024;
-constexpr seconds longestHold { 30 };
-
-std::string firstOf(const http_call& call, std::string_view name)
-{
-    const auto values = call.header(name);
-    return values.empty() ? std::string() : values.front();
-}
-
-} // namespace
-
 fake_service::fake_service(std::string name)
     : m_name(std::move(name))
 {
--- a/Tests/Fleet/duty_lease_tests.cpp
+++ b/Tests/Fleet/duty_lease_tests.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/duty_lease.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(1000) };
+using testing::start;
 
 lease_times testTimes()
 {
@@ -170,7 +171,7 @@
         std::minstd_rand random(seed);
         std::vector<duty_lease> processes { leaseOf("a", 1), leaseOf("b", 1), leaseOf("c", 1) };
         std::vector<monotonic_time> frozenUntil(processes.size(), start);
-        lease_record stored { "", 0, 0 };
+        duty_record stored { "", 0, 0 };
         std::vector<late_append> late;
         std::vector<std::uint64_t> fences;
         const auto store = [&](std::size_t process, std::uint64_t offset) {
--- a/Tests/Fleet/upstream_list_tests.cpp
+++ b/Tests/Fleet/upstream_list_tests.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/upstream_list.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(100) };
+using testing::start;
 constexpr milliseconds grace { 2300 };
 
 upstream_record listed(const std::string& id, std::uint64_t offset, bool isDraining = false)
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/coordinator.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -7,7 +8,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(500) };
+using testing::start;
 
 upstream_list listOf(const std::vector<std::string>& ids, std::uint64_t offset)
 {
--- a/Tests/Gateway/engine_stand_in.cpp
+++ b/Tests/Gateway/engine_stand_in.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr milliseconds lookPause { 5 };
+constexpr milliseconds stepPause { 5 };
 
 bool isAdapter(const std::string& name)
 {
@@ -27,7 +27,7 @@
     , m_timer(loop, [this] { look(); })
 {
     server.onRequest = [this](const scripted_upstream::request& call) { onCall(call); };
-    m_timer.start(lookPause);
+    m_timer.start(stepPause);
 }
 
 std::size_t engine_stand_in::adapters() const
@@ -156,7 +156,7 @@
 
 void engine_stand_in::look()
 {
-    m_timer.start(lookPause);
+    m_timer.start(stepPause);
     const monotonic_time now = monotonicNow();
     if (m_loading && now >= m_loading->first)
         held.insert(std::exchange(m_loading, std::nullopt)->second);
--- a/Tests/Limit/credit_tests.cpp
+++ b/Tests/Limit/credit_tests.cpp
@@ -1,5 +1,6 @@
 #include "Limit/credit_account.h"
 #include "Limit/credit_holder.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +8,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 
 credit_holder fullHolder()
 {
--- a/Tests/Limit/gateway_credit_tests.cpp
+++ b/Tests/Limit/gateway_credit_tests.cpp
@@ -1,6 +1,7 @@
 #include "Limit/credit_bank.h"
 #include "Limit/credit_purse.h"
 #include "Limit/return_schedule.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -11,7 +12,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(500) };
+using testing::start;
 constexpr milliseconds grantLife { 1000 };
 constexpr double shareAlone = 0.5;
 
--- a/Tests/Limit/rate_member_tests.cpp
+++ b/Tests/Limit/rate_member_tests.cpp
@@ -1,5 +1,6 @@
 #include "Limit/fleet_of.h"
 #include "Limit/rate_member.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 
 /// \brief Three entries that learn states and exchange asks and grants without delay.
 struct small_fleet {
--- a/Tests/Place/engine_book_tests.cpp
+++ b/Tests/Place/engine_book_tests.cpp
@@ -1,4 +1,5 @@
 #include "Place/engine_book.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(500) };
+using testing::start;
 constexpr milliseconds reportLag { 350 };
 
 engine_config engineConfig()
@@ -25,21 +26,21 @@
     return config;
 }
 
-engine_report reportOf(std::uint64_t orders, std::vector<held_model> models, bool isBusy = false)
+holding_report reportOf(std::uint64_t orders, std::vector<held_model> models, bool isBusy = false)
 {
-    engine_report report;
+    holding_report report;
     report.orders = orders;
     report.isBusy = isBusy;
     report.models = std::move(models);
     return report;
 }
 
-engine_order loadOf(const std::string& model, const std::string& adapter, std::uint64_t expected)
+holding_order loadOf(const std::string& model, const std::string& adapter, std::uint64_t expected)
 {
-    return { engine_order::action::Load, model, adapter, "g", 1, expected };
+    return { holding_order::action::Load, model, adapter, "g", 1, expected };
 }
 
-engine_book bookWith(const engine_report& report)
+engine_book bookWith(const holding_report& report)
 {
     engine_book book("u", engineConfig());
     CHECK(book.wantsReport(start));
@@ -118,8 +119,8 @@
     book.onOrderSent(loadOf("m1", "a2", 0), start);
     book.onOrderAnswered(202, start);
     CHECK(book.freeAdapterPlaces() == 0);
-    engine_order drop = loadOf("m1", "a1", 1);
-    drop.what = engine_order::action::Unload;
+    holding_order drop = loadOf("m1", "a1", 1);
+    drop.what = holding_order::action::Unload;
     book.onOrderSent(drop, start + milliseconds(5));
     CHECK_FALSE(book.holds("m1/a1"));
     CHECK(book.freeAdapterPlaces() == 0);
@@ -131,8 +132,8 @@
 TEST_CASE("engine book: an adapter that was dropped at once leaves its place")
 {
     auto book = bookWith(reportOf(0, { { "m1", { "a1", "a2" } } }));
-    engine_order drop = loadOf("m1", "a1", 0);
-    drop.what = engine_order::action::Unload;
+    holding_order drop = loadOf("m1", "a1", 0);
+    drop.what = holding_order::action::Unload;
     book.onOrderSent(drop, start);
     book.onOrderAnswered(200, start);
     CHECK(book.freeAdapterPlaces() == 1);
--- a/Tests/Place/memory_ledger_tests.cpp
+++ b/Tests/Place/memory_ledger_tests.cpp
@@ -1,4 +1,5 @@
 #include "Place/memory_ledger.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +8,7 @@
 namespace {
 
 constexpr milliseconds settling { 1000 };
-const monotonic_time start {};
+using testing::start;
 
 engine_report reportOf(std::uint64_t sequence, std::map<std::string, resident_model> models = {},
     std::map<std::string, order_outcome> orders = {})
--- a/Tests/Place/order_planner_tests.cpp
+++ b/Tests/Place/order_planner_tests.cpp
@@ -1,4 +1,5 @@
 #include "Place/order_planner.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,8 +7,8 @@
 
 namespace {
 
-constexpr milliseconds settling { 1000 };
-const monotonic_time start {};
+constexpr milliseconds settlePeriod { 1000 };
+using testing::start;
 const monotonic_time now = start + seconds(100);
 
 side_view viewOf(std::vector<placement> placements)
@@ -24,14 +25,14 @@
 
 memory_ledger ledgerWith(const std::vector<std::string>& loaded)
 {
-    memory_ledger ledger({ false, settling, "run" }, start);
+    memory_ledger ledger({ false, settlePeriod, "run" }, start);
     ledger.setTotal(1000);
     engine_report report { 1, milliseconds(0), 1000, 0, {}, {} };
     for (const std::string& name : loaded) {
         report.models[name] = { name == "a-tuned" ? 10U : 400U, resident_state::Loaded };
         report.usedMb += report.models[name].memoryMb;
     }
-    ledger.onReport(report, start + settling);
+    ledger.onReport(report, start + settlePeriod);
     return ledger;
 }
 
--- a/Tests/Place/use_meter_tests.cpp
+++ b/Tests/Place/use_meter_tests.cpp
@@ -1,4 +1,5 @@
 #include "Place/use_meter.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 
 /// \return the time at its end
 monotonic_time noteSteadily(use_meter& meter, const std::string& model, double tokens, seconds duration)
--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -1,4 +1,5 @@
 #include "Plan/holding_planner.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <deque>
@@ -8,7 +9,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(500) };
+using testing::start;
 
 engine_config configOf(int models, int adapters)
 {
@@ -42,7 +43,7 @@
     void add(
         const std::vector<std::string>& models, int inFlight = 0, const std::vector<std::string>& atHand = {})
     {
-        engine_report report;
+        holding_report report;
         for (const auto& model : models)
             report.models.push_back({ model, {} });
         report.atHand = atHand;
@@ -51,7 +52,7 @@
         engines.push_back({ &books.back(), "z", false, inFlight, 64 });
     }
 
-    std::vector<planned_order> plan()
+    std::vector<planned_holding> plan()
     {
         // The allowance of loads fills up before the first look.
         planner.plan({}, config, demand, start - seconds(10));
@@ -61,9 +62,9 @@
     void ask(const std::string& model, double requests) { demand.onRequests(model, requests, 0, start); }
 };
 
-bool has(const std::vector<planned_order>& orders, engine_order::action what, const std::string& model)
+bool has(const std::vector<planned_holding>& orders, holding_order::action what, const std::string& model)
 {
-    return std::any_of(orders.begin(), orders.end(), [&](const planned_order& order) {
+    return std::any_of(orders.begin(), orders.end(), [&](const planned_holding& order) {
         return order.what == what && order.model == model && order.adapter.empty();
     });
 }
@@ -76,7 +77,7 @@
     it.add({ "m0", "m1" });
     it.add({ "m1" });
     const auto orders = it.plan();
-    CHECK(orders == std::vector<planned_order> { { "u1", engine_order::action::Load, "m2", "" } });
+    CHECK(orders == std::vector<planned_holding> { { "u1", holding_order::action::Load, "m2", "" } });
 }
 
 TEST_CASE("holding planner: without room, a copy that the demand can spare makes way")
@@ -87,7 +88,7 @@
     it.ask("m3", 1);
     const auto orders = it.plan();
     REQUIRE(orders.size() == 1);
-    CHECK(orders.at(0).what == engine_order::action::Unload);
+    CHECK(orders.at(0).what == holding_order::action::Unload);
     CHECK(orders.at(0).model == "m0");
 }
 
@@ -109,10 +110,10 @@
         it.add({ "m0" });
     it.ask("m1", 200);
     const auto orders = it.plan();
-    CHECK(std::count_if(orders.begin(), orders.end(), [](const planned_order& order) {
-        return order.what == engine_order::action::Load && order.model == "m1";
+    CHECK(std::count_if(orders.begin(), orders.end(), [](const planned_holding& order) {
+        return order.what == holding_order::action::Load && order.model == "m1";
     }) == 1);
-    CHECK_FALSE(has(orders, engine_order::action::Unload, "m1"));
+    CHECK_FALSE(has(orders, holding_order::action::Unload, "m1"));
 }
 
 TEST_CASE("holding planner: weights at hand are loaded without the store's allowance, and first")
@@ -123,7 +124,7 @@
     it.add({ "m0" }, 30, { "m1" });
     it.ask("m1", 100);
     const auto orders = it.planner.plan(it.engines, it.config, it.demand, start);
-    CHECK(orders == std::vector<planned_order> { { "u2", engine_order::action::Load, "m1", "" } });
+    CHECK(orders == std::vector<planned_holding> { { "u2", holding_order::action::Load, "m1", "" } });
 }
 
 TEST_CASE("holding planner: loads keep to the weight store's rate")
@@ -142,7 +143,7 @@
             engines.push_back({ &books.back(), "z", false, 0, 64 });
         }
         for (const auto& order : planner.plan(engines, config, demand, now)) {
-            REQUIRE(order.what == engine_order::action::Load);
+            REQUIRE(order.what == holding_order::action::Load);
             planner.onModelOrdered(now);
             ++loads;
         }
@@ -161,7 +162,7 @@
     CHECK(orders.at(0).adapter == "a1");
 
     planning full(configOf(1, 3));
-    engine_report report;
+    holding_report report;
     report.models = { { "m0", { "a1", "a2" } } };
     full.books.emplace_back("u0", full.config);
     full.books.back().onReport(report, start, start);
@@ -171,7 +172,7 @@
     full.demand.onRequests("m0/a3", 1, 1, start);
     orders = full.planner.plan(full.engines, full.config, full.demand, start);
     REQUIRE(orders.size() == 1);
-    CHECK(orders.at(0) == planned_order { "u0", engine_order::action::Unload, "m0", "a1" });
+    CHECK(orders.at(0) == planned_holding { "u0", holding_order::action::Unload, "m0", "a1" });
 }
 
 TEST_CASE("holding planner: a draining engine gets no order and its copies do not count")
@@ -181,5 +182,5 @@
     it.engines.back().isDraining = true;
     it.add({});
     const auto orders = it.plan();
-    CHECK(orders == std::vector<planned_order> { { "u1", engine_order::action::Load, "m0", "" } });
+    CHECK(orders == std::vector<planned_holding> { { "u1", holding_order::action::Load, "m0", "" } });
 }
--- a/Tests/Plan/placement_planner_properties.cpp
+++ b/Tests/Plan/placement_planner_properties.cpp
@@ -1,4 +1,5 @@
 #include "Plan/placement_planner.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -10,7 +11,7 @@
 
 namespace {
 
-const monotonic_time start { seconds(1000) };
+using testing::start;
 
 plan_view drawView()
 {
--- a/Tests/Plan/placement_planner_tests.cpp
+++ b/Tests/Plan/placement_planner_tests.cpp
@@ -1,4 +1,5 @@
 #include "Plan/placement_planner.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -7,7 +8,7 @@
 
 namespace {
 
-const monotonic_time start { seconds(1000) };
+using testing::start;
 
 plan_view oneModelOnTwoHosts()
 {
--- a/Tests/Plan/planner_lease_properties.cpp
+++ b/Tests/Plan/planner_lease_properties.cpp
@@ -1,5 +1,6 @@
 #include "Plan/planner_lease.h"
 #include "Record/fold.h"
+#include "Support/test_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -9,7 +10,7 @@
 
 namespace {
 
-const monotonic_time start { seconds(1000) };
+using testing::start;
 
 // An append that its process is held up in: it was asked for, and is not in the log yet.
 struct open_append {
--- a/Tests/Plan/planner_lease_tests.cpp
+++ b/Tests/Plan/planner_lease_tests.cpp
@@ -1,4 +1,5 @@
 #include "Plan/planner_lease.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-const monotonic_time start { seconds(1000) };
+using testing::start;
 
 fleet_state stateWith(std::optional<lease_grant> grant)
 {
--- a/Tests/Record/record_folder_tests.cpp
+++ b/Tests/Record/record_folder_tests.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::string hash(64, 'a');
+const std::string contentHash(64, 'a');
 
 record_folder parse(const std::string& text)
 {
@@ -48,7 +48,7 @@
 id = "gold-1"
 team = "gold"
 secret_sha256 = ")"
-        + hash + R"("
+        + contentHash + R"("
 [[model]]
 name = "draft"
 memory_mb = 800
--- a/Tests/Route/fair_queue_estimates.cpp
+++ b/Tests/Route/fair_queue_estimates.cpp
@@ -1,4 +1,5 @@
 #include "Route/fair_queue.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 constexpr std::uint32_t slots = 8;
 constexpr double tokensPerSecond = 100;
 
--- a/Tests/Route/fair_queue_properties.cpp
+++ b/Tests/Route/fair_queue_properties.cpp
@@ -1,4 +1,5 @@
 #include "Route/fair_queue.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -11,7 +12,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 const std::vector<std::string> teamNames { "t0", "t1", "t2" };
 
 /// \brief What became of the requests, kept without any order.
--- a/Tests/Route/fair_queue_tests.cpp
+++ b/Tests/Route/fair_queue_tests.cpp
@@ -1,4 +1,5 @@
 #include "Route/fair_queue.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -8,7 +9,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 
 queued_request requestOf(std::uint64_t ticket, const std::string& team, double tokens,
     priority of = priority::Interactive, monotonic_time deadline = start + seconds(3600))
--- a/Tests/Route/router_properties.cpp
+++ b/Tests/Route/router_properties.cpp
@@ -1,4 +1,5 @@
 #include "Route/router.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -12,7 +13,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 const std::vector<std::string> modelNames { "m0", "m1", "m2", "a0", "a1" };
 constexpr int upstreamCount = 60;
 
--- a/Tests/Route/router_tests.cpp
+++ b/Tests/Route/router_tests.cpp
@@ -1,4 +1,5 @@
 #include "Route/router.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -8,7 +9,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 
 upstream engineAt(const std::string& name, const std::string& zone)
 {
--- a/Tests/Route/silence_watch_tests.cpp
+++ b/Tests/Route/silence_watch_tests.cpp
@@ -1,4 +1,5 @@
 #include "Route/silence_watch.h"
+#include "Support/test_time.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +7,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 const std::vector<std::string> nobody;
 const std::vector<std::string> first { "s1" };
 
--- a/Tests/Watch/decision_lines_tests.cpp
+++ b/Tests/Watch/decision_lines_tests.cpp
@@ -1,3 +1,4 @@
+#include "Support/test_time.h"
 #include "Watch/decision_lines.h"
 
 #include <array>
@@ -11,7 +12,7 @@
 
 namespace {
 
-constexpr monotonic_time start { seconds(100) };
+using testing::start;
 
 struct pipe_ends {
     std::array<int, 2> ends {};
--- a/Utilities/bench/bench_decisions.cpp
+++ b/Utilities/bench/bench_decisions.cpp
@@ -3,6 +3,7 @@
 #include "Limit/rate_member.h"
 #include "Route/fair_queue.h"
 #include "Route/router.h"
+#include "Support/test_time.h"
 #include "bench_fleet.h"
 
 #include <benchmark/benchmark.h>
@@ -12,7 +13,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 constexpr double requestTokens = 300;
 
 /// \brief A router that knows a fleet's records and reports.
--- a/Utilities/bench/bench_planning.cpp
+++ b/Utilities/bench/bench_planning.cpp
@@ -1,5 +1,6 @@
 #include "Entry/planner_sight.h"
 #include "Plan/placement_planner.h"
+#include "Support/test_time.h"
 #include "bench_fleet.h"
 
 #include <benchmark/benchmark.h>
@@ -9,7 +10,7 @@
 
 namespace {
 
-const monotonic_time start = monotonic_time {} + seconds(1000);
+using testing::start;
 constexpr double tokensPerSecond = 100;
 
 /// \brief A planner's sight of a fleet whose engines are all linked and report what they hold.
