Serve: Look again whether an order is due right before it leaves

Cause: a side process looked at whether it may still give an order before the client set up its connection. One that was suspended in between gave the order on waking, though another process had replaced it; an engine without fencing numbers took it.

Ruled out: the engine that checks fencing numbers (only the other case failed). The freeze was not forced into that gap; the cause is read from the code. The gap between the last look and the kernel's write stays.

--- a/Source/Serve/http_client.cpp
+++ b/Source/Serve/http_client.cpp
@@ -38,6 +38,8 @@
     bool headGiven { false };
     std::exception_ptr failure;
     std::string_view bodyLeft;
+    const std::function<bool()>* mayLeave { nullptr };
+    bool withheld { false };
 };
 
 void giveHead(exchange& state)
@@ -81,7 +83,12 @@
 // where a kept connection ends without an answer.
 std::size_t onBodyWanted(char* buffer, std::size_t, std::size_t size, void* user)
 {
-    auto& left = static_cast<exchange*>(user)->bodyLeft;
+    auto& state = *static_cast<exchange*>(user);
+    if (*state.mayLeave && !(*state.mayLeave)()) {
+        state.withheld = true;
+        return CURL_READFUNC_ABORT;
+    }
+    auto& left = state.bodyLeft;
     const std::size_t count = left.copy(buffer, size);
     left.remove_prefix(count);
     return count;
@@ -90,6 +97,7 @@
 void setBody(CURL* easy, const http_request& request, exchange& state)
 {
     state.bodyLeft = request.body;
+    state.mayLeave = &request.mayLeave;
     if (!request.body.empty()) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_READFUNCTION, onBodyWanted);
@@ -202,6 +210,9 @@
     const CURLcode code = curl_easy_perform(easy);
     if (state.failure)
         std::rethrow_exception(state.failure);
+    if (state.withheld)
+        throw http_error(
+            request.method + " " + url + ": withheld, since it was no longer due", verdict::NotRun);
     if (code != CURLE_OK)
         throw http_error(request.method + " " + url + ": " + curl_easy_strerror(code), verdictOf(code));
     giveHead(state);
--- a/Source/Serve/http_client.h
+++ b/Source/Serve/http_client.h
@@ -28,6 +28,10 @@
     /// Time for the whole exchange.
     milliseconds timeout { 10000 };
     milliseconds connectTimeout { 1000 };
+    /// Asked right before the body leaves, on a connection that stands; false abandons the exchange, which
+    /// the server then cannot have run. For what must not be sent once a lease or a deadline is over: this
+    /// process may be suspended between deciding and sending.
+    std::function<bool()> mayLeave;
 };
 
 /// \brief An answer, whole.
--- a/Source/Side/engine_client.cpp
+++ b/Source/Side/engine_client.cpp
@@ -81,7 +81,7 @@
     return events;
 }
 
-order_answer engine_client::send(const engine_order& order)
+order_answer engine_client::send(const engine_order& order, const std::function<bool()>& mayLeave)
 {
     http_request request;
     request.method = "POST";
@@ -90,6 +90,7 @@
     request.headers = { { "Content-Type", "application/json" } };
     request.body = orderDocument(order).dump();
     request.timeout = controlTimeout;
+    request.mayLeave = mayLeave;
     try {
         const http_response response = m_client.send(request);
         if (response.status == statusAccepted)
--- a/Source/Side/engine_client.h
+++ b/Source/Side/engine_client.h
@@ -44,7 +44,8 @@
     cache_events cacheEvents(std::uint64_t from);
 
     /// Sends an order; a reply that makes no sense counts as lost.
-    order_answer send(const engine_order& order);
+    /// \param mayLeave asked right before the order leaves; an order that is withheld counts as lost
+    order_answer send(const engine_order& order, const std::function<bool()>& mayLeave);
 
 private:
     http_response get(const std::string& target);
--- a/Source/Side/engine_control.cpp
+++ b/Source/Side/engine_control.cpp
@@ -64,7 +64,7 @@
             readReport();
             readCacheEvents();
             for (const engine_order& order : decide())
-                giveIfFresh(order);
+                give(order);
             noteChanges();
             pause();
         }
@@ -157,20 +157,22 @@
         return ledger->takeOrdersToSend(now);
     }
 
-    // A pause may have passed since the decision: the order then counts as lost and is decided anew.
-    void giveIfFresh(const engine_order& order)
+    // A pause may pass between the decision and the sending: the order then counts as lost and is decided
+    // anew.
+    void give(const engine_order& order)
     {
-        {
+        bool isDue = true;
+        const order_answer answer = client.send(order, [&] {
             const std::scoped_lock lock(mutex);
-            if (!ledger->maySend(monotonicNow()))
-                return ledger->onReply(order.id, order_reply::Lost, 0);
+            isDue = ledger->maySend(monotonicNow());
+            return isDue;
+        });
+        if (!isDue) {
+            writeLog(log_level::Info, "order withheld: too long ago since it was decided",
+                { { "order", order.id }, { "model", order.model } });
+            const std::scoped_lock lock(mutex);
+            return ledger->onReply(order.id, order_reply::Lost, 0);
         }
-        give(order);
-    }
-
-    void give(const engine_order& order)
-    {
-        const order_answer answer = client.send(order);
         metrics.add("sagesaddle_side_orders_total", "Orders sent to the engine, by action and reply.",
             { { "action", nameOfAction(order.action) }, { "reply", nameOfReply(answer.reply) } });
         writeLog(log_level::Info, "order sent",
--- a/Tests/Serve/http_tests.cpp
+++ b/Tests/Serve/http_tests.cpp
@@ -121,6 +121,35 @@
     CHECK(calls == 2);
 }
 
+TEST_CASE("http: a request that is no longer due once its connection stands is withheld and surely not run")
+{
+    // A process suspended between its decision and the connection's end sent an order that another had
+    // replaced.
+    const address listen = testing::freeAddress();
+    std::atomic<int> whole { 0 };
+    http_server server({ .listen = listen }, [&](http_call& call) {
+        std::string body;
+        if (call.readBody(body, 100) == body_failure::None)
+            ++whole;
+        call.respond(200, {}, "");
+    });
+    http_client client;
+    http_request request = post(listen, "order");
+    CHECK(client.send(request).status == 200);
+    bool isDue = false;
+    request.mayLeave = [&] { return isDue; };
+    try {
+        client.send(request);
+        FAIL("the request left");
+    } catch (const http_error& error) {
+        CHECK(error.ran() == verdict::NotRun);
+    }
+    CHECK(whole == 1);
+    isDue = true;
+    CHECK(client.send(request).status == 200);
+    CHECK(whole == 2);
+}
+
 TEST_CASE("http: idle kept connections never keep other callers out")
 {
     const address listen = testing::freeAddress();
