--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -1,16 +1,35 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over the project's sources, or over those given.
 # usage: Utilities/lint.sh BUILD_DIR [FILE...]
-# doctest_main.cpp is left out of a whole run: it is doctest's own implementation, set off by one macro.
+# A whole run checks the files of each target together, as its unity build would compile them, so that the
+# libraries' headers are parsed once for several files. No source may include another, which is checked first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
 shift || true
 if [ $# -gt 0 ]; then
     files=("$@")
+    database=$build
+    options=()
 else
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' ':!Tests/Support/doctest_main.cpp')
+    if git grep -nE '#include "[^"]*\.cpp"' -- '*.cpp' '*.h'; then
+        echo "lint: a source includes another source; move what both need into a header" >&2
+        exit 1
+    fi
+    # Two types of one name in one program are undefined behaviour that no compiler reports.
+    doubled=$(git grep -hoE '^(struct|class|enum class) [a-z_0-9]+( final)?( :[^:].*)?( \{)?$' -- 'Source/*.h' 'platform/*.h' |
+        awk '{ print ($1 == "enum") ? $3 : $2 }' | sort | uniq -d)
+    if [ -n "$doubled" ]; then
+        echo "lint: types declared in more than one header; rename one of each: $doubled" >&2
+        exit 1
+    fi
+    database=$build-lint
+    cmake -S . -B "$database" -G Ninja -DCMAKE_UNITY_BUILD=ON > /dev/null
+    mapfile -t files < <(sed -n 's/^ *"file": "\(.*\)",\{0,1\}$/\1/p' "$database/compile_commands.json" | sort -u)
+    # The analyser leaves included files out by itself.
+    options=(--checks=-bugprone-suspicious-include --extra-arg=-Xclang --extra-arg=-analyzer-opt-analyze-headers)
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build" 2>&1 |
+printf '%s\n' "${files[@]}" |
+    xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$database" "${options[@]}" 2>&1 |
     { grep -vE '^[0-9]+ warnings? (generated|treated)|^Suppressed|^Use -header-filter' || true; }
 test "${PIPESTATUS[1]}" -eq 0
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -6,14 +6,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 shift || true
-launcher=()
-if command -v ccache > /dev/null; then
-    # Clones in other folders share what was compiled.
-    export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=true
-    launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
-fi
-cmake -S . -B "$build" -G Ninja "${launcher[@]}" "$@" > /dev/null
-cmake --build "$build"
+Utilities/build.sh "$build" "$@"
 
 # An entry of KNOWN-RED.txt: test name | command and seed | what was seen | issue
 known=()
