--- a/Source/Command/command_line.cpp
+++ b/Source/Command/command_line.cpp
@@ -87,6 +87,8 @@
             nameOption(options, "--operator"), revisionOption(options), entriesOption(options) };
     if (options.at("status").asBool())
         return status_request { entriesOption(options) };
+    if (options.at("explain").asBool() && options.at("ID"))
+        return explain_lines_request { textOf(options, "ID"), options.at("--lines").asStringList() };
     if (options.at("explain").asBool())
         return explain_request { textOf(options, "TRACE"), entriesOption(options) };
     return parseKeysRequest(options);
@@ -105,6 +107,7 @@
   sagesaddle apply DIR --log=ADDR --operator=NAME [--revision=N] [--entry=ADDR]... [--json]
   sagesaddle status (--entry=ADDR)... [--json]
   sagesaddle explain TRACE (--entry=ADDR)... [--json]
+  sagesaddle explain ID (--lines=FILE)... [--json]
   sagesaddle keys new --team=NAME [--id=ID] [--json]
   sagesaddle keys withdraw ID --log=ADDR --operator=NAME [--entry=ADDR]... [--json]
   sagesaddle keys list --log=ADDR [--json]
@@ -113,6 +116,7 @@
 Options:
   --log=ADDR       Address of the log service, as ip:port.
   --entry=ADDR     Admin address of an entry, as ip:port; may be given more than once.
+  --lines=FILE     Log lines of gateways, or - for standard input; may be given more than once.
   --operator=NAME  Who makes the change; shown to an operator who loses a race against it.
   --revision=N     Revision that DIR was prepared against; the newest where it is not given.
   --team=NAME      Team that the new key is for.
--- a/Source/Command/command_line.h
+++ b/Source/Command/command_line.h
@@ -38,6 +38,12 @@
     std::vector<address> entries;
 };
 
+struct explain_lines_request {
+    std::string requestId;
+    /// Files of log lines; `-` is standard input.
+    std::vector<std::string> files;
+};
+
 struct keys_new_request {
     std::string team;
     std::string id;
@@ -55,7 +61,7 @@
 };
 
 using command_request = std::variant<check_request, diff_request, apply_request, status_request,
-    explain_request, keys_new_request, keys_withdraw_request, keys_list_request>;
+    explain_request, keys_new_request, keys_withdraw_request, keys_list_request, explain_lines_request>;
 
 /// \brief A parsed command line.
 struct command_line {
--- a/Source/Command/commands.h
+++ b/Source/Command/commands.h
@@ -20,6 +20,9 @@
 /// Shows why a request was routed or refused.
 command_report run(const explain_request& request);
 
+/// Tells from gateways' logs why a request ended as it did.
+command_report run(const explain_lines_request& request);
+
 /// Makes a random secret and the record of its key.
 command_report run(const keys_new_request& request);
 
--- /dev/null
+++ b/Source/Command/explain_lines.cpp
@@ -0,0 +1,71 @@
+#include "Command/commands.h"
+#include "Command/request_story.h"
+
+#include <fstream>
+#include <iostream>
+#include <stdexcept>
+
+namespace sagesaddle {
+
+namespace {
+
+using nlohmann::json;
+
+gateway_log readLogs(const std::vector<std::string>& files)
+{
+    gateway_log log;
+    for (const std::string& name : files) {
+        if (name == "-") {
+            readDecisionLog(std::cin, "standard input", log);
+            continue;
+        }
+        std::ifstream input(name);
+        if (!input)
+            throw std::runtime_error("cannot read the log lines of \"" + name
+                + "\": no such file, or it may not be read; give --lines a file that a gateway's output went "
+                  "to");
+        readDecisionLog(input, name, log);
+    }
+    return log;
+}
+
+std::string formatLine(const decision_line& line)
+{
+    std::string text
+        = "  " + line.fields.at("time").get<std::string>() + " " + line.process + " " + line.kind;
+    for (const auto& [key, value] : line.fields.items()) {
+        if (key != "time" && key != "message" && key != "level")
+            text += " " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return text + "\n";
+}
+
+} // namespace
+
+command_report run(const explain_lines_request& request)
+{
+    const gateway_log log = readLogs(request.files);
+    const request_story story = tellStory(log, request.requestId);
+    command_report report;
+    report.document
+        = { { "id", request.requestId }, { "cause", story.cause }, { "explained", story.isExplained },
+              { "unreadable_lines", log.unreadable }, { "evidence", json::array() } };
+    if (story.evidence.empty()) {
+        report.code = exit_code::NotFound;
+        report.text = "no line has the id " + request.requestId + " among " + std::to_string(log.lines.size())
+            + "; it may have gone to another gateway, or its line was left out under load (see left_out)\n";
+        return report;
+    }
+    report.text = request.requestId + ": " + story.cause + "\n";
+    if (!story.isExplained)
+        report.text += "  what decided it is not in these lines; add those of the other gateways\n";
+    for (const decision_line& line : story.evidence) {
+        report.text += formatLine(line);
+        report.document["evidence"].push_back(line.fields);
+    }
+    if (log.unreadable > 0)
+        report.text += "  (" + std::to_string(log.unreadable) + " lines could not be read)\n";
+    return report;
+}
+
+} // namespace sagesaddle
--- a/Tests/Command/command_line_tests.cpp
+++ b/Tests/Command/command_line_tests.cpp
@@ -29,6 +29,7 @@
     CHECK(indexOf({ "keys", "new", "--team=gold" }) == 5);
     CHECK(indexOf({ "keys", "withdraw", "gold-1", log, "--operator=ann" }) == 6);
     CHECK(indexOf({ "keys", "list", log }) == 7);
+    CHECK(indexOf({ "explain", "r1", "--lines=a", "--lines=-" }) == 8);
 }
 
 TEST_CASE("command line: wrong values are named with what is allowed")
