Plan: Lay models near ahead of demand, and load weights at hand first

Cause: when demand moves, copies of the next model take 9 s from the weight store, a second or two from a host's memory or disk; and a cold load was begun while another engine had the weights at hand but no room.

A pass no longer drops the last two copies of a model through two orders: what it drops counts at once; the new test failed before.

--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Span over which demand is averaged; short against the shifts of demand, long against gaps between requests.
-constexpr double demandSeconds = 2.5;
+constexpr double demandSeconds = 2.0;
 // Time without a request after which an adapter's last copy may be dropped.
 constexpr seconds idleAdapter { 2 };
 // Part of the weight store's rate that is used; late orders and other holders' loads have the rest.
@@ -18,13 +18,18 @@
 constexpr double loadBurst = 2.5;
 // Engines that may stand with room for a model at once, beyond the loads that are allowed now.
 constexpr int roomsAhead = 2;
-// Worth of weights at hand against a further free copy, in choosing an engine.
-constexpr double atHandGain = 4;
 // Copies for each engine that the demand is spread over: over one, so that requests have a choice.
 constexpr double copiesPerEngine = 1.5;
 // How many more copies are kept than would be loaded, so that copies do not come and go with the demand's
 // noise.
 constexpr double keepFactor = 1.35;
+// Engines on which a model should lie within a second or two of serving: held, or in the host's memory or on
+// its disk. A host's disk has some six models, about twice what its engine holds.
+constexpr int nearEngines = 4;
+// One engine of so many may load ahead of demand: while it does, it takes no order for an adapter.
+constexpr int enginesPerSpread = 6;
+// Loads that stay saved up for demand while models are spread ahead of it.
+constexpr double savedLoads = 1.5;
 // Requests a second that a copy should at least serve.
 constexpr double requestsPerCopy = 1.5;
 // Requests a second for each copy from which an adapter is put into a further free place.
@@ -61,6 +66,8 @@
     monotonic_time now;
     std::vector<planned_holding> orders;
     std::set<std::string> ordered;
+    /// Models dropped in this pass, by upstream and name.
+    std::set<std::pair<std::string, std::string>> dropped;
     /// Requests a second for all models together.
     double total { 0 };
 
@@ -71,8 +78,11 @@
 
     int copies(const std::string& holding) const
     {
-        return static_cast<int>(std::count_if(engines.begin(), engines.end(),
-            [&](const engine_sight& engine) { return !engine.isDraining && engine.book->mayHold(holding); }));
+        return static_cast<int>(
+            std::count_if(engines.begin(), engines.end(), [&](const engine_sight& engine) {
+                return !engine.isDraining && engine.book->mayHold(holding)
+                    && !dropped.contains({ engine.book->upstream(), holding });
+            }));
     }
 
     bool isIdle(const std::string& holding, monotonic_span span) const
@@ -86,6 +96,8 @@
     {
         orders.push_back({ engine.book->upstream(), what, model, adapter });
         ordered.insert(engine.book->upstream());
+        if (what == holding_order::action::Unload)
+            dropped.insert({ engine.book->upstream(), holdingName(model, adapter) });
     }
 
     /// \return the adapter that is easiest to do without there, where one may be dropped.
@@ -126,9 +138,9 @@
             order(*best, holding_order::action::Load, model, adapter);
             return;
         }
-        const std::string dropped = *adapterToDrop(*best);
-        const std::size_t slash = dropped.find('/');
-        order(*best, holding_order::action::Unload, dropped.substr(0, slash), dropped.substr(slash + 1));
+        const std::string victim = *adapterToDrop(*best);
+        const std::size_t slash = victim.find('/');
+        order(*best, holding_order::action::Unload, victim.substr(0, slash), victim.substr(slash + 1));
     }
 
     void placeAdapters(bool wantedOnly)
@@ -146,33 +158,84 @@
         }
     }
 
-    /// Loads a model where it fits, or makes room for it first.
-    /// \param allowance loads from the weight store that may begin now; less one where this begins one
-    void placeModel(const model_config& model, double& allowance)
+    /// \return engines that hold a model, or could load it without the weight store.
+    int near(const std::string& model) const
+    {
+        return static_cast<int>(
+            std::count_if(engines.begin(), engines.end(), [&](const engine_sight& engine) {
+                return !engine.isDraining && (engine.book->mayHold(model) || engine.book->isAtHand(model));
+            }));
+    }
+
+    /// Loads a model that lies near on the fewest engines where it does not yet, ahead of any demand for it.
+    void spreadModels(double allowance)
+    {
+        const auto loading = std::count_if(engines.begin(), engines.end(),
+            [](const engine_sight& engine) { return engine.book->isLoading(); });
+        if (allowance < 1 + savedLoads
+            || loading >= std::max<std::ptrdiff_t>(1, std::ssize(engines) / enginesPerSpread))
+            return;
+        const model_config* rarest = nullptr;
+        int fewest = std::min(nearEngines, static_cast<int>(engines.size()));
+        for (const auto& model : config.models) {
+            const int count = near(model.name);
+            if (count < fewest) {
+                fewest = count;
+                rarest = &model;
+            }
+        }
+        if (rarest == nullptr)
+            return;
+        const engine_sight* const where = engineWithRoom(*rarest, false);
+        if (where != nullptr)
+            order(*where, holding_order::action::Load, rarest->name, {});
+        else if (total > 0)
+            makeRoom(*rarest, 0, false);
+    }
+
+    /// \return the least loaded engine that could load a model now, or nullptr.
+    /// \param isAtHand whether its weights are to lie there already
+    const engine_sight* engineWithRoom(const model_config& model, bool isAtHand) const
     {
         const engine_sight* best = nullptr;
-        double least = 0;
         for (const auto& engine : engines) {
             if (!isFree(engine) || engine.book->mayHold(model.name)
+                || engine.book->isAtHand(model.name) != isAtHand
                 || engine.book->freeWeightsMb() < model.weightsMb)
                 continue;
-            const bool isAtHand = engine.book->isAtHand(model.name);
-            if (!isAtHand && allowance < 1)
-                continue;
-            const double cost = static_cast<double>(engine.inFlight) / std::max(engine.slots, 1)
-                - (isAtHand ? atHandGain : 0);
-            if (best == nullptr || cost < least) {
+            if (best == nullptr || engine.inFlight * best->slots < best->inFlight * engine.slots)
                 best = &engine;
-                least = cost;
-            }
         }
-        if (best == nullptr) {
-            makeRoom(model, allowance);
+        return best;
+    }
+
+    /// \return whether room for a model is on its way where its weights lie.
+    bool isRoomComingAtHand(const model_config& model) const
+    {
+        return std::any_of(engines.begin(), engines.end(), [&](const engine_sight& engine) {
+            return !engine.isDraining && engine.book->isAtHand(model.name) && !engine.book->isLoading()
+                && !engine.book->mayHold(model.name) && engine.book->freeWeightsSoonMb() >= model.weightsMb;
+        });
+    }
+
+    /// Loads a model where it fits, or makes room for it first. A load from the weight store takes several
+    /// times as long as dropping another model and loading what lies at hand.
+    /// \param allowance loads from the weight store that may begin now; less one where this begins one
+    void placeModel(const model_config& model, double& allowance)
+    {
+        if (const engine_sight* const near = engineWithRoom(model, true)) {
+            order(*near, holding_order::action::Load, model.name, {});
             return;
         }
-        if (!best->book->isAtHand(model.name))
-            allowance -= 1;
-        order(*best, holding_order::action::Load, model.name, {});
+        if (isRoomComingAtHand(model) || makeRoom(model, 0, true))
+            return;
+        const engine_sight* const far = allowance >= 1 ? engineWithRoom(model, false) : nullptr;
+        if (far == nullptr) {
+            makeRoom(model, allowance, false);
+            return;
+        }
+        allowance -= 1;
+        order(*far, holding_order::action::Load, model.name, {});
     }
 
     /// \return engines that have room for a model, or will have it soon.
@@ -192,16 +255,19 @@
     }
 
     /// Drops a copy of another model that has one too many.
-    void makeRoom(const model_config& model, double allowance)
+    /// \param onlyAtHand only where the model's own weights lie
+    /// \return whether an order was given for it
+    bool makeRoom(const model_config& model, double allowance, bool onlyAtHand)
     {
-        if (rooms(model) >= roomsAhead + static_cast<int>(allowance))
-            return;
+        if (!onlyAtHand && rooms(model) >= roomsAhead + static_cast<int>(allowance))
+            return false;
         const double own = demand.of(model.name, now).requestsPerSecond / std::max(copies(model.name), 1);
         const engine_sight* where = nullptr;
         std::string victim;
         double most = 0;
         for (const auto& engine : engines) {
-            if (!isFree(engine) || engine.book->mayHold(model.name))
+            if (!isFree(engine) || engine.book->mayHold(model.name)
+                || (onlyAtHand && !engine.book->isAtHand(model.name)))
                 continue;
             for (const auto& held : config.models) {
                 if (!engine.book->holds(held.name) || copies(held.name) < 2
@@ -220,8 +286,10 @@
                 }
             }
         }
-        if (where != nullptr)
-            order(*where, holding_order::action::Unload, victim, {});
+        if (where == nullptr)
+            return false;
+        order(*where, holding_order::action::Unload, victim, {});
+        return true;
     }
 
     /// \return copies that a model's part of the demand asks for.
@@ -313,6 +381,7 @@
         current.placeModel(*model, allowance);
     current.placeAdapters(false);
     current.copyAdapters();
+    current.spreadModels(allowance);
     return std::move(current.orders);
 }
 
--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -127,6 +127,71 @@
     CHECK(orders == std::vector<planned_holding> { { "u2", holding_order::action::Load, "m1", "" } });
 }
 
+TEST_CASE(
+    "holding planner: weights at hand are taken before the weight store, though a copy there makes way first")
+{
+    // Demand moves to m1: a load from the store takes 9 s, one of weights at hand a second or two.
+    planning it(configOf(3, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m0" });
+    it.add({ "m0", "m2" }, 0, { "m1" });
+    it.ask("m1", 100);
+    const auto orders = it.plan();
+    CHECK(has(orders, holding_order::action::Unload, "m0"));
+    CHECK_FALSE(has(orders, holding_order::action::Load, "m1"));
+}
+
+TEST_CASE("holding planner: models that many ask for at once never cost another its last copies together")
+{
+    planning it(configOf(4, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m0", "m2" });
+    it.ask("m1", 40);
+    it.ask("m2", 40);
+    it.ask("m3", 40);
+    const auto orders = it.plan();
+    CHECK(std::count(
+              orders.begin(), orders.end(), planned_holding { "u0", holding_order::action::Unload, "m0", "" })
+            + std::count(orders.begin(), orders.end(),
+                planned_holding { "u1", holding_order::action::Unload, "m0", "" })
+        == 1);
+}
+
+TEST_CASE("holding planner: models are laid near on further engines ahead of a shift of demand, few at once")
+{
+    planning it(configOf(3, 0));
+    for (int engine = 0; engine < 12; ++engine)
+        it.add(engine == 0 ? std::vector<std::string> { "m0", "m1" } : std::vector<std::string> { "m0" });
+    it.add({ "m0", "m2" });
+    it.add({ "m0", "m2" });
+    it.ask("m0", 1);
+    auto orders = it.plan();
+    // m1 lies near on one engine only, m2 on two.
+    REQUIRE(std::count_if(orders.begin(), orders.end(), [](const planned_holding& order) {
+        return order.what == holding_order::action::Load;
+    }) == 1);
+    CHECK(has(orders, holding_order::action::Load, "m1"));
+    // Two engines that load already are all that may do without orders for adapters.
+    for (const std::size_t loading : { 1U, 2U }) {
+        it.books.at(loading).onOrderSent({ holding_order::action::Load, "m1", "", "h", 1, 0 }, start);
+        it.books.at(loading).onOrderAnswered(202, start);
+    }
+    orders = it.plan();
+    CHECK_FALSE(has(orders, holding_order::action::Load, "m2"));
+}
+
+TEST_CASE("holding planner: before any demand is known no copy makes way for a model that is held already")
+{
+    // The engines start with many copies of what is asked for first.
+    planning it(configOf(3, 0));
+    it.add({ "m0", "m1" });
+    it.add({ "m0", "m2" });
+    it.add({ "m0", "m2" });
+    CHECK(it.plan().empty());
+    it.ask("m0", 1);
+    CHECK_FALSE(it.plan().empty());
+}
+
 TEST_CASE("holding planner: loads keep to the weight store's rate")
 {
     holding_planner planner(1);
