Relay: Ease off faulty upstreams, and let refused callers return later

Causes: upstreams that fail part of their answers got as many requests as sound ones, since each answer, a failure too, cleared the suspicion. A plain call was taken to hold its place for 1.5 s as a stream does, so that a queue of some milliseconds refused it.

--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -21,12 +21,21 @@
 constexpr milliseconds placePause { 10 };
 // Part of its objective that a request may wait for a missing adapter; it comes within 100 ms or not soon.
 constexpr double waitShare = 0.3;
-// When to come back where nothing better is known.
+// When to come back where neither the route nor the load tells.
 constexpr milliseconds standardRetryAfter { 700 };
-// Shortest time to come back after an overload; about a request's stay at an engine's queue.
-constexpr milliseconds leastRetryAfter { 400 };
+// Shortest time to come back, in objectives of the route: a caller that is back sooner meets the same crowd,
+// and what could be served within an objective would not have been refused.
+constexpr double returnObjectives = 2.5;
+// Bounds of that time: clients take at most a third of the time that they have left.
+constexpr milliseconds leastRetryAfter { 300 };
+constexpr milliseconds mostRetryAfter { 3000 };
 // Spread of the callers' return, so that they do not come together.
 constexpr double retrySpread = 0.5;
+// How long a call to a plain service stays there, until the first answers tell.
+constexpr double firstCallMs = 50;
+// Bounds of a plausible stay.
+constexpr double leastHoldMs = 1;
+constexpr double mostHoldMs = 10000;
 // Weight of a new observation of a model's pace.
 constexpr double paceWeight = 0.1;
 // Bounds of a plausible pace.
@@ -286,20 +295,20 @@
     return found;
 }
 
-engine_candidate relay::describe(const relay_exchange& request, const upstream_state& upstream) const
+engine_candidate relay::describe(const relay_exchange& request, const upstream_state& upstream)
 {
     engine_candidate candidate;
     candidate.inFlight = upstream.inFlight + upstream.foreign.inFlight;
     candidate.slots = upstream.entry.slots;
     candidate.isNear = upstream.entry.zone == m_options.zone;
     candidate.isSuspect = upstream.isSuspect(monotonicNow());
+    candidate.faultShare = upstream.faults.value(monotonicNow());
     candidate.tokensAhead = upstream.tokensAhead + upstream.foreign.tokensAhead;
     candidate.memoryUsed = upstream.memoryTokens + upstream.foreign.memoryTokens;
     const service_config* service = m_table->findService(request.service());
     if (service != nullptr && service->engine)
         candidate.memoryTotal = service->engine->memoryTokens;
-    const auto pace = m_paces.find(request.service() + "/" + request.request().model);
-    const model_pace known = pace == m_paces.end() ? model_pace {} : pace->second;
+    const model_pace& known = paceOf(request);
     candidate.millisecondsPerToken = known.millisecondsPerToken;
     candidate.holdMilliseconds = known.holdMilliseconds;
     const auto affinity = m_affinity.find(affinityKey(request));
@@ -344,7 +353,7 @@
 {
     const auto& asked = request.request();
     if (!anyUpstream || asked.model.empty())
-        return relay_refuse { relay_reason::NoUpstream, standardRetryAfter };
+        return relay_refuse { relay_reason::NoUpstream, declinedRetryAfter(request) };
     m_hooks.onWanted(request.service(), asked.model, asked.adapter);
     const bool hasModel = std::any_of(m_byService[request.service()].begin(),
         m_byService[request.service()].end(), [&](const upstream_state_ptr& upstream) {
@@ -355,7 +364,7 @@
         = static_cast<double>(std::max<std::int64_t>(request.route().objective.count(), 1));
     if (hasModel && !asked.adapter.empty() && waited < objective * waitShare)
         return relay_wait {};
-    return relay_refuse { relay_reason::ModelAbsent, *declinedRetryAfter(request) };
+    return relay_refuse { relay_reason::ModelAbsent, declinedRetryAfter(request) };
 }
 
 void relay::noteFull(
@@ -383,16 +392,22 @@
         std::max(excess, returnsOf(request).onRefused(1, monotonicNow())) };
 }
 
+milliseconds relay::shortestReturn(const relay_exchange& request)
+{
+    const double wanted = returnObjectives * static_cast<double>(request.route().objective.count());
+    return std::clamp(milliseconds(static_cast<std::int64_t>(wanted)), leastRetryAfter, mostRetryAfter);
+}
+
 return_schedule& relay::returnsOf(const relay_exchange& request)
 {
-    return m_returns.try_emplace(request.service() + "/" + request.request().model, leastRetryAfter)
+    return m_returns.try_emplace(request.service() + "/" + request.request().model, shortestReturn(request))
         .first->second;
 }
 
-std::optional<milliseconds> relay::declinedRetryAfter(const relay_exchange&)
+milliseconds relay::declinedRetryAfter(const relay_exchange& request)
 {
-    return standardRetryAfter
-        + milliseconds(static_cast<std::int64_t>(draw() * retrySpread * standardRetryAfter.count()));
+    const milliseconds shortest = shortestReturn(request);
+    return shortest + milliseconds(static_cast<std::int64_t>(draw() * retrySpread * shortest.count()));
 }
 
 void relay::askCredit(const relay_exchange_ptr& request)
@@ -469,7 +484,8 @@
     m_watch.lines.write(log_level::Warning, "bad_request", { { "error", what } }, monotonicNow());
 }
 
-void relay::noteSend(const relay_exchange& request, upstream_state& upstream, double forecast, int earlierSends)
+void relay::noteSend(
+    const relay_exchange& request, upstream_state& upstream, double forecast, int earlierSends)
 {
     const auto key = affinityKey(request);
     if (!key.empty()) {
@@ -492,13 +508,33 @@
     const double prompt = request.request().promptTokens.value_or(0);
     if (prompt <= 0 || !request.route().isStream())
         return;
-    auto& pace = m_paces[request.service() + "/" + request.request().model];
+    model_pace& pace = paceOf(request);
     if (upstream.inFlight + upstream.foreign.inFlight <= upstream.entry.slots) {
         const double seen = std::clamp(elapsed * 1000 / (prompt + tokensAhead), leastPace, mostPace);
         pace.millisecondsPerToken += paceWeight * (seen - pace.millisecondsPerToken);
     }
 }
 
+relay::model_pace& relay::paceOf(const relay_exchange& request)
+{
+    const auto [found, isNew] = m_paces.try_emplace(request.service() + "/" + request.request().model);
+    if (isNew && request.request().model.empty())
+        found->second.holdMilliseconds = firstCallMs;
+    return found->second;
+}
+
+void relay::noteAnswer(const relay_exchange& request, upstream_state& upstream, bool isSound)
+{
+    const monotonic_time now = monotonicNow();
+    upstream.faults.onOutcome(!isSound, now);
+    // Streams keep the first guess: it weighs a full engine, and a learned stay refused more of them.
+    if (!isSound || !request.request().model.empty())
+        return;
+    const double stayed = std::clamp(secondsBetween(request.leftAt(), now) * 1000, leastHoldMs, mostHoldMs);
+    model_pace& pace = paceOf(request);
+    pace.holdMilliseconds += paceWeight * (stayed - pace.holdMilliseconds);
+}
+
 void relay::noteForeignAnswer(const relay_exchange& request, const upstream_state& upstream)
 {
     m_watch.lines.write(log_level::Warning, "foreign_answer",
@@ -508,6 +544,7 @@
 void relay::noteFailure(upstream_state& upstream, bool beforeFirstByte)
 {
     const monotonic_time now = monotonicNow();
+    upstream.faults.onOutcome(true, now);
     upstream.failures = std::min(upstream.failures + 1, mostDoublings);
     upstream.suspectUntil
         = std::max(upstream.suspectUntil, now + firstSuspicion * (1 << (upstream.failures - 1)));
@@ -585,19 +622,23 @@
         { { "reason", std::string(refusalOf(reason).name) }, { "team", request.team() } });
 }
 
-void relay::noteEnd(
-    const relay_exchange& request, std::string_view outcome, int status, int sends, const upstream_state* upstream)
+void relay::noteEnd(const relay_exchange& request, std::string_view outcome, int status, int sends,
+    const upstream_state* upstream)
 {
     --m_running;
     const bool isFailure = outcome != "answered" || status >= 500;
     const double elapsed = secondsBetween(request.arrivedAt(), monotonicNow());
     m_watch.metrics.observeSeconds("sagesaddle_request_seconds", "Time from arrival to the end", elapsed);
+    // What this process added before the upstream could begin: limits, waiting and choosing.
+    const double waited = sends > 0 ? secondsBetween(request.arrivedAt(), request.leftAt()) : elapsed;
+    m_watch.metrics.observeSeconds("sagesaddle_dispatch_seconds",
+        "Time from arrival until the request left for an upstream, or ended here", waited);
     m_watch.lines.write(isFailure ? log_level::Warning : log_level::Info, isFailure ? "ended" : "answered",
         { { "id", request.request().id }, { "outcome", outcome }, { "status", status },
             { "service", request.service() }, { "team", request.team() },
             { "model", request.request().model }, { "adapter", request.request().adapter },
             { "upstream", upstream == nullptr ? std::string() : upstream->entry.id }, { "sends", sends },
-            { "seconds", elapsed },
+            { "waited_ms", waited * 1000 }, { "seconds", elapsed },
             { "config", m_table ? static_cast<std::int64_t>(m_table->config().version) : 0 } },
         monotonicNow());
 }
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -111,7 +111,8 @@
     double draw();
     bool mayUseKeys() const;
     milliseconds contactRetryAfter() const;
-    std::optional<milliseconds> declinedRetryAfter(const relay_exchange& request);
+    /// \return when the caller of a request that no upstream took should come back.
+    milliseconds declinedRetryAfter(const relay_exchange& request);
     relay_choice choose(const relay_exchange& request, const std::set<std::string>& tried);
     void askCredit(const relay_exchange_ptr& request);
     void refund(const std::string& team, double tokens);
@@ -127,6 +128,8 @@
     void noteFirstByte(
         const relay_exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
     void noteForeignAnswer(const relay_exchange& request, const upstream_state& upstream);
+    /// A whole answer came; one that is no success of the upstream eases it off against its peers.
+    void noteAnswer(const relay_exchange& request, upstream_state& upstream, bool isSound);
     void noteFailure(upstream_state& upstream, bool beforeFirstByte);
     /// A byte of an answer came from it.
     void noteSign(upstream_state& upstream);
@@ -143,10 +146,10 @@
 
     std::vector<upstream_state_ptr> candidatesFor(
         const relay_exchange& request, const std::set<std::string>& tried);
-    engine_candidate describe(const relay_exchange& request, const upstream_state& upstream) const;
+    engine_candidate describe(const relay_exchange& request, const upstream_state& upstream);
     relay_choice whenAbsent(const relay_exchange& request, bool anyUpstream);
-    void noteFull(
-        const relay_exchange& request, const engine_full& full, const std::vector<engine_candidate>& candidates);
+    void noteFull(const relay_exchange& request, const engine_full& full,
+        const std::vector<engine_candidate>& candidates);
     relay_choice whenFull(const relay_exchange& request, const engine_full& full);
     void placeWaiting();
     /// Looks for upstreams that have requests and send nothing.
@@ -172,6 +175,9 @@
     std::list<relay_exchange_ptr> m_waiting;
     std::unordered_map<std::string, retry_budget> m_retries;
     unsigned m_gateways;
+    static milliseconds shortestReturn(const relay_exchange& request);
+    model_pace& paceOf(const relay_exchange& request);
+
     std::unordered_map<std::string, model_pace> m_paces;
     std::unordered_map<std::string, return_schedule> m_returns;
     std::unordered_map<std::string, std::string> m_affinity;
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -207,7 +207,8 @@
     m_link->use({ guarded([](relay_exchange& it) { it.transmit(); }),
         guarded([](relay_exchange& it, http_head head) { it.onHead(std::move(head)); }),
         guarded([](relay_exchange& it, std::string_view bytes) { it.onBody(bytes); }),
-        guarded([](relay_exchange& it) { it.onAnswerEnd(); }), guarded([](relay_exchange& it) { it.onBroken(); }) });
+        guarded([](relay_exchange& it) { it.onAnswerEnd(); }),
+        guarded([](relay_exchange& it) { it.onBroken(); }) });
     if (m_link->isConnected())
         transmit();
     else
@@ -235,6 +236,7 @@
         terms.lastEventId = m_events.lastEventId();
     m_mayHaveRun = true;
     ++m_sends;
+    m_leftAt = monotonicNow();
     m_tried.insert(m_upstream->entry.id);
     m_link->write(platform::writeRequest(m_request, terms));
 }
@@ -344,6 +346,7 @@
         return;
     }
     if (isSuccess(status) && !m_isSigned) {
+        m_owner.noteAnswer(*this, *m_upstream, false);
         leaveUpstream(false);
         retryOr(relay_reason::UpstreamGarbled);
         return;
@@ -364,6 +367,7 @@
         retryOr(relay_reason::UpstreamGarbled);
         return;
     }
+    m_owner.noteAnswer(*this, *m_upstream, status < firstServerError);
     leaveUpstream(true);
     logEnd("answered", status);
     caller_link* const caller = m_caller;
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -37,6 +37,8 @@
     /// Its upstream fell silent: what may run again goes elsewhere.
     void onUpstreamSilent();
     monotonic_time sentAt() const { return m_sentAt; }
+    /// \return when its bytes last left for an upstream.
+    monotonic_time leftAt() const { return m_leftAt; }
 
     /// Credit of its team came or was denied.
     void onCredit(bool isGranted, std::optional<milliseconds> retryAfter);
@@ -93,6 +95,7 @@
     std::set<std::string> m_tried;
     int m_sends { 0 };
     monotonic_time m_sentAt {};
+    monotonic_time m_leftAt {};
     double m_aheadTokens { 0 };
     double m_memoryTokens { 0 };
     double m_aheadAtSend { 0 };
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/upstream_list.h"
 #include "Relay/upstream_link.h"
+#include "Route/fault_share.h"
 
 #include <memory>
 #include <set>
@@ -42,6 +43,7 @@
     monotonic_time suspectUntil {};
     /// Failures in a row, which lengthen the suspicion.
     int failures { 0 };
+    fault_share faults;
     /// When the last byte of any answer came.
     monotonic_time lastSign {};
     /// Sent nothing for too long while it had requests; it is tried with one request at a time.
--- a/Source/Route/engine_choice.cpp
+++ b/Source/Route/engine_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace sagesaddle {
 
@@ -11,6 +12,9 @@
 constexpr double farMilliseconds = 40;
 // An upstream that just failed is taken only where all others would be later by as much.
 constexpr double suspectMilliseconds = 5000;
+// What a failure of every answer weighs: its caller comes back a second later at best, mostly it has failed
+// for good.
+constexpr double faultMilliseconds = 3000;
 // Memory that an engine keeps free before it preempts running requests.
 constexpr double memoryReserve = 0.06;
 
@@ -36,26 +40,34 @@
 {
     if (candidates.empty())
         return engine_none {};
-    std::size_t best = 0;
+    const double leastFaults
+        = std::min_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
+              return left.faultShare < right.faultShare;
+          })->faultShare;
+    const double limit = demand.objectiveMilliseconds * lateFactor;
+    std::optional<engine_pick> best;
     double bestCost = std::numeric_limits<double>::max();
     double earliest = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         const double forecast = forecastFirstEvent(candidate, demand);
+        earliest = std::min(earliest, forecast);
+        // One that is in time is taken before one that is better liked and late.
+        if (forecast > limit)
+            continue;
         // Ties go to the upstream with fewer requests.
         const double cost = forecast + (candidate.isNear ? 0 : farMilliseconds)
             + (candidate.isSuspect ? suspectMilliseconds : 0)
+            + (candidate.faultShare - leastFaults) * faultMilliseconds
             + 10.0 * candidate.inFlight / std::max(candidate.slots, 1);
         if (cost < bestCost) {
-            best = index;
+            best = engine_pick { index, forecast };
             bestCost = cost;
         }
-        earliest = std::min(earliest, forecast);
     }
-    const double forecast = forecastFirstEvent(candidates[best], demand);
-    if (forecast > demand.objectiveMilliseconds * lateFactor)
+    if (!best)
         return engine_full { earliest };
-    return engine_pick { best, forecast };
+    return *best;
 }
 
 } // namespace sagesaddle
--- a/Source/Route/engine_choice.h
+++ b/Source/Route/engine_choice.h
@@ -27,6 +27,8 @@
     bool isNear { false };
     /// Lately failed or silent.
     bool isSuspect { false };
+    /// Part of its recent answers that failed.
+    double faultShare { 0 };
 
     auto operator<=>(const engine_candidate&) const = default;
 };
@@ -70,6 +72,8 @@
 ///
 /// Answers a burst on few engines: requests spread by the prompt tokens that wait ahead rather than by
 /// counts, and one whose forecast misses its objective everywhere is turned away before it makes others late.
+/// Answers upstreams that fail part of their requests: they are eased off by how much worse they are than the
+/// best of their peers, so that a fault of all leaves the spread as it is.
 /// \param lateFactor how far beyond the objective a forecast may lie
 engine_choice chooseEngine(
     const std::vector<engine_candidate>& candidates, const engine_demand& demand, double lateFactor);
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -194,3 +194,42 @@
     world.tested.onUpstreams({ { "u1", entry } });
     CHECK_FALSE(world.tested.upstreams().at("u1")->holds("m1", "a1"));
 }
+
+TEST_CASE("relay: an upstream that fails part of its calls with a good health check gets fewer of them")
+{
+    // Calls that may run once: each failure is final, so that only the choice of the upstream helps.
+    relay_world world;
+    auto& grey = world.addUpstream("u1");
+    auto& sound = world.addUpstream("u2");
+    int answered = 0;
+    grey.onRequest = [&](const request& asked) {
+        asked.stream->write(scripted_upstream::answer(asked, ++answered % 5 < 2 ? 500 : 200, "ok"));
+    };
+    answerAll(sound);
+    for (int call = 0; call < 100; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("POST", "/unsafe/a");
+        REQUIRE(world.ended(caller));
+    }
+    // Without its answers being weighed both get half.
+    CHECK(grey.requests.size() < 20);
+}
+
+TEST_CASE("relay: calls queue at a plain service for as long as its calls take, and are not turned away")
+{
+    // A service with few places and short calls in a burst: the queue of a few milliseconds is within the
+    // objective.
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    answerAll(upstream);
+    for (int call = 0; call < 20; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("POST", "/unsafe/a");
+        REQUIRE(world.ended(caller));
+    }
+    upstream.onRequest = {};
+    const std::size_t before = upstream.requests.size();
+    for (int call = 0; call < 12; ++call)
+        world.addCaller().request("POST", "/unsafe/b");
+    REQUIRE(loopUntil(world.loop, [&] { return upstream.requests.size() == before + 12; }));
+}
--- a/Tests/Relay/relay_fixture.cpp
+++ b/Tests/Relay/relay_fixture.cpp
@@ -9,7 +9,7 @@
 relay_world::relay_world()
     : lines(::open("/dev/null", O_WRONLY | O_CLOEXEC), log_level::Info)
     , tested(loop, { "z", seconds(4), 0.5, 50, 100 }, watch,
-          { [this](const exchange_ptr& request) {
+          { [this](const relay_exchange_ptr& request) {
                request->onCredit(
                    grantsCredit, grantsCredit ? std::nullopt : std::optional(milliseconds(1500)));
            },
