--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -10,7 +10,6 @@
 if [ $# -gt 0 ]; then
     files=("$@")
     database=$build
-    options=()
 else
     if git grep -nE '#include "[^"]*\.cpp"' -- '*.cpp' '*.h'; then
         echo "lint: a source includes another source; move what both need into a header" >&2
@@ -26,10 +25,21 @@
     database=$build-lint
     cmake -S . -B "$database" -G Ninja -DCMAKE_UNITY_BUILD=ON > /dev/null
     mapfile -t files < <(sed -n 's/^ *"file": "\(.*\)",\{0,1\}$/\1/p' "$database/compile_commands.json" | sort -u)
-    # The analyser leaves included files out by itself.
-    options=(--checks=-bugprone-suspicious-include --extra-arg=-Xclang --extra-arg=-analyzer-opt-analyze-headers)
+    # Written out in place of included, the files are all looked at as a main file is, by the analyser too.
+    for group in "${files[@]}"; do
+        awk '/^#include "\/.*\.cpp"$/ {
+                path = substr($2, 2, length($2) - 2)
+                print "#line 1 \"" path "\""
+                while ((getline line < path) > 0)
+                    print line
+                close(path)
+                next
+            }
+            { print }' "$group" > "$group.whole"
+        mv "$group.whole" "$group"
+    done
 fi
 printf '%s\n' "${files[@]}" |
-    xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$database" "${options[@]}" 2>&1 |
+    xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$database" 2>&1 |
     { grep -vE '^[0-9]+ warnings? (generated|treated)|^Suppressed|^Use -header-filter' || true; }
 test "${PIPESTATUS[1]}" -eq 0
