--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -407,7 +407,8 @@
 milliseconds relay::declinedRetryAfter(const relay_exchange& request)
 {
     const milliseconds shortest = shortestReturn(request);
-    return shortest + milliseconds(static_cast<std::int64_t>(draw() * retrySpread * shortest.count()));
+    const double spread = draw() * retrySpread * static_cast<double>(shortest.count());
+    return shortest + milliseconds(static_cast<std::int64_t>(spread));
 }
 
 void relay::askCredit(const relay_exchange_ptr& request)
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -23,8 +23,11 @@
         exit 1
     fi
     database=$build-lint
-    cmake -S . -B "$database" -G Ninja -DCMAKE_UNITY_BUILD=ON > /dev/null
+    # Written out, a file no longer finds the headers beside it by itself.
+    cmake -S . -B "$database" -G Ninja -DCMAKE_UNITY_BUILD=ON -DCMAKE_INCLUDE_CURRENT_DIR=ON > /dev/null
     mapfile -t files < <(sed -n 's/^ *"file": "\(.*\)",\{0,1\}$/\1/p' "$database/compile_commands.json" | sort -u)
+    # A library that comes as a source is not ours to lint.
+    mapfile -t files < <(grep -lF "#include \"$PWD/" "${files[@]}")
     # Written out in place of included, the files are all looked at as a main file is, by the analyser too.
     for group in "${files[@]}"; do
         awk '/^#include "\/.*\.cpp"$/ {
