Gateway: Say each thing once, and describe a request's upstreams in one go

No change of behaviour is meant.

- Names of holdings were joined and split by hand in the relay, the coordinator, the book of an engine, the planner and the gateway's share: Fleet/holding_name serves all.
- Whether two listings are of one start was written three times: upstream_entry::isSameStart.
- Whether a report tells of unplaced requests was written twice: fleet_report::hasUnplaced.
- Status codes of the gateway stand in Base/http_status with the others.
- main() of the entry and of the gateway caught the same errors: runProgram.
- The choice of an upstream looked up the service, the model's pace, the prompt's keeper and the clock again for every upstream; once a request now.
- engine_book::mayOrder had a time that it did not look at; its tests call it without.

Tried and reverted: the second pass of the planner after a report of its own gateway looks like work done twice, but a pass gives a model one order at most. A comment says so.

--- a/Source/Base/http_status.h
+++ b/Source/Base/http_status.h
@@ -12,6 +12,7 @@
 inline constexpr std::uint16_t statusNotFound = 404;
 inline constexpr std::uint16_t statusConflict = 409;
 inline constexpr std::uint16_t statusLapsed = 410;
+inline constexpr std::uint16_t statusOffsetTaken = 412;
 inline constexpr std::uint16_t statusThrottled = 429;
 inline constexpr std::uint16_t statusUnavailable = 503;
 inline constexpr std::uint16_t statusNoMemory = 507;
--- a/Source/Entry/main.cpp
+++ b/Source/Entry/main.cpp
@@ -1,11 +1,11 @@
 #include "Base/stop_signals.h"
 #include "Entry/entry_process.h"
 #include "Entry/entry_settings.h"
+#include "Settings/program_main.h"
 #include "Settings/settings_reader.h"
 #include "Watch/log.h"
 
 #include <docopt/docopt.h>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -28,9 +28,6 @@
 Exit codes: 0 ended as asked, 1 failed, 2 wrong settings or command line.
 )";
 
-constexpr int failed = 1;
-constexpr int wrongSettings = 2;
-
 int serve(const sagesaddle::entry_settings& settings)
 {
     const sagesaddle::stop_signals signals;
@@ -53,22 +50,7 @@
 
 int main(int count, char** values)
 {
-    try {
+    return sagesaddle::runProgram({ "sagesaddle-entry", SAGESADDLE_VERSION, usage }, [&] {
         return runMain({ values + 1, values + count });
-    } catch (const docopt::DocoptExitHelp&) {
-        std::cout << usage;
-        return 0;
-    } catch (const docopt::DocoptExitVersion&) {
-        std::cout << "sagesaddle-entry " SAGESADDLE_VERSION << std::endl;
-        return 0;
-    } catch (const docopt::DocoptArgumentError& error) {
-        std::cerr << error.what() << "\n" << usage;
-        return wrongSettings;
-    } catch (const sagesaddle::settings_error& error) {
-        std::cerr << error.what() << std::endl;
-        return wrongSettings;
-    } catch (const std::exception& error) {
-        std::cerr << "sagesaddle-entry: " << error.what() << std::endl;
-        return failed;
-    }
+    });
 }
--- /dev/null
+++ b/Source/Fleet/holding_name.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sagesaddle {
+
+struct held_model;
+
+/// \brief A model, or an adapter of it.
+struct holding_parts {
+    std::string model;
+    /// Empty where the model itself is meant.
+    std::string adapter;
+
+    auto operator<=>(const holding_parts&) const = default;
+};
+
+/// \return the name of a model or adapter in holdings: `model` or `model/adapter`.
+std::string holdingName(const std::string& model, const std::string& adapter);
+
+/// \return what a name of a holding is made of.
+holding_parts splitHolding(std::string_view name);
+
+/// \return whether a name of a holding is that of an adapter.
+bool isAdapterName(std::string_view name);
+
+/// \return the names of all that is held, each model before its adapters.
+std::vector<std::string> holdingNames(const std::vector<held_model>& models);
+
+} // namespace sagesaddle
--- a/Source/Fleet/upstream_list.h
+++ b/Source/Fleet/upstream_list.h
@@ -36,6 +36,13 @@
     std::int64_t startedAt { 0 };
 
     auto operator<=>(const upstream_entry&) const = default;
+
+    /// \return whether both are of one start: another start under the same id knows nothing of what was
+    /// before.
+    bool isSameStart(const upstream_entry& other) const
+    {
+        return where == other.where && startedAt == other.startedAt;
+    }
 };
 
 /// \brief One record of the list: an entry, or its removal.
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -75,7 +75,7 @@
         listing& known = place->second;
         if (!isNew && !known.isRemoved && known.entry == entry)
             continue;
-        if (known.entry.startedAt != entry.startedAt || known.entry.where != entry.where)
+        if (!known.entry.isSameStart(entry))
             m_books.erase(id);
         known = { entry, list.offsetOf(id), m_listRevision, false };
     }
@@ -219,12 +219,8 @@
             continue;
         listed_upstream item { id, known.offset, known.isRemoved, known.entry.service,
             formatAddress(known.entry.where), known.entry.zone, static_cast<std::uint32_t>(known.entry.slots),
-            known.entry.isDraining, known.entry.startedAt, known.entry.orders, {} };
-        for (const auto& model : known.entry.models) {
-            item.held.push_back(model.name);
-            for (const auto& adapter : model.adapters)
-                item.held.push_back(holdingName(model.name, adapter));
-        }
+            known.entry.isDraining, known.entry.startedAt, known.entry.orders,
+            holdingNames(known.entry.models) };
         news.listed.push_back(std::move(item));
     }
     to.toldList = m_listRevision;
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/engine_orders.h"
 
+#include "Base/http_status.h"
 #include "engine_calls.h"
 #include "upstream_reader.h"
 
@@ -29,8 +30,7 @@
 {
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
         const auto listed = entries.find(peer->first);
-        if (listed != entries.end() && listed->second.where == peer->second.entry.where
-            && listed->second.startedAt == peer->second.entry.startedAt) {
+        if (listed != entries.end() && listed->second.isSameStart(peer->second.entry)) {
             ++peer;
             continue;
         }
@@ -75,7 +75,7 @@
             const auto found = m_plans.books().find(id);
             if (found == m_plans.books().end())
                 return;
-            if (!answer || answer->status != 200) {
+            if (!answer || answer->status != statusOk) {
                 found->second.onReportLost(monotonicNow());
                 return;
             }
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -32,11 +32,11 @@
 {
     std::vector<held_model> models;
     for (const auto& name : held) {
-        const std::size_t slash = name.find('/');
-        if (slash == std::string::npos)
+        const holding_parts parts = splitHolding(name);
+        if (parts.adapter.empty())
             models.push_back({ name, {} });
-        else if (!models.empty() && models.back().name == name.substr(0, slash))
-            models.back().adapters.push_back(name.substr(slash + 1));
+        else if (!models.empty() && models.back().name == parts.model)
+            models.back().adapters.push_back(parts.adapter);
     }
     return models;
 }
@@ -204,14 +204,13 @@
     const monotonic_time now = monotonicNow();
     const monotonic_time sentAt = suspendedNow();
     auto value = makeReport();
-    const bool hasWanted = std::any_of(
-        value.demand.begin(), value.demand.end(), [](const demand_count& item) { return item.unplaced > 0; });
     if (const auto news = m_hooks.coordinateHere(value)) {
         m_link.reset();
         m_asked.clear();
         // What this gateway read itself needs no telling.
         onNews(*news, {});
-        if (hasWanted)
+        // A pass gives a model one order at most: what is wanted gets a second one at once.
+        if (value.hasUnplaced())
             m_hooks.onWanted();
         return;
     }
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/gateway.h"
 
+#include "Base/http_status.h"
 #include "caller_wire.h"
 
 #include <algorithm>
@@ -111,8 +112,8 @@
     , m_readiness(loop, m_settings.readiness,
           [this](const http_head& head) -> status_server::reply {
               if (!platform::isReadinessCall(head))
-                  return { 404, {}, {} };
-              return { m_relay.isReady() ? 200 : 503, {}, {} };
+                  return { statusNotFound, {}, {} };
+              return { m_relay.isReady() ? statusOk : statusUnavailable, {}, {} };
           })
     , m_orderTimer(loop,
           [this] {
@@ -125,7 +126,7 @@
     if (m_settings.metrics)
         m_metricsServer = std::make_unique<status_server>(
             loop, *m_settings.metrics, [this](const http_head&) -> status_server::reply {
-                return { 200, metric_registry::contentType, m_metrics.serialize() };
+                return { statusOk, metric_registry::contentType, m_metrics.serialize() };
             });
     m_lines.write(log_level::Info, "started",
         { { "name", m_settings.name }, { "zone", m_settings.zone }, { "member", m_member } }, monotonicNow());
@@ -169,9 +170,7 @@
     }
     news.leaseHolder = m_follower.lease().record().holder;
     news.leaseEnd = m_follower.lease().record().end;
-    const bool hasWanted = std::any_of(report.demand.begin(), report.demand.end(),
-        [](const demand_count& item) { return item.unplaced > 0; });
-    if (hasWanted)
+    if (report.hasUnplaced())
         m_orders.work();
     return news;
 }
--- a/Source/Gateway/main.cpp
+++ b/Source/Gateway/main.cpp
@@ -1,10 +1,10 @@
 #include "Gateway/gateway.h"
+#include "Settings/program_main.h"
 #include "Settings/settings_reader.h"
 #include "settings_place.h"
 
 #include <csignal>
 #include <docopt/docopt.h>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -29,9 +29,6 @@
 Exit codes: 0 ended as asked, 1 failed, 2 wrong settings or command line.
 )";
 
-constexpr int failed = 1;
-constexpr int wrongSettings = 2;
-
 sagesaddle::gateway_settings readSettings(const std::string& file)
 {
     auto reader = sagesaddle::settings_reader::fromFile(file);
@@ -63,22 +60,7 @@
 
 int main(int count, char** values)
 {
-    try {
+    return sagesaddle::runProgram({ "sagesaddle-gateway", SAGESADDLE_VERSION, usage }, [&] {
         return runMain({ values + 1, values + count });
-    } catch (const docopt::DocoptExitHelp&) {
-        std::cout << usage;
-        return 0;
-    } catch (const docopt::DocoptExitVersion&) {
-        std::cout << "sagesaddle-gateway " SAGESADDLE_VERSION << std::endl;
-        return 0;
-    } catch (const docopt::DocoptArgumentError& error) {
-        std::cerr << error.what() << "\n" << usage;
-        return wrongSettings;
-    } catch (const sagesaddle::settings_error& error) {
-        std::cerr << error.what() << std::endl;
-        return wrongSettings;
-    } catch (const std::exception& error) {
-        std::cerr << "sagesaddle-gateway: " << error.what() << std::endl;
-        return failed;
-    }
+    });
 }
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/store_follower.h"
 
+#include "Base/http_status.h"
 #include "Base/overloaded.h"
 #include "config_reader.h"
 #include "upstream_reader.h"
@@ -34,9 +35,6 @@
 // Time in which the store answers a call for the lease; a renewal must leave time for another.
 constexpr milliseconds leaseTimeout { 600 };
 
-constexpr int recordsGone = 410;
-constexpr int offsetTaken = 412;
-
 } // namespace
 
 store_follower::store_follower(event_loop& loop, const address& store, std::string self, std::string place,
@@ -125,7 +123,7 @@
     const monotonic_time sentAt = suspendedNow();
     m_store.call(platform::writeNewestCall(m_store.peer(), reading.table, after), answerTimeout,
         [this, &reading, sentAt](const std::optional<http_answer>& answer) {
-            if (!answer || answer->status != 200) {
+            if (!answer || answer->status != statusOk) {
                 onLost("newest");
                 again(reading, failurePause);
                 return;
@@ -180,13 +178,13 @@
     const std::uint64_t from = *reading.next;
     m_store.call(platform::writeTailCall(m_store.peer(), reading.table, from, wait), wait + answerTimeout,
         [this, &reading, sentAt, from, isConfig](const std::optional<http_answer>& answer) {
-            if (answer && answer->status == recordsGone) {
+            if (answer && answer->status == statusLapsed) {
                 onAnswered();
                 reading.next.reset();
                 again(reading, {});
                 return;
             }
-            if (!answer || answer->status != 200) {
+            if (!answer || answer->status != statusOk) {
                 onLost("tail");
                 // Versions that were missed meanwhile are not worth their way: the newest is enough.
                 reading.next.reset();
@@ -324,7 +322,7 @@
     m_store.call(platform::writeLeaseReadCall(m_store.peer()), leaseTimeout,
         [this](const std::optional<http_answer>& answer) {
             const monotonic_time now = suspendedNow();
-            if (!answer || answer->status != 200) {
+            if (!answer || answer->status != statusOk) {
                 onLost("lease read");
                 m_lease.onReadLost(now);
                 return;
@@ -352,10 +350,10 @@
         leaseTimeout, [this, sentAt](const std::optional<http_answer>& answer) {
             const monotonic_time now = suspendedNow();
             const bool held = m_lease.holds(now);
-            if (!answer || (answer->status != 200 && answer->status != offsetTaken)) {
+            if (!answer || (answer->status != statusOk && answer->status != statusOffsetTaken)) {
                 onLost("lease append");
                 m_lease.onAppendLost(now);
-            } else if (answer->status == offsetTaken) {
+            } else if (answer->status == statusOffsetTaken) {
                 onAnswered();
                 m_lease.onDeclined(now);
             } else {
--- a/Source/Place/engine_book.cpp
+++ b/Source/Place/engine_book.cpp
@@ -1,5 +1,7 @@
 #include "Place/engine_book.h"
 
+#include "Base/http_status.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -16,21 +18,8 @@
 // Time after a report that did not come.
 constexpr milliseconds failureDelay { 300 };
 
-constexpr int doneStatus = 200;
-constexpr int acceptedStatus = 202;
-
-bool isAdapter(const std::string& holding)
-{
-    return holding.find('/') != std::string::npos;
-}
-
 } // namespace
 
-std::string holdingName(const std::string& model, const std::string& adapter)
-{
-    return adapter.empty() ? model : model + "/" + adapter;
-}
-
 engine_book::engine_book(std::string upstream, engine_config config)
     : m_upstream(std::move(upstream))
     , m_config(std::move(config))
@@ -44,12 +33,8 @@
         m_reportDueAt = std::min(m_reportDueAt, m_lastOrderAt + reportLag);
         return;
     }
-    std::set<std::string> held;
-    for (const auto& model : report.models) {
-        held.insert(model.name);
-        for (const auto& adapter : model.adapters)
-            held.insert(holdingName(model.name, adapter));
-    }
+    const auto names = holdingNames(report.models);
+    std::set<std::string> held { names.begin(), names.end() };
     std::erase_if(m_leaving, [&](const std::string& name) { return !held.contains(name) || !report.isBusy; });
     std::erase_if(held, [&](const std::string& name) { return m_leaving.contains(name); });
     if (held != m_held)
@@ -92,7 +77,7 @@
     const std::string name = holdingName(order.model, order.adapter);
     const bool isLoad = order.what == holding_order::action::Load;
     m_lastOrderAt = now;
-    const bool isAccepted = status == acceptedStatus || (status == doneStatus && !isLoad);
+    const bool isAccepted = status == statusAccepted || (status == statusOk && !isLoad);
     if (!status && isLoad)
         m_doubtful[name] = order.expectedOrders;
     if (!isAccepted || !m_report) {
@@ -112,7 +97,7 @@
     }
     if (isLoad)
         m_arriving[name] = now + adapterReadyAfter;
-    else if (status == doneStatus)
+    else if (status == statusOk)
         m_leaving.erase(name);
     else
         m_reportDueAt = now + reportLag;
@@ -138,7 +123,7 @@
     return !m_reportPending && !m_outstanding && now >= m_reportDueAt;
 }
 
-bool engine_book::mayOrder(monotonic_time) const
+bool engine_book::mayOrder() const
 {
     return m_report && !m_outstanding && !m_report->isBusy;
 }
@@ -167,16 +152,16 @@
 int engine_book::freeAdapterPlaces() const
 {
     const auto all = everything();
-    return m_config.adapterSlots - static_cast<int>(std::count_if(all.begin(), all.end(), isAdapter));
+    return m_config.adapterSlots - static_cast<int>(std::count_if(all.begin(), all.end(), isAdapterName));
 }
 
 double engine_book::weightsOf(const std::string& holding) const
 {
-    const std::size_t slash = holding.find('/');
-    const model_config* model = m_config.find(holding.substr(0, slash));
+    const holding_parts parts = splitHolding(holding);
+    const model_config* model = m_config.find(parts.model);
     if (model == nullptr)
         return 0;
-    return slash == std::string::npos ? model->weightsMb : model->adapterMb;
+    return parts.adapter.empty() ? model->weightsMb : model->adapterMb;
 }
 
 double engine_book::freeWeightsMb() const
--- a/Source/Place/engine_book.h
+++ b/Source/Place/engine_book.h
@@ -2,6 +2,7 @@
 
 #include "Base/clock.h"
 #include "Fleet/fleet_config.h"
+#include "Fleet/holding_name.h"
 #include "Fleet/holding_report.h"
 
 #include <map>
@@ -11,9 +12,6 @@
 
 namespace sagesaddle {
 
-/// \return the name of a model or adapter in holdings: `model` or `model/adapter`.
-std::string holdingName(const std::string& model, const std::string& adapter);
-
 /// \brief What an engine holds and may come to hold, as the one that gives it orders knows it; pure.
 ///
 /// An order without an answer may still be carried out, seconds later. What it loads counts as held until the
@@ -43,7 +41,7 @@
     void onReportAsked() { m_reportPending = true; }
 
     /// \return whether an order may be sent now.
-    bool mayOrder(monotonic_time now) const;
+    bool mayOrder() const;
     std::uint64_t expectedOrders() const { return m_report->orders; }
 
     bool isKnown() const { return m_report.has_value(); }
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -73,7 +73,7 @@
 
     bool isFree(const engine_sight& engine) const
     {
-        return !engine.isDraining && engine.book->mayOrder(now) && !ordered.contains(engine.book->upstream());
+        return !engine.isDraining && engine.book->mayOrder() && !ordered.contains(engine.book->upstream());
     }
 
     int copies(const std::string& holding) const
@@ -106,7 +106,7 @@
         std::optional<std::string> best;
         double least = 0;
         for (const auto& holding : engine.book->held()) {
-            if (holding.find('/') == std::string::npos)
+            if (!isAdapterName(holding))
                 continue;
             const bool hasOther = copies(holding) > 1;
             if (!hasOther && !isIdle(holding, idleAdapter))
@@ -138,9 +138,8 @@
             order(*best, holding_order::action::Load, model, adapter);
             return;
         }
-        const std::string victim = *adapterToDrop(*best);
-        const std::size_t slash = victim.find('/');
-        order(*best, holding_order::action::Unload, victim.substr(0, slash), victim.substr(slash + 1));
+        const holding_parts victim = splitHolding(*adapterToDrop(*best));
+        order(*best, holding_order::action::Unload, victim.model, victim.adapter);
     }
 
     void placeAdapters(bool wantedOnly)
@@ -209,12 +208,18 @@
         return best;
     }
 
+    static bool hasRoomSoon(const engine_sight& engine, const model_config& model)
+    {
+        return !engine.isDraining && !engine.book->isLoading()
+            && engine.book->freeWeightsSoonMb() >= model.weightsMb;
+    }
+
     /// \return whether room for a model is on its way where its weights lie.
     bool isRoomComingAtHand(const model_config& model) const
     {
         return std::any_of(engines.begin(), engines.end(), [&](const engine_sight& engine) {
-            return !engine.isDraining && engine.book->isAtHand(model.name) && !engine.book->isLoading()
-                && !engine.book->mayHold(model.name) && engine.book->freeWeightsSoonMb() >= model.weightsMb;
+            return hasRoomSoon(engine, model) && engine.book->isAtHand(model.name)
+                && !engine.book->mayHold(model.name);
         });
     }
 
@@ -223,8 +228,8 @@
     /// \param allowance loads from the weight store that may begin now; less one where this begins one
     void placeModel(const model_config& model, double& allowance)
     {
-        if (const engine_sight* const near = engineWithRoom(model, true)) {
-            order(*near, holding_order::action::Load, model.name, {});
+        if (const engine_sight* const atHand = engineWithRoom(model, true)) {
+            order(*atHand, holding_order::action::Load, model.name, {});
             return;
         }
         if (isRoomComingAtHand(model) || makeRoom(model, 0, true))
@@ -241,11 +246,8 @@
     /// \return engines that have room for a model, or will have it soon.
     int rooms(const model_config& model) const
     {
-        return static_cast<int>(
-            std::count_if(engines.begin(), engines.end(), [&](const engine_sight& engine) {
-                return !engine.isDraining && !engine.book->isLoading()
-                    && engine.book->freeWeightsSoonMb() >= model.weightsMb;
-            }));
+        return static_cast<int>(std::count_if(engines.begin(), engines.end(),
+            [&](const engine_sight& engine) { return hasRoomSoon(engine, model); }));
     }
 
     /// \return copies of a model beyond those that its demand asks for.
@@ -343,8 +345,8 @@
             }
             if (best.empty())
                 continue;
-            const std::size_t slash = best.find('/');
-            order(engine, holding_order::action::Load, best.substr(0, slash), best.substr(slash + 1));
+            const holding_parts chosen = splitHolding(best);
+            order(engine, holding_order::action::Load, chosen.model, chosen.adapter);
         }
     }
 };
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -151,9 +151,7 @@
     m_knowsUpstreams = true;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const auto listed = entries.find(entry->first);
-        // Another start under the same id knows nothing of what was before.
-        if (listed != entries.end() && listed->second.where == entry->second->entry.where
-            && listed->second.startedAt == entry->second->entry.startedAt) {
+        if (listed != entries.end() && listed->second.isSameStart(entry->second->entry)) {
             ++entry;
             continue;
         }
@@ -175,12 +173,8 @@
         if (state->entry.isDraining != entry.isDraining)
             m_watch.lines.write(log_level::Info, "upstream_draining", { { "upstream", id } }, monotonicNow());
         if (!state->holdingsAreNews && (state->held.empty() || state->entry.models != entry.models)) {
-            state->held.clear();
-            for (const auto& model : entry.models) {
-                state->held.insert(model.name);
-                for (const auto& adapter : model.adapters)
-                    state->held.insert(model.name + "/" + adapter);
-            }
+            const auto names = holdingNames(entry.models);
+            state->held = { names.begin(), names.end() };
         }
         state->entry = entry;
         m_byService[entry.service].push_back(state);
@@ -264,6 +258,11 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
+std::string relay::modelKey(const relay_exchange& request)
+{
+    return request.service() + "/" + request.request().model;
+}
+
 std::string relay::affinityKey(const relay_exchange& request) const
 {
     const auto& parts = request.request().parts;
@@ -295,29 +294,37 @@
     return found;
 }
 
-engine_candidate relay::describe(const relay_exchange& request, const upstream_state& upstream)
+std::vector<engine_candidate> relay::describe(
+    const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams)
 {
-    engine_candidate candidate;
-    candidate.inFlight = upstream.inFlight + upstream.foreign.inFlight;
-    candidate.slots = upstream.entry.slots;
-    candidate.isNear = upstream.entry.zone == m_options.zone;
-    candidate.isSuspect = upstream.isSuspect(monotonicNow());
-    candidate.faultShare = upstream.faults.value(monotonicNow());
-    candidate.tokensAhead = upstream.tokensAhead + upstream.foreign.tokensAhead;
-    candidate.memoryUsed = upstream.memoryTokens + upstream.foreign.memoryTokens;
+    const monotonic_time now = monotonicNow();
+    engine_candidate common;
     const service_config* service = m_table->findService(request.service());
     if (service != nullptr && service->engine)
-        candidate.memoryTotal = service->engine->memoryTokens;
+        common.memoryTotal = service->engine->memoryTokens;
     const model_pace& known = paceOf(request);
-    candidate.millisecondsPerToken = known.millisecondsPerToken;
-    candidate.holdMilliseconds = known.holdMilliseconds;
-    const auto affinity = m_affinity.find(affinityKey(request));
-    if (affinity != m_affinity.end() && affinity->second == upstream.entry.id) {
-        const auto& parts = request.request().parts;
-        for (std::size_t index = 0; index + 1 < parts.size(); ++index)
-            candidate.cachedTokens += parts[index].tokens;
+    common.millisecondsPerToken = known.millisecondsPerToken;
+    common.holdMilliseconds = known.holdMilliseconds;
+    double sharedTokens = 0;
+    const auto& parts = request.request().parts;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+        sharedTokens += parts[index].tokens;
+    const auto keeper = m_affinity.find(affinityKey(request));
+    std::vector<engine_candidate> candidates(upstreams.size(), common);
+    for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        const upstream_state& upstream = *upstreams[index];
+        engine_candidate& candidate = candidates[index];
+        candidate.inFlight = upstream.inFlight + upstream.foreign.inFlight;
+        candidate.slots = upstream.entry.slots;
+        candidate.isNear = upstream.entry.zone == m_options.zone;
+        candidate.isSuspect = upstream.isSuspect(now);
+        candidate.faultShare = upstream.faults.value(now);
+        candidate.tokensAhead = upstream.tokensAhead + upstream.foreign.tokensAhead;
+        candidate.memoryUsed = upstream.memoryTokens + upstream.foreign.memoryTokens;
+        if (keeper != m_affinity.end() && keeper->second == upstream.entry.id)
+            candidate.cachedTokens = sharedTokens;
     }
-    return candidate;
+    return candidates;
 }
 
 relay_choice relay::choose(const relay_exchange& request, const std::set<std::string>& tried)
@@ -325,10 +332,7 @@
     const auto upstreams = candidatesFor(request, tried);
     if (upstreams.empty())
         return whenAbsent(request, m_byService.contains(request.service()));
-    std::vector<engine_candidate> candidates;
-    candidates.reserve(upstreams.size());
-    for (const auto& upstream : upstreams)
-        candidates.push_back(describe(request, *upstream));
+    const auto candidates = describe(request, upstreams);
     engine_demand demand;
     demand.promptTokens = request.request().promptTokens.value_or(0);
     demand.memoryTokens = demand.promptTokens + request.request().maxAnswerTokens / 2.0;
@@ -400,8 +404,7 @@
 
 return_schedule& relay::returnsOf(const relay_exchange& request)
 {
-    return m_returns.try_emplace(request.service() + "/" + request.request().model, shortestReturn(request))
-        .first->second;
+    return m_returns.try_emplace(modelKey(request), shortestReturn(request)).first->second;
 }
 
 milliseconds relay::declinedRetryAfter(const relay_exchange& request)
@@ -518,7 +521,7 @@
 
 relay::model_pace& relay::paceOf(const relay_exchange& request)
 {
-    const auto [found, isNew] = m_paces.try_emplace(request.service() + "/" + request.request().model);
+    const auto [found, isNew] = m_paces.try_emplace(modelKey(request));
     if (isNew && request.request().model.empty())
         found->second.holdMilliseconds = firstCallMs;
     return found->second;
@@ -599,14 +602,14 @@
             oldest = std::min(oldest, request->sentAt());
         if (now - std::max(oldest, upstream->lastSign) < serviceSilence)
             continue;
-        if (!upstream->isSilent)
+        if (!upstream->isSilent) {
             m_watch.lines.write(log_level::Warning, "upstream_silent",
                 { { "upstream", id }, { "requests", upstream->requests.size() },
                     { "seconds", secondsBetween(std::max(oldest, upstream->lastSign), now) } },
                 now);
-        if (!upstream->isSilent)
             upstream->probedAt = now;
-        upstream->isSilent = true;
+            upstream->isSilent = true;
+        }
         // Moving a request changes the set.
         std::vector<relay_exchange_ptr> requests;
         requests.reserve(upstream->requests.size());
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -146,7 +146,8 @@
 
     std::vector<upstream_state_ptr> candidatesFor(
         const relay_exchange& request, const std::set<std::string>& tried);
-    engine_candidate describe(const relay_exchange& request, const upstream_state& upstream);
+    std::vector<engine_candidate> describe(
+        const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams);
     relay_choice whenAbsent(const relay_exchange& request, bool anyUpstream);
     void noteFull(const relay_exchange& request, const engine_full& full,
         const std::vector<engine_candidate>& candidates);
@@ -175,6 +176,7 @@
     std::list<relay_exchange_ptr> m_waiting;
     std::unordered_map<std::string, retry_budget> m_retries;
     unsigned m_gateways;
+    static std::string modelKey(const relay_exchange& request);
     static milliseconds shortestReturn(const relay_exchange& request);
     model_pace& paceOf(const relay_exchange& request);
 
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/holding_name.h"
 #include "Fleet/upstream_list.h"
 #include "Relay/upstream_link.h"
 #include "Route/fault_share.h"
@@ -56,7 +57,7 @@
 
     bool holds(const std::string& model, const std::string& adapter) const
     {
-        return model.empty() || held.contains(adapter.empty() ? model : model + "/" + adapter);
+        return model.empty() || held.contains(holdingName(model, adapter));
     }
     bool isSuspect(monotonic_time now) const { return now < suspectUntil; }
 };
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -100,6 +101,13 @@
     std::vector<demand_count> demand;
 
     auto operator<=>(const fleet_report&) const = default;
+
+    /// \return whether it tells of requests that no upstream could take.
+    bool hasUnplaced() const
+    {
+        return std::any_of(
+            demand.begin(), demand.end(), [](const demand_count& item) { return item.unplaced > 0; });
+    }
 };
 
 /// \brief The coordinator's answer to a report.
