Relay: Heed upstreams that leave or want a rest, and close answers that never end

Cause: the relay passed Server-Leaving and Retry-After of an upstream's answers on without reading them, and read a body that was no answer until the caller's deadline.

Change: an upstream that says that it leaves gets nothing more until its entry names a new start, also where the list loses it and names it again; a 503 with Retry-After closes it for so long, and a request that only such upstreams could take is told to come back after. Both are looked at once more right before a request leaves.

--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -165,6 +165,10 @@
         auto& state = m_upstreams[id];
         if (!state) {
             state = std::make_shared<upstream_state>(m_loop, entry);
+            const auto left = m_leftStarts.find(id);
+            state->isLeaving = left != m_leftStarts.end() && left->second == entry.startedAt;
+            if (left != m_leftStarts.end() && !state->isLeaving)
+                m_leftStarts.erase(left);
             m_watch.lines.write(log_level::Info, "upstream_listed",
                 { { "upstream", id }, { "service", entry.service },
                     { "address", formatAddress(entry.where) } },
@@ -280,8 +284,9 @@
     const auto service = m_byService.find(request.service());
     if (service == m_byService.end())
         return found;
+    const monotonic_time now = monotonicNow();
     for (const auto& upstream : service->second) {
-        if (!upstream->entry.isDraining && !tried.contains(upstream->entry.id)
+        if (upstream->isOpen(now) && !tried.contains(upstream->entry.id)
             && upstream->holds(request.request().model, request.request().adapter))
             found.push_back(upstream);
     }
@@ -330,8 +335,11 @@
 relay_choice relay::choose(const relay_exchange& request, const std::set<std::string>& tried)
 {
     const auto upstreams = candidatesFor(request, tried);
-    if (upstreams.empty())
+    if (upstreams.empty()) {
+        if (const auto resting = whenResting(request))
+            return *resting;
         return whenAbsent(request, m_byService.contains(request.service()));
+    }
     const auto candidates = describe(request, upstreams);
     engine_demand demand;
     demand.promptTokens = request.request().promptTokens.value_or(0);
@@ -353,6 +361,25 @@
         chooseEngine(candidates, demand, lateFactor));
 }
 
+std::optional<relay_choice> relay::whenResting(const relay_exchange& request)
+{
+    const auto service = m_byService.find(request.service());
+    if (service == m_byService.end())
+        return std::nullopt;
+    const monotonic_time now = monotonicNow();
+    std::optional<monotonic_time> soonest;
+    for (const auto& upstream : service->second) {
+        if (upstream->entry.isDraining || upstream->isLeaving || now >= upstream->restsUntil
+            || !upstream->holds(request.request().model, request.request().adapter))
+            continue;
+        soonest = std::min(soonest.value_or(upstream->restsUntil), upstream->restsUntil);
+    }
+    if (!soonest)
+        return std::nullopt;
+    const auto rest = std::chrono::duration_cast<milliseconds>(*soonest - now);
+    return relay_refuse { relay_reason::Overloaded, rest + declinedRetryAfter(request) };
+}
+
 relay_choice relay::whenAbsent(const relay_exchange& request, bool anyUpstream)
 {
     const auto& asked = request.request();
@@ -361,7 +388,7 @@
     m_hooks.onWanted(request.service(), asked.model, asked.adapter);
     const bool hasModel = std::any_of(m_byService[request.service()].begin(),
         m_byService[request.service()].end(), [&](const upstream_state_ptr& upstream) {
-            return !upstream->entry.isDraining && upstream->holds(asked.model, "");
+            return upstream->isOpen(monotonicNow()) && upstream->holds(asked.model, "");
         });
     const double waited = secondsBetween(request.arrivedAt(), monotonicNow()) * 1000;
     const double objective
@@ -483,6 +510,22 @@
     upstream->suspectUntil = monotonicNow() + firstSuspicion;
 }
 
+void relay::onTerms(const upstream_state_ptr& upstream, const answer_terms& terms)
+{
+    const monotonic_time now = monotonicNow();
+    if (terms.isLeaving && !upstream->isLeaving) {
+        upstream->isLeaving = true;
+        m_leftStarts[upstream->entry.id] = upstream->entry.startedAt;
+        m_watch.lines.write(
+            log_level::Info, "upstream_leaving", { { "upstream", upstream->entry.id } }, now);
+    }
+    if (terms.restFor) {
+        upstream->restsUntil = std::max(upstream->restsUntil, now + *terms.restFor);
+        m_watch.lines.write(log_level::Info, "upstream_rests",
+            { { "upstream", upstream->entry.id }, { "ms", terms.restFor->count() } }, now);
+    }
+}
+
 void relay::noteBadRequest(const char* what)
 {
     m_watch.lines.write(log_level::Warning, "bad_request", { { "error", what } }, monotonicNow());
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -121,6 +121,8 @@
     bool tryRetry(const std::string& service);
     void onPlaceFree(const std::string& service);
     void onMisdirected(const upstream_state_ptr& upstream);
+    /// Takes in what an upstream says of itself beside an answer.
+    void onTerms(const upstream_state_ptr& upstream, const answer_terms& terms);
     void onArrival() { ++m_running; }
     void onDemand(const relay_exchange& request);
     void noteBadRequest(const char* what);
@@ -148,6 +150,8 @@
         const relay_exchange& request, const std::set<std::string>& tried);
     std::vector<engine_candidate> describe(
         const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams);
+    /// \return the refusal of a request whose upstreams all rest for a while; nothing where none does.
+    std::optional<relay_choice> whenResting(const relay_exchange& request);
     relay_choice whenAbsent(const relay_exchange& request, bool anyUpstream);
     void noteFull(const relay_exchange& request, const engine_full& full,
         const std::vector<engine_candidate>& candidates);
@@ -170,6 +174,8 @@
     contact_clock m_contact;
     std::unordered_map<std::string, upstream_state_ptr> m_upstreams;
     std::unordered_map<std::string, std::vector<upstream_state_ptr>> m_byService;
+    /// Starts of upstreams that said that they leave: the list may lose and regain them.
+    std::unordered_map<std::string, std::int64_t> m_leftStarts;
     std::unordered_map<const caller_link*, std::shared_ptr<caller_link>> m_callers;
     std::vector<std::shared_ptr<caller_link>> m_toRead;
     std::vector<std::shared_ptr<caller_link>> m_closed;
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -195,6 +195,7 @@
     m_answerBegun = false;
     m_firstByteCame = false;
     m_isForeignAnswer = false;
+    m_uselessBytes = 0;
     m_held.clear();
     m_owner.noteSend(*this, *target, forecast, m_sends);
     const auto self = weak_from_this();
@@ -221,6 +222,11 @@
     // The process may have stood still since the request was placed.
     if (!isStillAllowed())
         return;
+    if (!m_upstream->isOpen(monotonicNow())) {
+        leaveUpstream(true);
+        place();
+        return;
+    }
     const milliseconds left = timeLeft();
     if (left < leastTimeToSend) {
         onDeadline();
@@ -259,6 +265,7 @@
 {
     m_owner.noteSign(*m_upstream);
     const answer_terms terms = platform::readAnswer(head);
+    m_owner.onTerms(m_upstream, terms);
     const bool declines = terms.isNotRun || head.status == misdirected;
     const bool isOurs = terms.requestId == m_request.id || (terms.requestId.empty() && declines);
     m_isForeignAnswer = !isOurs;
@@ -293,10 +300,17 @@
 
 void relay_exchange::onBody(std::string_view bytes)
 {
+    const bool isSound = !m_isForeignAnswer && isSuccess(m_answer.status) && m_isSigned;
+    if (!isSound) {
+        m_uselessBytes += bytes.size();
+        if (m_uselessBytes > maxHeldBytes) {
+            onEndlessAnswer();
+            return;
+        }
+    }
     if (m_isForeignAnswer)
         return;
     m_owner.noteSign(*m_upstream);
-    const bool isSound = isSuccess(m_answer.status) && m_isSigned;
     if (m_delivering) {
         if (!isSound)
             return;
@@ -395,6 +409,14 @@
     retryOr(relay_reason::UpstreamBroke);
 }
 
+void relay_exchange::onEndlessAnswer()
+{
+    const auto self = shared_from_this();
+    m_owner.noteFailure(*m_upstream, !m_firstByteCame);
+    leaveUpstream(false);
+    retryOr(relay_reason::UpstreamGarbled);
+}
+
 void relay_exchange::onUpstreamSilent()
 {
     const bool canGoOn = !m_delivering || !m_events.lastEventId().empty();
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -74,6 +74,8 @@
     void onAnswerEnd();
     void onBroken();
     void onConnectTimeout();
+    /// Bytes that are no use to the caller come without end.
+    void onEndlessAnswer();
     void onDeadline();
     /// \return the fields of the upstream's answer that its caller gets.
     std::vector<http_field> answerFields() const;
@@ -114,6 +116,8 @@
     /// The answer at hand bears the upstream's signature.
     bool m_isSigned { false };
     std::string m_held;
+    /// Bytes of bodies that its caller does not get as they are.
+    std::size_t m_uselessBytes { 0 };
     event_cutter m_events;
     /// The answer at hand belongs to another request.
     bool m_isForeignAnswer { false };
--- a/Source/Relay/relay_request.h
+++ b/Source/Relay/relay_request.h
@@ -69,6 +69,10 @@
     bool isSigned { false };
     /// The upstream says that it did not run the request.
     bool isNotRun { false };
+    /// The upstream is about to end and wants nothing more.
+    bool isLeaving { false };
+    /// Time for which the upstream wants nothing from this process, where it turned the request away.
+    std::optional<milliseconds> restFor;
 
     auto operator<=>(const answer_terms&) const = default;
 };
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -54,11 +54,17 @@
     monotonic_time probedAt {};
     std::unordered_set<relay_exchange*> requests;
     bool isGone { false };
+    /// Said in an answer that it is about to end; holds until it starts anew.
+    bool isLeaving { false };
+    /// Until then it wants nothing from this process.
+    monotonic_time restsUntil {};
 
     bool holds(const std::string& model, const std::string& adapter) const
     {
         return model.empty() || held.contains(holdingName(model, adapter));
     }
+    /// \return whether it takes new requests, as far as it and the list say.
+    bool isOpen(monotonic_time now) const { return !entry.isDraining && !isLeaving && now >= restsUntil; }
     bool isSuspect(monotonic_time now) const { return now < suspectUntil; }
 };
 
