Plan: Count only copies that are ready as ones to spare

Copies on their way counted as copies in hand.

Change: makeRoom counts ready copies only. A fleet of few engines plans at each report again. Test fails on the landed planner.

--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -12,8 +12,9 @@
 
 // Time in which an engine answers a report or takes an order; it answers without a slot.
 constexpr milliseconds engineTimeout { 800 };
-// Shortest time between two plans; a burst of reports on missing adapters is answered by one.
-constexpr milliseconds leastPlanPause { 10 };
+// Engines for each millisecond between two plans: a pass costs some 10 us of a core for an engine, and a burst of
+// reports on missing adapters is answered by one. A small fleet plans at each report.
+constexpr std::size_t enginesPerPauseMs = 16;
 
 } // namespace
 
@@ -54,8 +55,9 @@
     const monotonic_time now = monotonicNow();
     if (!m_lease().holds(suspendedNow()))
         return;
-    if (now - m_plannedAt < leastPlanPause) {
-        m_planTimer.start(leastPlanPause);
+    const milliseconds leastPause(m_plans.books().size() / enginesPerPauseMs);
+    if (now - m_plannedAt < leastPause) {
+        m_planTimer.start(leastPause);
         return;
     }
     m_plannedAt = now;
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -104,6 +104,8 @@
     /// Engines that hold or may come to hold something, by its name.
     std::unordered_map<std::string, int> copyCounts;
     std::unordered_map<std::string, int> nearCounts;
+    /// Engines that hold a model, ready for use.
+    std::unordered_map<const model_config*, int> readyCounts;
     /// Requests a second for each model, and for all together.
     std::unordered_map<const model_config*, double> modelDemand;
     double total { 0 };
@@ -125,6 +127,8 @@
         }
         if (sight.isDraining)
             return view;
+        for (const model_config* model : view.models)
+            ++readyCounts[model];
         for (const auto& holding : book.possible()) {
             ++copyCounts[holding];
             if (!isAdapterName(holding))
@@ -310,13 +314,14 @@
             [&](const engine_view& engine) { return hasRoomSoon(engine, model); }));
     }
 
-    /// \return copies of a model beyond those that its demand asks for.
-    int surplus(const model_config& model) const
+    int readyCopies(const model_config& model) const
     {
-        return copies(model.name) - desiredCopies(model, keepFactor);
+        const auto found = readyCounts.find(&model);
+        return found == readyCounts.end() ? 0 : found->second;
     }
 
-    /// Drops a copy of another model that has one too many.
+    /// Drops a copy of another model that has one too many. Copies that are still on their way take seconds
+    /// and serve nobody before: only those that are ready count.
     /// \param onlyAtHand only where the model's own weights lie
     /// \return whether an order was given for it
     bool makeRoom(const model_config& model, double allowance, bool onlyAtHand)
@@ -325,31 +330,33 @@
             return false;
         const double own = modelDemand.at(&model) / std::max(copies(model.name), 1);
         engine_view* where = nullptr;
-        std::string victim;
+        const model_config* victim = nullptr;
         double most = 0;
         for (auto& engine : engines) {
             if (!engine.isFree || (onlyAtHand && !engine.book().isAtHand(model.name))
                 || engine.book().mayHold(model.name))
                 continue;
             for (const model_config* held : engine.models) {
-                if (engine.freeWeightsMb + held->weightsMb < model.weightsMb || copies(held->name) < 2)
+                const int ready = readyCopies(*held);
+                if (engine.freeWeightsMb + held->weightsMb < model.weightsMb || ready < 2)
                     continue;
-                const int spare = surplus(*held);
-                const double lost = modelDemand.at(held) / (copies(held->name) - 1);
+                const int spare = ready - desiredCopies(*held, keepFactor);
+                const double lost = modelDemand.at(held) / (ready - 1);
                 if (spare < 1 && lost >= own)
                     continue;
                 const double gain = spare + 1.0
                     - static_cast<double>(engine.sight->inFlight) / std::max(engine.sight->slots, 1);
                 if (where == nullptr || gain > most) {
                     where = &engine;
-                    victim = held->name;
+                    victim = held;
                     most = gain;
                 }
             }
         }
         if (where == nullptr)
             return false;
-        order(*where, holding_order::action::Unload, victim, {});
+        order(*where, holding_order::action::Unload, victim->name, {});
+        --readyCounts[victim];
         return true;
     }
 
--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -280,3 +280,18 @@
     const double used = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
     CHECK(used / passes < 0.05 * bound);
 }
+
+TEST_CASE("holding planner: the copy that serves is not dropped because others are still being loaded")
+{
+    // Demand moved to m0: four engines load it, which takes seconds, and one has it.
+    planning it(configOf(7, 0));
+    it.add({ "m0", "m1" });
+    for (int engine = 0; engine < 4; ++engine) {
+        it.add({ "m" + std::to_string(3 + engine) });
+        it.books.back().onOrderSent({ holding_order::action::Load, "m0", "", "h", 1, 0 }, start);
+        it.books.back().onOrderAnswered(202, start);
+    }
+    it.ask("m0", 4);
+    it.ask("m2", 4);
+    CHECK_FALSE(has(it.plan(), holding_order::action::Unload, "m0"));
+}
