Relay: Answer requests that had come when a connection is closed for idleness or a stop

Cause: a planned stop closed idle connections though a request lay unread in the socket, and the limit of callers and the idle timer did the same. Operators of similar systems saw requests cut off at a planned stop; here it could happen.

Change: before a connection counts as idle, the socket is looked at once more. At the limit of callers, the oldest eight are looked at. Tests: the one with a planned stop fails on the code before; the one with a process that stood still passes on it too, since the loop reads before its timers where it sees all sockets at once.

--- a/Source/Loop/tcp_stream.cpp
+++ b/Source/Loop/tcp_stream.cpp
@@ -100,6 +100,14 @@
     return evbuffer_get_length(bufferevent_get_output(m_stream.get()));
 }
 
+bool tcp_stream::hasIncoming() const
+{
+    if (evbuffer_get_length(bufferevent_get_input(m_stream.get())) > 0)
+        return true;
+    char next = 0;
+    return ::recv(bufferevent_getfd(m_stream.get()), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void tcp_stream::pauseReading(bool paused)
 {
     if (paused)
--- a/Source/Loop/tcp_stream.h
+++ b/Source/Loop/tcp_stream.h
@@ -46,6 +46,8 @@
     void consume(std::size_t bytes);
     void write(std::string_view bytes);
     std::size_t unwritten() const;
+    /// \return whether bytes came that the loop did not hand over yet, as after a process stood still.
+    bool hasIncoming() const;
 
     /// Stops or resumes reading from the socket, so that a slow reader downstream holds the peer back.
     void pauseReading(bool paused);
--- a/Source/Relay/caller_link.cpp
+++ b/Source/Relay/caller_link.cpp
@@ -22,7 +22,10 @@
     , m_stream(std::make_unique<tcp_stream>(owner.loop(), socket))
     , m_patience(owner.loop(), [this] {
         const auto self = shared_from_this();
-        if (m_reader->isInMessage() && !m_closesWhenWritten)
+        // What came while the process stood still was in time, and is read before its timers count.
+        if (!m_closesWhenWritten && m_stream->hasIncoming())
+            m_patience.start(m_owner.limits().headTimeout);
+        else if (m_reader->isInMessage() && !m_closesWhenWritten)
             refuseEarly(408);
         else
             close();
@@ -203,10 +206,13 @@
     close();
 }
 
-void caller_link::drain()
+bool caller_link::drain()
 {
-    if (isIdle())
-        close();
+    // A request that came already is answered, which closes the connection.
+    if (!isIdle() || m_stream->hasIncoming())
+        return false;
+    close();
+    return true;
 }
 
 void caller_link::close()
--- a/Source/Relay/caller_link.h
+++ b/Source/Relay/caller_link.h
@@ -35,7 +35,8 @@
     void readPending() { read(); }
 
     /// No further request is taken; an idle connection closes.
-    void drain();
+    /// \return whether it was closed
+    bool drain();
     bool isIdle() const { return !m_exchange && !m_reader->isInMessage() && !m_closesWhenWritten; }
     monotonic_time idleSince() const { return m_idleSince; }
 
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Idle callers that are looked at for one to close: a request may have come on them that was not read yet.
+constexpr std::size_t mostIdleLooks = 8;
 // Silence of a plain service's upstream with requests after which it is avoided: above the usual time of a
 // call.
 constexpr milliseconds serviceSilence { 450 };
@@ -94,16 +96,16 @@
 
 bool relay::closeIdleCaller()
 {
-    const auto oldest
-        = std::min_element(m_callers.begin(), m_callers.end(), [](const auto& left, const auto& right) {
-              return std::pair(!left.second->isIdle(), left.second->idleSince())
-                  < std::pair(!right.second->isIdle(), right.second->idleSince());
-          });
-    if (oldest == m_callers.end() || !oldest->second->isIdle())
-        return false;
-    const auto link = oldest->second;
-    link->drain();
-    return true;
+    std::vector<std::shared_ptr<caller_link>> idle;
+    for (const auto& [key, link] : m_callers) {
+        if (link->isIdle())
+            idle.push_back(link);
+    }
+    const auto looked = idle.begin()
+        + static_cast<std::ptrdiff_t>(std::min(idle.size(), mostIdleLooks));
+    std::partial_sort(idle.begin(), looked, idle.end(),
+        [](const auto& left, const auto& right) { return left->idleSince() < right->idleSince(); });
+    return std::any_of(idle.begin(), looked, [](const auto& link) { return link->drain(); });
 }
 
 void relay::forget(const caller_link& link)
--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -1,7 +1,11 @@
 #include "Relay/relay_fixture.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +15,58 @@
 
 using request = scripted_upstream::request;
 
+/// Callers whose bytes reach the relay's host while its loop stands still.
+class blocking_callers {
+public:
+    blocking_callers(std::uint16_t port, int count)
+    {
+        sockaddr_in where {};
+        where.sin_family = AF_INET;
+        where.sin_port = htons(port);
+        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        for (int index = 0; index < count; ++index) {
+            const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            REQUIRE(::connect(made, reinterpret_cast<const sockaddr*>(&where), sizeof(where)) == 0);
+            m_sockets.push_back(made);
+        }
+    }
+    ~blocking_callers()
+    {
+        for (const int socket : m_sockets)
+            ::close(socket);
+    }
+    blocking_callers(const blocking_callers&) = delete;
+    blocking_callers& operator=(const blocking_callers&) = delete;
+
+    void send(const std::string& text)
+    {
+        for (const int socket : m_sockets)
+            REQUIRE(::send(socket, text.data(), text.size(), MSG_NOSIGNAL) == std::ssize(text));
+        m_answered.assign(m_sockets.size(), false);
+    }
+
+    /// Reads what came.
+    /// \return callers that have had an answer, a refusal too, since they sent
+    std::ptrdiff_t answered()
+    {
+        for (std::size_t index = 0; index < m_sockets.size(); ++index) {
+            std::array<char, 4096> bytes {};
+            const auto size = ::recv(m_sockets[index], bytes.data(), bytes.size(), MSG_DONTWAIT);
+            if (size > 0 && std::string_view(bytes.data(), static_cast<std::size_t>(size)).starts_with("HTTP/1.1 "))
+                m_answered[index] = true;
+        }
+        return std::count(m_answered.begin(), m_answered.end(), true);
+    }
+
+private:
+    std::vector<int> m_sockets;
+    std::vector<bool> m_answered;
+};
+
+// More than the loop takes in at one look, and fewer than the relay accepts.
+constexpr int manyCallers = 90;
+const std::string openRequest = "GET /open/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 9000\r\n\r\n";
+
 } // namespace
 
 TEST_CASE("relay: routes, keys and configurations decide before anything is sent")
@@ -244,3 +300,37 @@
     ::close(socket);
     CHECK(loopUntil(world.loop, [&] { return upstream.openStreams == 0; }));
 }
+
+TEST_CASE("relay: requests that came while the process stood still are answered, though idle time ran out too")
+{
+    relay_world world;
+    auto quick = relay_world::config(2);
+    quick.limits.idleTimeout = milliseconds(400);
+    world.tested.onConfig(std::make_shared<fleet_config>(quick));
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    blocking_callers callers(world.listener.port(), manyCallers);
+    callers.send(openRequest);
+    REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+    // In time, but the loop turns again only after the connections' time.
+    callers.send(openRequest);
+    const monotonic_time stoodUntil = monotonicNow() + milliseconds(500);
+    while (monotonicNow() < stoodUntil)
+        ::usleep(1000);
+    CHECK(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+}
+
+TEST_CASE("relay: requests that came right before a planned stop are answered")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    blocking_callers callers(world.listener.port(), manyCallers);
+    callers.send(openRequest);
+    REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+    callers.send(openRequest);
+    world.tested.drain();
+    CHECK(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+}
