Gateway: Let a named successor grant credit from the moment the coordinator falls silent

Change: the coordinator names its successor in its news. Gateways turn to it when the coordinator falls silent or its connection breaks (which is tried once more); without the lease it grants only the shares of those that report to it, and it takes the lease before the others. A link that was replaced no longer speaks for the one after it.

Tests of the gateway's processes pass (19 of 19); one failed on the way, as the successor took itself for a coordinator that it hears.

--- a/Source/Fleet/duty_lease.h
+++ b/Source/Fleet/duty_lease.h
@@ -74,6 +74,9 @@
     /// Gives the lease up at the process's end.
     void resign() { m_resigned = true; }
 
+    /// \param extra how much longer than by its own reluctance this process waits, so that the one that all others
+    /// expect takes the lease first
+    void setDeference(monotonic_span extra) { m_deference = extra; }
     /// \param pause between reads of a lease that another process holds but is not heard to hold
     void setReadPause(monotonic_span pause) { m_readPause = pause; }
 
@@ -94,6 +97,7 @@
     bool m_knowsRecord { false };
     monotonic_time m_recordSeenAt {};
     monotonic_span m_readPause;
+    monotonic_span m_deference { 0 };
     bool m_isBusy { false };
     bool m_appendIsRelease { false };
     monotonic_time m_notBefore {};
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -71,6 +71,28 @@
     makeBooks();
 }
 
+void coordinator::setGround(unsigned poolOf, monotonic_time now)
+{
+    m_poolOf = poolOf;
+    if (poolOf == 0)
+        m_bank.setShare(1, now);
+}
+
+std::string coordinator::successor(const std::string& self, monotonic_time now)
+{
+    const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
+    const auto isFit = [&](const auto& item) {
+        return item.first != self && !item.second.member.empty() && now - item.second.heardAt <= heardWithin;
+    };
+    // The one that was named keeps the place while it is heard, so that all know the same one.
+    const auto named = m_reporters.find(m_successor);
+    if (named != m_reporters.end() && isFit(*named))
+        return named->second.member;
+    const auto found = std::find_if(m_reporters.begin(), m_reporters.end(), isFit);
+    m_successor = found == m_reporters.end() ? std::string() : found->first;
+    return found == m_reporters.end() ? std::string() : found->second.member;
+}
+
 void coordinator::end()
 {
     m_isActive = false;
@@ -196,6 +218,13 @@
     });
 }
 
+unsigned coordinator::heard(monotonic_time now) const
+{
+    const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
+    return static_cast<unsigned>(std::count_if(m_reporters.begin(), m_reporters.end(),
+        [&](const auto& item) { return now - item.second.heardAt <= heardWithin; }));
+}
+
 std::uint32_t coordinator::gateways(monotonic_time now) const
 {
     std::uint32_t count = 0;
@@ -210,6 +239,10 @@
     reporter& from = m_reporters[report.entry];
     from.heardAt = now;
     from.isStoreAway = report.isStoreAway;
+    if (!report.isOnlyCredit)
+        from.member = report.member;
+    if (m_poolOf > 0)
+        m_bank.setShare(std::min(1.0, static_cast<double>(heard(now)) / m_poolOf), now);
     for (const auto& item : report.demand) {
         m_demand.onRequests(item.model, item.requests, item.unplaced, now);
         if (!item.adapter.empty())
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -24,6 +24,15 @@
     /// Begins a tenure: what was granted before may still be spent, so buckets start half full.
     void begin(monotonic_time now);
 
+    /// Says on what ground credit is granted.
+    /// \param poolOf 0 with the lease; without it, gateways among which the limits are shared: only the shares
+    /// of those that report here are granted
+    void setGround(unsigned poolOf, monotonic_time now);
+
+    /// \return name in the lease of the gateway that is to coordinate next; empty where none is fit.
+    /// \param self the gateway that coordinates
+    std::string successor(const std::string& self, monotonic_time now);
+
     /// Ends a tenure: what only the coordinator needs is dropped.
     void end();
 
@@ -53,6 +62,7 @@
         std::map<std::uint16_t, upstream_work> work;
         monotonic_time heardAt {};
         bool isStoreAway { false };
+        std::string member;
         /// By the upstream's number, as are the next ones.
         std::vector<std::uint64_t> toldHoldings;
         std::vector<numbered_work> toldWork;
@@ -69,6 +79,8 @@
     };
 
     void forgetSilent(monotonic_time now);
+    /// \return gateways whose last report is recent.
+    unsigned heard(monotonic_time now) const;
     void replaceWork(reporter& from, const std::vector<upstream_work>& work);
     void tellWork(reporter& to, fleet_news& news) const;
     void tellHoldings(reporter& to, fleet_news& news) const;
@@ -80,6 +92,9 @@
     void forgetRemoved();
 
     bool m_isActive { false };
+    unsigned m_poolOf { 0 };
+    /// The reporter that was named as the next coordinator.
+    std::string m_successor;
     credit_bank m_bank;
     demand_meter m_demand;
     std::vector<team_config> m_teams;
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/fleet_share.h"
 
+#include "Gateway/member_name.h"
+
 #include <algorithm>
 #include <set>
 
@@ -18,6 +20,10 @@
 constexpr double creditPatience = 0.4;
 // Between looks at what waits for credit.
 constexpr milliseconds creditLook { 50 };
+// Between two tries to reach the one that coordinates next; it declines until it misses the coordinator itself.
+constexpr milliseconds successorPause { 150 };
+// Time after the coordinator's connection was cut from which it is missed; a restarted one is back by then or not soon.
+constexpr milliseconds cutReserve { 100 };
 // When to come back where no coordinator is known.
 constexpr milliseconds unknownRetryAfter { 600 };
 
@@ -36,10 +42,11 @@
 
 } // namespace
 
-fleet_share::fleet_share(
-    event_loop& loop, std::string self, relay& relayed, decision_lines& lines, hooks value)
+fleet_share::fleet_share(event_loop& loop, std::string self, std::string member, relay& relayed,
+    decision_lines& lines, hooks value)
     : m_loop(loop)
     , m_self(std::move(self))
+    , m_member(std::move(member))
     , m_relay(relayed)
     , m_lines(lines)
     , m_hooks(std::move(value))
@@ -57,7 +64,9 @@
 {
     const bool anyWaits = std::any_of(
         m_waiting.begin(), m_waiting.end(), [](const auto& item) { return !item.second.empty(); });
-    return anyWaits ? std::min(creditLook, pace().reportPause) : pace().reportPause;
+    if (anyWaits)
+        return std::min(creditLook, pace().reportPause);
+    return m_isAlone ? std::min(successorPause, pace().reportPause) : pace().reportPause;
 }
 
 void fleet_share::onConfig(const fleet_config& config)
@@ -73,16 +82,31 @@
     m_relay.onLimitsKnown();
 }
 
-void fleet_share::onHolder(const address& where)
+void fleet_share::onHolder(const address& where, std::uint64_t leaseEnd)
 {
+    // Not renewed since it fell silent.
+    if (where == m_silentPeer && leaseEnd <= m_silentEnd)
+        return;
+    m_holderEnd = leaseEnd;
     if (m_link && m_link->peer() == where)
         return;
+    link(where);
+}
+
+void fleet_share::link(const address& where)
+{
     m_lostLink = std::move(m_link);
+    forgetAsks();
     m_linkedAt = monotonicNow();
     m_wantsAll = true;
+    m_linkWorked = false;
     m_numbered.clear();
+    // The link before may still tell something until it is dropped.
+    const std::uint64_t made = ++m_linksMade;
     m_link = std::make_unique<coordinator_link>(m_loop, where,
-        coordinator_link::handlers { [this](const fleet_news& news) {
+        coordinator_link::handlers { [this, made](const fleet_news& news) {
+                                        if (made != m_linksMade || !m_link)
+                                            return;
                                         monotonic_time askedAt {};
                                         while (!m_asked.empty() && m_asked.front().number <= news.number) {
                                             askedAt = m_asked.front().sentAt;
@@ -90,14 +114,56 @@
                                         }
                                         onNews(news, askedAt);
                                     },
-            [this] { onLinkLost(); } });
+            [this, made] {
+                if (made == m_linksMade && m_link)
+                    onLinkLost();
+            } });
 }
 
 void fleet_share::onLinkLost()
 {
     // Its own handler is running; it is dropped when the next one comes.
     m_lostLink = std::move(m_link);
+    const bool isSuccessor = !m_successor.empty() && m_lostLink->peer() == addressOfMember(m_successor);
+    // A connection may break though the coordinator is sound: it is tried once more.
+    if (std::exchange(m_linkWorked, false))
+        m_again = m_lostLink->peer();
+    if (!isSuccessor) {
+        m_silentPeer = m_lostLink->peer();
+        m_silentEnd = m_holderEnd;
+    }
+    if (!m_isAlone && !m_cutAt)
+        m_cutAt = monotonicNow();
     forgetAsks();
+    m_reportTimer.start(soon);
+}
+
+bool fleet_share::hearsInterim(monotonic_time now) const
+{
+    return m_interimAt != monotonic_time {} && now - m_interimAt < pace().newsTimeout;
+}
+
+bool fleet_share::mayAsk(monotonic_time now) const
+{
+    // A coordinator that was lost a moment ago is followed by another within the patience of many requests.
+    return !m_isAlone || hearsInterim(now)
+        || (!m_successor.empty() && now - m_newsAt < pace().newsTimeout * 2);
+}
+
+bool fleet_share::isInterimDue() const
+{
+    if (m_member.empty() || m_successor != m_member)
+        return false;
+    const monotonic_time now = monotonicNow();
+    return now - m_newsAt >= pace().newsTimeout || (m_cutAt && now - *m_cutAt >= cutReserve);
+}
+
+void fleet_share::trySuccessor(monotonic_time now)
+{
+    if (m_successor.empty() || m_successor == m_member || now - m_triedSuccessorAt < successorPause)
+        return;
+    m_triedSuccessorAt = now;
+    link(addressOfMember(m_successor));
 }
 
 void fleet_share::forgetAsks()
@@ -114,7 +180,7 @@
     if (m_isAlone == isAlone)
         return;
     m_isAlone = isAlone;
-    m_purse.setAlone(isAlone, suspendedNow());
+    m_purse.setAlone(isAlone && !hearsInterim(monotonicNow()), suspendedNow());
     m_lines.write(log_level::Warning, isAlone ? "coordinator_away" : "coordinator_heard", {}, monotonicNow());
     if (isAlone)
         m_relay.onCoordinatorLost();
@@ -127,7 +193,7 @@
         request->onCredit(credit_outcome::Granted, {});
         return;
     }
-    if (m_isAlone) {
+    if (!mayAsk(monotonicNow())) {
         // Nobody would answer: the own share decides at once.
         request->onCredit(credit_outcome::Unknown, unknownRetryAfter);
         return;
@@ -198,6 +264,8 @@
     value.isStoreAway = m_hooks.isStoreAway();
     value.wantsAll = m_wantsAll;
     value.isOnlyCredit = isOnlyCredit;
+    if (!isOnlyCredit)
+        value.member = m_member;
     addCredit(value);
     for (auto& [key, item] : std::exchange(m_demand, {}))
         value.demand.push_back(std::move(item));
@@ -239,30 +307,47 @@
     auto value = makeReport(isOnlyCredit);
     const bool isLinked = m_link && m_link->isConnected();
     if (const auto news = m_hooks.coordinateHere(value)) {
-        m_link.reset();
-        m_asked.clear();
         // What this gateway read itself needs no telling.
         onNews(*news, {});
         // A pass gives a model one order at most: what is wanted gets a second one at once.
         if (value.hasUnplaced())
             m_hooks.onWanted();
-        return;
-    }
-    if (!isLinked)
+        if (!news->isInterim) {
+            m_link.reset();
+            m_asked.clear();
+            return;
+        }
+        // The lease may name a holder: once it answers, this gateway grants no more.
+        value.credit.clear();
+        value.demand.clear();
+    } else if (!isLinked) {
         forgetAsks();
-    if (isLinked) {
+    }
+    if (isLinked && !(isInterimDue() && isOnlyCredit)) {
         m_asked.push_back({ value.number, sentAt });
         m_link->send(value);
     }
-    const bool isSilent = now - std::max(m_newsAt, m_linkedAt) >= times.newsTimeout;
-    if (!m_link || isSilent) {
+    followCoordinator(now);
+    m_purse.setAlone(m_isAlone && !hearsInterim(now), sentAt);
+    settleOverdue();
+}
+
+void fleet_share::followCoordinator(monotonic_time now)
+{
+    const milliseconds newsTimeout = pace().newsTimeout;
+    const bool isSilent = now - std::max({ m_newsAt, m_interimAt, m_linkedAt }) >= newsTimeout;
+    if (m_link && isSilent) {
+        m_silentPeer = m_link->peer();
+        m_silentEnd = m_holderEnd;
         m_lostLink = std::move(m_link);
         forgetAsks();
-        m_linkedAt = now;
     }
-    if (now - m_newsAt >= times.newsTimeout)
+    if (!m_link && m_again)
+        link(*std::exchange(m_again, std::nullopt));
+    else if (!m_link)
+        trySuccessor(now);
+    if (now - m_newsAt >= newsTimeout)
         setAlone(true);
-    settleOverdue();
 }
 
 void fleet_share::settleOverdue()
@@ -288,16 +373,28 @@
 
 void fleet_share::onNews(const fleet_news& news, monotonic_time askedAt)
 {
-    m_newsAt = monotonicNow();
-    setAlone(false);
-    if (!news.leaseHolder.empty())
-        m_hooks.onLease({ news.leaseHolder, news.entries, news.leaseEnd });
-    m_gateways = std::max(news.entries, 1U);
-    m_purse.setEntries(news.entries);
-    m_relay.onGateways(news.entries);
-    m_relay.onLimitsKnown();
+    m_linkWorked = true;
+    if (news.isInterim) {
+        m_interimAt = monotonicNow();
+        m_purse.setAlone(false, suspendedNow());
+    } else {
+        m_newsAt = monotonicNow();
+        m_cutAt.reset();
+        setAlone(false);
+        m_gateways = std::max(news.entries, 1U);
+        m_purse.setEntries(news.entries);
+        m_relay.onGateways(news.entries);
+        m_relay.onLimitsKnown();
+    }
     // News of credit alone carry no lease.
-    if (!news.leaseHolder.empty())
+    if (!news.leaseHolder.empty()) {
+        m_hooks.onLease({ news.leaseHolder, news.entries, news.leaseEnd });
+        m_holderEnd = news.leaseEnd;
+        m_successor = news.successor;
+        m_hooks.onSuccessor(m_successor.empty() || m_successor == m_member);
+        m_wantsAll = false;
+    }
+    if (!news.listed.empty())
         m_wantsAll = false;
     if (askedAt != monotonic_time {})
         takeList(news);
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -27,16 +27,26 @@
         std::function<void(const duty_record&)> onLease;
         /// Something is wanted that the coordinator should see to at once.
         std::function<void()> onWanted;
+        /// Another gateway is to take the lease first, or this one.
+        std::function<void(bool isSuccessor)> onSuccessor;
     };
 
-    fleet_share(event_loop& loop, std::string self, relay& relayed, decision_lines& lines, hooks value);
+    /// \param member the gateway's name in the lease, where its host is fit to coordinate; else empty
+    fleet_share(event_loop& loop, std::string self, std::string member, relay& relayed, decision_lines& lines,
+        hooks value);
 
     void start();
     void onConfig(const fleet_config& config);
     /// The gateways that shared the limits, as the lease tells.
     void onKnownGateways(unsigned count);
     /// The coordinator's address, by the lease.
-    void onHolder(const address& where);
+    /// \param leaseEnd offset behind the record that names it
+    void onHolder(const address& where, std::uint64_t leaseEnd);
+    /// \return whether this gateway was named the next coordinator and the one before fell silent: then it grants
+    /// the shares of those that report to it, until someone holds the lease.
+    bool isInterimDue() const;
+    /// \return gateways that share the limits, as last told.
+    unsigned gateways() const { return m_gateways; }
     /// \return whether a coordinator answered lately.
     bool hearsCoordinator() const { return !m_isAlone; }
     /// \return whether another gateway coordinates and its evidence of the configuration is recent.
@@ -65,6 +75,15 @@
     void takeList(const fleet_news& news);
     void onLinkLost();
     void setAlone(bool isAlone);
+    /// Gives up a coordinator that fell silent, and goes on with the next.
+    void followCoordinator(monotonic_time now);
+    /// Connects to the one that coordinates next, where that is known.
+    void trySuccessor(monotonic_time now);
+    void link(const address& where);
+    /// \return whether the one that coordinates next grants credit meanwhile.
+    bool hearsInterim(monotonic_time now) const;
+    /// \return whether an ask for credit may be answered soon.
+    bool mayAsk(monotonic_time now) const;
     void settleCredit(const std::string& team, std::optional<milliseconds> retryAfter);
     fleet_pace pace() const { return paceOf(m_gateways); }
 
@@ -82,6 +101,7 @@
 
     event_loop& m_loop;
     std::string m_self;
+    std::string m_member;
     relay& m_relay;
     decision_lines& m_lines;
     hooks m_hooks;
@@ -96,10 +116,25 @@
     std::vector<std::string> m_numbered;
     monotonic_time m_fullReportAt {};
     std::uint64_t m_number { 0 };
+    std::uint64_t m_linksMade { 0 };
     unsigned m_gateways { 1 };
     monotonic_time m_newsAt {};
     monotonic_time m_linkedAt {};
     monotonic_time m_toldProofAt {};
+    /// Name in the lease of the one that coordinates next.
+    std::string m_successor;
+    monotonic_time m_triedSuccessorAt {};
+    monotonic_time m_interimAt {};
+    /// When the link to the coordinator was cut; a cut tells sooner than silence.
+    std::optional<monotonic_time> m_cutAt;
+    /// News came on the link.
+    bool m_linkWorked { false };
+    /// A peer whose link broke and that is tried once more.
+    std::optional<address> m_again;
+    /// The coordinator that fell silent, and the lease's record that named it.
+    address m_silentPeer;
+    std::uint64_t m_silentEnd { 0 };
+    std::uint64_t m_holderEnd { 0 };
     bool m_isAlone { true };
     /// Nothing was told on the link yet.
     bool m_wantsAll { true };
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/gateway.h"
 
 #include "Base/http_status.h"
+#include "Gateway/member_name.h"
 #include "caller_wire.h"
 
 #include <algorithm>
@@ -34,30 +35,14 @@
 constexpr milliseconds endReserve { 300 };
 // Descriptors kept for files, peers and upstreams; each caller may need one upstream connection.
 constexpr std::int64_t reservedDescriptors = 400;
-// What a connection to a member's name may be followed by: its start, which tells two starts apart.
-constexpr char startMark = '#';
-
-std::string memberName(const gateway_settings& settings)
-{
-    return formatAddress(settings.peers) + startMark
-        + std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "-"
-        + std::to_string(::getpid());
-}
-
 // Hosts below these coordinate only where no other does: each report costs about 0.1 ms of a core and 2 KB.
 constexpr double enoughCores = 0.15;
 constexpr double enoughLinkMbps = 50;
 constexpr milliseconds weakReluctance { 700 };
 
-milliseconds reluctanceOf(const gateway_settings& settings)
+bool isFitToCoordinate(const gateway_settings& settings)
 {
-    const bool isWeak = settings.cores < enoughCores || settings.linkMbps < enoughLinkMbps;
-    return isWeak ? weakReluctance : milliseconds(0);
-}
-
-address addressOfMember(const std::string& member)
-{
-    return parseAddress(member.substr(0, member.find(startMark)));
+    return settings.cores >= enoughCores && settings.linkMbps >= enoughLinkMbps;
 }
 
 } // namespace
@@ -65,7 +50,7 @@
 gateway::gateway(event_loop& loop, gateway_settings settings)
     : m_loop(loop)
     , m_settings(std::move(settings))
-    , m_member(memberName(m_settings))
+    , m_member(newMemberName(m_settings.peers))
     , m_lines(STDOUT_FILENO, m_settings.level)
     , m_watch { m_lines, m_metrics }
     , m_relay(loop, relayOptions(), m_watch,
@@ -75,9 +60,9 @@
                   m_share.onWanted(service, model, adapter);
               },
               [this](const relay_exchange& request) { m_share.onDemand(request); } })
-    , m_follower(loop, m_settings.store, m_member, formatAddress(m_settings.peers) + startMark,
+    , m_follower(loop, m_settings.store, m_member, memberPlace(m_settings.peers),
           lease_times { dutyTimeToLive, dutyMargin, dutyRenewal, m_settings.lease + settleReserve,
-              reluctanceOf(m_settings) },
+              isFitToCoordinate(m_settings) ? milliseconds(0) : weakReluctance },
           m_lines,
           { [this](const fleet_config_ptr& config) {
                m_coordinator.onConfig(*config, monotonicNow());
@@ -90,14 +75,16 @@
                   m_relay.onUpstreams(entries);
               },
               [this](monotonic_time provenAt) { m_relay.onContact(provenAt); }, [this] { onDuty(); },
-              [this](const std::string& member) { m_share.onHolder(addressOfMember(member)); },
+              [this](const std::string& member, std::uint64_t leaseEnd) {
+                  m_share.onHolder(addressOfMember(member), leaseEnd);
+              },
               [this] { return m_share.hearsCoordinator(); }, [this] { return m_share.isReadFor(); },
               [this] { return m_coordinator.gateways(monotonicNow()); },
               [this](unsigned count) { m_share.onKnownGateways(count); } })
     , m_orders(
           loop, m_coordinator, m_settings.name, [this]() -> const duty_lease& { return m_follower.lease(); },
           m_lines, m_metrics)
-    , m_share(loop, m_settings.name, m_relay, m_lines,
+    , m_share(loop, m_settings.name, isFitToCoordinate(m_settings) ? m_member : std::string(), m_relay, m_lines,
           { [this](const fleet_report& report) { return answerReport(report); },
               [this] { return m_follower.isStoreAway(); },
               [this](std::uint64_t configEnd, monotonic_time provenAt) {
@@ -107,7 +94,7 @@
                   m_follower.onToldUpstreams(records, isWhole);
               },
               [this](const duty_record& record) { m_follower.onHeardLease(record); },
-              [this] { m_orders.work(); } })
+              [this] { m_orders.work(); }, [this](bool isSuccessor) { m_follower.setFirst(isSuccessor); } })
     , m_reports(loop, m_settings.peers, [this](const fleet_report& report) { return answerReport(report); })
     , m_readiness(loop, m_settings.readiness,
           [this](const http_head& head) -> status_server::reply {
@@ -151,13 +138,22 @@
 void gateway::onDuty()
 {
     const bool holds = m_follower.lease().holds(suspendedNow());
-    const bool coordinates = holds
-        || (m_coordinates && !m_relay.isDraining() && m_coordinator.isStoreAwayFromAll(monotonicNow()));
+    const monotonic_time now = monotonicNow();
+    // The lease cannot be renewed, nor taken by another.
+    const bool isOnlyOne
+        = m_coordinates && !m_isInterim && !m_relay.isDraining() && m_coordinator.isStoreAwayFromAll(now);
+    m_isInterim = !holds && !isOnlyOne && !m_relay.isDraining() && m_share.isInterimDue();
+    const bool coordinates = holds || isOnlyOne || m_isInterim;
     if (coordinates && !m_coordinates)
-        m_coordinator.begin(monotonicNow());
+        m_coordinator.begin(now);
     if (!coordinates && m_coordinates)
         m_coordinator.end();
+    if (coordinates != m_coordinates || holds != m_heldDuty)
+        m_lines.write(log_level::Info, "coordinates",
+            { { "on", coordinates }, { "lease", holds }, { "gateways", m_share.gateways() } }, now);
     m_coordinates = coordinates;
+    m_heldDuty = holds;
+    m_coordinator.setGround(m_isInterim ? std::max(m_share.gateways(), 1U) : 0, now);
 }
 
 std::optional<fleet_news> gateway::answerReport(const fleet_report& report)
@@ -168,8 +164,10 @@
     auto news = m_coordinator.onReport(report, monotonicNow());
     if (report.hasUnplaced())
         m_orders.work();
-    if (report.isOnlyCredit)
+    news.isInterim = m_isInterim;
+    if (report.isOnlyCredit || m_isInterim)
         return news;
+    news.successor = m_coordinator.successor(m_settings.name, monotonicNow());
     if (const auto proof = m_follower.proof()) {
         const auto age = std::chrono::duration_cast<milliseconds>(suspendedNow() - proof->second);
         news.proof = config_proof { static_cast<std::uint32_t>(age.count()), proof->first };
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -38,6 +38,9 @@
     relay_watch m_watch;
     coordinator m_coordinator;
     bool m_coordinates { false };
+    /// Coordinates without the lease, since the coordinator fell silent and this one was named to follow.
+    bool m_isInterim { false };
+    bool m_heldDuty { false };
     relay m_relay;
     store_follower m_follower;
     engine_orders m_orders;
--- /dev/null
+++ b/Source/Gateway/member_name.cpp
@@ -0,0 +1,31 @@
+#include "Gateway/member_name.h"
+
+#include <chrono>
+#include <unistd.h>
+
+namespace sagesaddle {
+
+namespace {
+
+// Between a member's address and its start.
+constexpr char startMark = '#';
+
+} // namespace
+
+std::string memberPlace(const address& peers)
+{
+    return formatAddress(peers) + startMark;
+}
+
+std::string newMemberName(const address& peers)
+{
+    return memberPlace(peers) + std::to_string(std::chrono::system_clock::now().time_since_epoch().count())
+        + "-" + std::to_string(::getpid());
+}
+
+address addressOfMember(const std::string& member)
+{
+    return parseAddress(member.substr(0, member.find(startMark)));
+}
+
+} // namespace sagesaddle
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds failurePause { 200 };
 // Pause between looks at the lease; it does most looks without a call.
 constexpr milliseconds leasePause { 50 };
+// How much longer than the expected successor other gateways wait before they take the lease.
+constexpr milliseconds deference { 400 };
 // Time after the store's return within which live upstreams are listed again.
 constexpr milliseconds returnGrace { 2300 };
 // Time without any answer after which the store counts as away.
@@ -338,7 +340,7 @@
                 if (m_lease.record().gateways > 0)
                     m_hooks.onGateways(m_lease.record().gateways);
                 if (!m_lease.knownHolder().empty() && m_lease.knownHolder() != m_self)
-                    m_hooks.onHolder(m_lease.knownHolder());
+                    m_hooks.onHolder(m_lease.knownHolder(), m_lease.record().end);
             } catch (const std::invalid_argument& error) {
                 m_lines.write(
                     log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
@@ -378,6 +380,11 @@
         });
 }
 
+void store_follower::setFirst(bool isFirst)
+{
+    m_lease.setDeference(isFirst ? milliseconds(0) : deference);
+}
+
 void store_follower::resign()
 {
     m_lease.resign();
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -21,7 +21,7 @@
     /// The lease was taken, renewed or lost.
     std::function<void()> onDuty;
     /// Another process holds the lease.
-    std::function<void(const std::string&)> onHolder;
+    std::function<void(const std::string& member, std::uint64_t leaseEnd)> onHolder;
     /// \return whether the holder is heard to coordinate.
     std::function<bool()> hearsHolder;
     /// \return whether another gateway reads the store and tells what it finds.
@@ -42,6 +42,8 @@
     void start();
     /// Gives the lease up; the follower goes on reading.
     void resign();
+    /// \param isFirst whether no other gateway is expected to take the lease before this one
+    void setFirst(bool isFirst);
 
     /// The holder told its newest record.
     void onHeardLease(const duty_record& record) { m_lease.onHeard(record, suspendedNow()); }
--- a/Source/Limit/credit_bank.cpp
+++ b/Source/Limit/credit_bank.cpp
@@ -16,14 +16,23 @@
 
 } // namespace
 
-void credit_bank::bucket::fill(monotonic_time now)
+void credit_bank::bucket::fill(monotonic_time now, double share)
 {
-    const double filled = ratePerSecond * std::max(0.0, secondsBetween(filledAt, now));
+    const double filled = ratePerSecond * share * std::max(0.0, secondsBetween(filledAt, now));
     level = std::min(burst, level + filled);
     returning = std::max(0.0, returning - filled);
     filledAt = now;
 }
 
+void credit_bank::setShare(double part, monotonic_time now)
+{
+    if (part == m_share)
+        return;
+    for (auto& [name, value] : m_buckets)
+        value.fill(now, m_share);
+    m_share = part;
+}
+
 void credit_bank::setTeams(const std::vector<team_config>& teams, monotonic_time now)
 {
     std::map<std::string, bucket> next;
@@ -33,7 +42,7 @@
         const auto known = m_buckets.find(team.name);
         bucket value = known == m_buckets.end() ? bucket { 0, team.burst, team.burst * startLevel, 0, now }
                                                 : known->second;
-        value.fill(now);
+        value.fill(now, m_share);
         value.ratePerSecond = team.ratePerSecond;
         value.burst = std::max(team.burst, 1.0);
         value.level = std::min(value.level, value.burst);
@@ -48,7 +57,7 @@
     if (found == m_buckets.end())
         return { needed + ahead, milliseconds(0) };
     bucket& value = found->second;
-    value.fill(now);
+    value.fill(now, m_share);
     const double spare = std::max(0.0, value.level - value.burst * aheadLevel);
     const double tokens = std::min(value.level, needed + std::min(ahead, std::max(0.0, spare - needed)));
     value.level -= tokens;
@@ -65,7 +74,7 @@
     const auto found = m_buckets.find(team);
     if (found == m_buckets.end() || tokens <= 0)
         return;
-    found->second.fill(now);
+    found->second.fill(now, m_share);
     found->second.level = std::min(found->second.burst, found->second.level + tokens);
 }
 
--- a/Source/Limit/credit_bank.h
+++ b/Source/Limit/credit_bank.h
@@ -27,6 +27,9 @@
     /// coordinator's grants may still be spent.
     void setTeams(const std::vector<team_config>& teams, monotonic_time now);
 
+    /// \param part of each team's rate that this bank may grant, from 0 to 1; the rest is granted elsewhere
+    void setShare(double part, monotonic_time now);
+
     /// Debits tokens for an entry.
     /// \param needed what requests wait for; granted whole or in part
     /// \param ahead what is wanted beyond that; granted only while the bucket is at least half full
@@ -44,9 +47,10 @@
         double returning { 0 };
         monotonic_time filledAt {};
 
-        void fill(monotonic_time now);
+        void fill(monotonic_time now, double share);
     };
 
+    double m_share { 1 };
     std::map<std::string, bucket> m_buckets;
 };
 
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -456,7 +456,8 @@
     VT_CREDIT = 12,
     VT_WORK = 14,
     VT_DEMAND = 16,
-    VT_ONLY_CREDIT = 18
+    VT_ONLY_CREDIT = 18,
+    VT_MEMBER = 20
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -482,6 +483,9 @@
   bool only_credit() const {
     return GetField<uint8_t>(VT_ONLY_CREDIT, 0) != 0;
   }
+  const flatbuffers::String *member() const {
+    return GetPointer<const flatbuffers::String *>(VT_MEMBER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRY) &&
@@ -499,6 +503,8 @@
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
            VerifyField<uint8_t>(verifier, VT_ONLY_CREDIT, 1) &&
+           VerifyOffset(verifier, VT_MEMBER) &&
+           verifier.VerifyString(member()) &&
            verifier.EndTable();
   }
 };
@@ -531,6 +537,9 @@
   void add_only_credit(bool only_credit) {
     fbb_.AddElement<uint8_t>(Report::VT_ONLY_CREDIT, static_cast<uint8_t>(only_credit), 0);
   }
+  void add_member(flatbuffers::Offset<flatbuffers::String> member) {
+    fbb_.AddOffset(Report::VT_MEMBER, member);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -552,9 +561,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>> work = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>> demand = 0,
-    bool only_credit = false) {
+    bool only_credit = false,
+    flatbuffers::Offset<flatbuffers::String> member = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_member(member);
   builder_.add_demand(demand);
   builder_.add_work(work);
   builder_.add_credit(credit);
@@ -579,11 +590,13 @@
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>> *credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>> *work = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>> *demand = nullptr,
-    bool only_credit = false) {
+    bool only_credit = false,
+    const char *member = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>(*work) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>(*demand) : 0;
+  auto member__ = member ? _fbb.CreateString(member) : 0;
   return sagesaddle::fleet_wire::CreateReport(
       _fbb,
       entry__,
@@ -593,7 +606,8 @@
       credit__,
       work__,
       demand__,
-      only_credit);
+      only_credit,
+      member__);
 }
 
 struct CreditGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -965,7 +979,9 @@
     VT_ENTRIES = 20,
     VT_CREDIT = 22,
     VT_WORK = 24,
-    VT_HOLDINGS = 26
+    VT_HOLDINGS = 26,
+    VT_SUCCESSOR = 28,
+    VT_IS_INTERIM = 30
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1003,6 +1019,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *holdings() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *>(VT_HOLDINGS);
   }
+  const flatbuffers::String *successor() const {
+    return GetPointer<const flatbuffers::String *>(VT_SUCCESSOR);
+  }
+  bool is_interim() const {
+    return GetField<uint8_t>(VT_IS_INTERIM, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1025,6 +1047,9 @@
            VerifyOffset(verifier, VT_HOLDINGS) &&
            verifier.VerifyVector(holdings()) &&
            verifier.VerifyVectorOfTables(holdings()) &&
+           VerifyOffset(verifier, VT_SUCCESSOR) &&
+           verifier.VerifyString(successor()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_INTERIM, 1) &&
            verifier.EndTable();
   }
 };
@@ -1069,6 +1094,12 @@
   void add_holdings(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>> holdings) {
     fbb_.AddOffset(News::VT_HOLDINGS, holdings);
   }
+  void add_successor(flatbuffers::Offset<flatbuffers::String> successor) {
+    fbb_.AddOffset(News::VT_SUCCESSOR, successor);
+  }
+  void add_is_interim(bool is_interim) {
+    fbb_.AddElement<uint8_t>(News::VT_IS_INTERIM, static_cast<uint8_t>(is_interim), 0);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1093,11 +1124,14 @@
     uint32_t entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedWork *>> work = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>> holdings = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>> holdings = 0,
+    flatbuffers::Offset<flatbuffers::String> successor = 0,
+    bool is_interim = false) {
   NewsBuilder builder_(_fbb);
   builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
+  builder_.add_successor(successor);
   builder_.add_holdings(holdings);
   builder_.add_work(work);
   builder_.add_credit(credit);
@@ -1105,6 +1139,7 @@
   builder_.add_listed(listed);
   builder_.add_proof_age_ms(proof_age_ms);
   builder_.add_lease_holder(lease_holder);
+  builder_.add_is_interim(is_interim);
   builder_.add_list_is_whole(list_is_whole);
   builder_.add_has_proof(has_proof);
   return builder_.Finish();
@@ -1128,12 +1163,15 @@
     uint32_t entries = 0,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *credit = nullptr,
     const std::vector<sagesaddle::fleet_wire::NumberedWork> *work = nullptr,
-    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *holdings = nullptr) {
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>> *holdings = nullptr,
+    const char *successor = nullptr,
+    bool is_interim = false) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::NumberedWork>(*work) : 0;
   auto holdings__ = holdings ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Holding>>(*holdings) : 0;
+  auto successor__ = successor ? _fbb.CreateString(successor) : 0;
   return sagesaddle::fleet_wire::CreateNews(
       _fbb,
       number,
@@ -1147,7 +1185,9 @@
       entries,
       credit__,
       work__,
-      holdings__);
+      holdings__,
+      successor__,
+      is_interim);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -44,7 +44,8 @@
                   item.inFlight, item.tokensAhead, item.memoryTokens);
           });
     return fleet_wire::CreateReport(builder, builder.CreateString(value.entry), value.number,
-        value.isStoreAway, value.wantsAll, credit, work, demand, value.isOnlyCredit)
+        value.isStoreAway, value.wantsAll, credit, work, demand, value.isOnlyCredit,
+        builder.CreateString(value.member))
         .Union();
 }
 
@@ -78,10 +79,15 @@
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.proof.has_value(),
         value.proof ? value.proof->ageMs : 0, value.proof ? value.proof->configEnd : 0, value.isListWhole,
-        listed, value.entries, credit, work, holdings)
+        listed, value.entries, credit, work, holdings, builder.CreateString(value.successor), value.isInterim)
         .Union();
 }
 
+std::string textOf(const flatbuffers::String* text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
 fleet_report decodeReport(const fleet_wire::Report& table)
 {
     fleet_report value;
@@ -94,6 +100,7 @@
             value.credit.push_back({ ask->team()->str(), ask->needed(), ask->ahead(), ask->returned() });
     }
     value.isOnlyCredit = table.only_credit();
+    value.member = textOf(table.member());
     if (table.work() != nullptr) {
         for (const auto* item : *table.work())
             value.work.push_back(
@@ -107,11 +114,6 @@
     return value;
 }
 
-std::string textOf(const flatbuffers::String* text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
-
 listed_upstream decodeListed(const fleet_wire::Listed& item)
 {
     listed_upstream value { item.upstream()->str(), item.offset(), item.is_removed(), textOf(item.service()),
@@ -138,6 +140,8 @@
             value.listed.push_back(decodeListed(*item));
     }
     value.entries = table.entries();
+    value.successor = textOf(table.successor());
+    value.isInterim = table.is_interim();
     if (table.credit() != nullptr) {
         for (const auto* grant : *table.credit())
             value.credit.push_back({ grant->team()->str(), grant->tokens(), grant->retry_after_ms() });
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -112,6 +112,8 @@
     bool wantsAll { false };
     /// Nothing but credit is told and asked for; the work reported before still holds.
     bool isOnlyCredit { false };
+    /// The entry's name in the lease, where its host is fit to coordinate.
+    std::string member;
     std::vector<credit_request> credit;
     std::vector<upstream_work> work;
     std::vector<demand_count> demand;
@@ -142,6 +144,10 @@
     std::vector<numbered_work> work;
     /// Holdings that changed since the last news.
     std::vector<upstream_holding> holdings;
+    /// Name in the lease of the entry that coordinates next, should this one fall silent.
+    std::string successor;
+    /// Told by the successor before it holds the lease: credit from the shares of those that report to it.
+    bool isInterim { false };
 
     auto operator<=>(const fleet_news&) const = default;
 };
