Route: Choose among a few engines where other gateways place many unseen

Load pattern: 103 gateways place some 45 requests a second for a model on ten engines, by news about 260 ms old; in between, all find the same engine the least loaded and flood it.

Change: the more requests are placed unseen (own rate for the model times the other gateways times the news' age), the fewer engines a request looks at, down to two random ones and the one that keeps its prompt; where none of them is in time, all are looked at. The test replays the pattern: the fullest engine's excess over an equal spread falls below 0.6 of what the best of all gives.

--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -3,6 +3,7 @@
 #include "Base/overloaded.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sagesaddle {
 
@@ -43,6 +44,8 @@
 // Bounds of a plausible pace.
 constexpr double leastPace = 0.002;
 constexpr double mostPace = 0.2;
+// Span over which the requests for a model are averaged.
+constexpr double placedSeconds = 2;
 // Prompts' parts that are remembered with the upstream that read them last.
 constexpr std::size_t maxAffinities = 4096;
 // Forecast beyond the objective up to which a request is still sent.
@@ -360,7 +363,41 @@
                 return whenFull(request, full);
             },
             [&](const engine_none&) -> relay_choice { return whenAbsent(request, true); } },
-        chooseEngine(candidates, demand, lateFactor));
+        chooseAmong(request, candidates, demand));
+}
+
+double relay::placedUnseen(const relay_exchange& request, monotonic_time now)
+{
+    const model_pace& known = paceOf(request);
+    const double rate
+        = known.placedPerSecond * std::exp(-secondsBetween(known.placedAt, now) / placedSeconds);
+    // News come with whole reports: at their pause, or sooner where a request asks for credit.
+    const fleet_pace pace = sagesaddle::paceOf(m_gateways);
+    const double newsAge = std::chrono::duration<double>(pace.reportPause + pace.leastReportPause).count() / 2;
+    return rate * (m_gateways - 1) * newsAge;
+}
+
+engine_choice relay::chooseAmong(const relay_exchange& request,
+    const std::vector<engine_candidate>& candidates, const engine_demand& demand)
+{
+    auto indices = sampleEngines(
+        candidates.size(), placedUnseen(request, monotonicNow()), [this] { return draw(); });
+    if (indices.size() < candidates.size()) {
+        // Whoever keeps the prompt's parts is looked at in any case.
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (candidates[index].cachedTokens > 0
+                && std::find(indices.begin(), indices.end(), index) == indices.end())
+                indices.push_back(index);
+        }
+        std::vector<engine_candidate> few;
+        few.reserve(indices.size());
+        for (const std::size_t index : indices)
+            few.push_back(candidates[index]);
+        const auto choice = chooseEngine(few, demand, lateFactor);
+        if (const auto* pick = std::get_if<engine_pick>(&choice))
+            return engine_pick { indices[pick->index], pick->firstEventMilliseconds };
+    }
+    return chooseEngine(candidates, demand, lateFactor);
 }
 
 std::optional<relay_choice> relay::whenResting(const relay_exchange& request)
@@ -542,12 +579,18 @@
             m_affinity.erase(m_affinity.begin());
         m_affinity[key] = upstream.entry.id;
     }
-    returnsOf(request).onTaken(1, monotonicNow());
+    const monotonic_time now = monotonicNow();
+    returnsOf(request).onTaken(1, now);
+    model_pace& pace = paceOf(request);
+    pace.placedPerSecond
+        = pace.placedPerSecond * std::exp(-secondsBetween(pace.placedAt, now) / placedSeconds)
+        + 1 / placedSeconds;
+    pace.placedAt = now;
     m_watch.lines.write(log_level::Debug, "sent",
         { { "id", request.request().id }, { "upstream", upstream.entry.id }, { "forecast_ms", forecast },
             { "in_flight", upstream.inFlight + upstream.foreign.inFlight },
             { "earlier_sends", earlierSends } },
-        monotonicNow());
+        now);
 }
 
 void relay::noteFirstByte(
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/contact_clock.h"
+#include "Fleet/fleet_pace.h"
 #include "Fleet/route_table.h"
 #include "Limit/return_schedule.h"
 #include "Relay/caller_link.h"
@@ -144,10 +145,18 @@
     struct model_pace {
         double millisecondsPerToken { 0.05 };
         double holdMilliseconds { 1500 };
+        /// Requests a second that were placed here, weighted towards the last seconds.
+        double placedPerSecond { 0 };
+        monotonic_time placedAt {};
     };
 
     std::vector<upstream_state_ptr> candidatesFor(
         const relay_exchange& request, const std::set<std::string>& tried);
+    /// \return requests for the same model that the other gateways placed since their last news, on the mean.
+    double placedUnseen(const relay_exchange& request, monotonic_time now);
+    /// \return the choice among a few of the candidates where much was placed unseen, else among all.
+    engine_choice chooseAmong(const relay_exchange& request, const std::vector<engine_candidate>& candidates,
+        const engine_demand& demand);
     std::vector<engine_candidate> describe(
         const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams);
     /// \return the refusal of a request whose upstreams all rest for a while; nothing where none does.
--- a/Source/Route/engine_choice.cpp
+++ b/Source/Route/engine_choice.cpp
@@ -1,7 +1,9 @@
 #include "Route/engine_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <numeric>
 #include <optional>
 
 namespace sagesaddle {
@@ -15,6 +17,9 @@
 // What a failure of every answer weighs: its caller comes back a second later at best, mostly it has failed
 // for good.
 constexpr double faultMilliseconds = 3000;
+// Requests placed unseen below which the best of all is taken.
+constexpr double leastUnseen = 1;
+constexpr std::size_t leastSample = 2;
 // Memory that an engine keeps free before it preempts running requests.
 constexpr double memoryReserve = 0.06;
 
@@ -35,6 +40,24 @@
     return forecast;
 }
 
+std::vector<std::size_t> sampleEngines(
+    std::size_t count, double unseen, const std::function<double()>& draw)
+{
+    std::vector<std::size_t> indices(count);
+    std::iota(indices.begin(), indices.end(), std::size_t { 0 });
+    if (unseen < leastUnseen || count <= leastSample)
+        return indices;
+    const double wanted = std::ceil(static_cast<double>(count) / unseen);
+    const std::size_t size = std::clamp(static_cast<std::size_t>(wanted), leastSample, count);
+    for (std::size_t place = 0; place < size; ++place) {
+        const auto left = static_cast<double>(count - place);
+        const auto drawn = std::min(static_cast<std::size_t>(draw() * left), count - place - 1);
+        std::swap(indices[place], indices[place + drawn]);
+    }
+    indices.resize(size);
+    return indices;
+}
+
 engine_choice chooseEngine(
     const std::vector<engine_candidate>& candidates, const engine_demand& demand, double lateFactor)
 {
--- a/Tests/Route/engine_choice_tests.cpp
+++ b/Tests/Route/engine_choice_tests.cpp
@@ -1,6 +1,11 @@
 #include "Route/engine_choice.h"
 
+#include <algorithm>
+#include <cmath>
+#include <deque>
 #include <doctest/doctest.h>
+#include <numeric>
+#include <random>
 
 using namespace sagesaddle;
 
@@ -87,3 +92,86 @@
 {
     CHECK(std::holds_alternative<engine_none>(chooseEngine({}, report, 1.2)));
 }
+
+namespace {
+
+/// Many gateways place requests on the engines of one model, by news that are some time old.
+struct blind_fleet {
+    int gateways { 103 };
+    int engines { 10 };
+    double requestsPerSecond { 45 };
+    double newsSeconds { 0.26 };
+    double holdSeconds { 2.2 };
+
+    /// \return the mean over time of the requests at the fullest engine beyond those of an equal spread.
+    double excess(bool isSampled) const
+    {
+        constexpr int steps = 40000;
+        constexpr double stepSeconds = 0.001;
+        std::minstd_rand random(5);
+        const auto draw = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+        std::vector<int> now(static_cast<std::size_t>(engines), 0);
+        std::vector<std::vector<int>> told(static_cast<std::size_t>(gateways), now);
+        std::deque<std::pair<int, std::size_t>> ends;
+        double sum = 0;
+        for (int step = 0; step < steps; ++step) {
+            for (; !ends.empty() && ends.front().first <= step; ends.pop_front())
+                --now[ends.front().second];
+            for (int gateway = 0; gateway < gateways; ++gateway) {
+                const int pause = static_cast<int>(newsSeconds / stepSeconds);
+                if ((step + gateway * pause / gateways) % pause == 0)
+                    told[static_cast<std::size_t>(gateway)] = now;
+            }
+            if (draw() < requestsPerSecond * stepSeconds) {
+                auto& known = told[static_cast<std::size_t>(draw() * gateways)];
+                const std::size_t chosen = choose(known, isSampled, draw);
+                ++known[chosen];
+                ++now[chosen];
+                ends.emplace_back(step + static_cast<int>(holdSeconds / stepSeconds), chosen);
+            }
+            const double mean = std::accumulate(now.begin(), now.end(), 0.0) / engines;
+            sum += *std::max_element(now.begin(), now.end()) - mean;
+        }
+        return sum / steps;
+    }
+
+    std::size_t choose(
+        const std::vector<int>& known, bool isSampled, const std::function<double()>& draw) const
+    {
+        std::vector<std::size_t> looked
+            = sampleEngines(known.size(), isSampled ? requestsPerSecond * newsSeconds : 0, draw);
+        std::vector<engine_candidate> candidates;
+        for (const std::size_t index : looked) {
+            engine_candidate candidate;
+            candidate.inFlight = known[index];
+            candidate.slots = 16;
+            candidate.millisecondsPerToken = 0.05;
+            candidate.holdMilliseconds = 1500;
+            candidates.push_back(candidate);
+        }
+        const auto choice = chooseEngine(candidates, { 1400, 1500, 800 }, 100);
+        return looked[std::get<engine_pick>(choice).index];
+    }
+};
+
+} // namespace
+
+TEST_CASE("engine choice: many gateways with news some hundred ms old do not flood the same engine")
+{
+    const blind_fleet fleet;
+    const double all = fleet.excess(false);
+    const double sampled = fleet.excess(true);
+    CHECK(sampled < 0.6 * all);
+}
+
+TEST_CASE("engine choice: where little is placed unseen, or few could take it, all are looked at")
+{
+    const auto first = [] { return 0.0; };
+    CHECK(sampleEngines(10, 0.5, first).size() == 10);
+    CHECK(sampleEngines(2, 50, first).size() == 2);
+    CHECK(sampleEngines(10, 3, first).size() == 4);
+    CHECK(sampleEngines(10, 50, first).size() == 2);
+    const auto last = [] { return std::nextafter(1.0, 0.0); };
+    for (const std::size_t index : sampleEngines(10, 3, last))
+        CHECK(index < 10);
+}
