Gateway: Leave cut-off gateways their part of the limits, and ask a store that is away more seldom

Change: a coordinator grants its limits less what the gateways that it does not hear may spend; it counts those that it knew for 20 s, and those that its predecessor knew. After a failed call a gateway waits by the size of the fleet, and twice that while it hears a coordinator. Also: loads from the weight store are saved up by its rate (2.5 before), so that more engines make room at once where demand shifts in a large fleet; spreading models ahead of demand leaves 0.6 of them. answered and ended lines tell the first bytes' time and the longest gap, to explain late answers.

The quota test fails without the coordinator's part.

--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/coordinator.h"
 
+#include "Limit/credit_purse.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
@@ -9,8 +11,9 @@
 
 namespace {
 
-// Time for which a gateway counts among those that share the limits.
-constexpr milliseconds countedFor { 10000 };
+// Time for which a gateway that is not heard counts among those that share the limits: it may be cut off from this
+// one only. Longer cuts are rare, and leave it a hundredth of half of each limit in a large fleet.
+constexpr milliseconds countedFor { 20000 };
 
 // Differences of load that are too small to change a choice.
 constexpr int smallInFlight = 1;
@@ -56,8 +59,10 @@
     makeBooks();
 }
 
-void coordinator::begin(monotonic_time now)
+void coordinator::begin(unsigned expected, monotonic_time now)
 {
+    m_expected = expected;
+    m_begunAt = now;
     m_bank = {};
     m_bank.setTeams(m_teams, now);
     m_reporters.clear();
@@ -74,8 +79,7 @@
 void coordinator::setGround(unsigned poolOf, monotonic_time now)
 {
     m_poolOf = poolOf;
-    if (poolOf == 0)
-        m_bank.setShare(1, now);
+    m_bank.setShare(grantedShare(now), now);
 }
 
 std::string coordinator::successor(const std::string& self, monotonic_time now)
@@ -218,6 +222,16 @@
     });
 }
 
+double coordinator::grantedShare(monotonic_time now) const
+{
+    const double hearing = heard(now);
+    if (m_poolOf > 0)
+        return std::min(1.0, hearing / m_poolOf);
+    const unsigned expected = now - m_begunAt < countedFor ? m_expected : 0;
+    const double all = std::max<double>({ 1.0, static_cast<double>(expected), static_cast<double>(gateways(now)) });
+    return 1 - shareAlone * std::max(0.0, all - hearing) / all;
+}
+
 unsigned coordinator::heard(monotonic_time now) const
 {
     const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
@@ -241,8 +255,7 @@
     from.isStoreAway = report.isStoreAway;
     if (!report.isOnlyCredit)
         from.member = report.member;
-    if (m_poolOf > 0)
-        m_bank.setShare(std::min(1.0, static_cast<double>(heard(now)) / m_poolOf), now);
+    m_bank.setShare(grantedShare(now), now);
     for (const auto& item : report.demand) {
         m_demand.onRequests(item.model, item.requests, item.unplaced, now);
         if (!item.adapter.empty())
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -22,7 +22,8 @@
     void onConfig(const fleet_config& config, monotonic_time now);
 
     /// Begins a tenure: what was granted before may still be spent, so buckets start half full.
-    void begin(monotonic_time now);
+    /// \param expected gateways that shared the limits before, as far as known: those that do not report may live
+    void begin(unsigned expected, monotonic_time now);
 
     /// Says on what ground credit is granted.
     /// \param poolOf 0 with the lease; without it, gateways among which the limits are shared: only the shares
@@ -81,6 +82,8 @@
     void forgetSilent(monotonic_time now);
     /// \return gateways whose last report is recent.
     unsigned heard(monotonic_time now) const;
+    /// \return the part of each team's rate that may be granted here: gateways that are not heard spend the rest.
+    double grantedShare(monotonic_time now) const;
     void replaceWork(reporter& from, const std::vector<upstream_work>& work);
     void tellWork(reporter& to, fleet_news& news) const;
     void tellHoldings(reporter& to, fleet_news& news) const;
@@ -93,6 +96,8 @@
 
     bool m_isActive { false };
     unsigned m_poolOf { 0 };
+    unsigned m_expected { 0 };
+    monotonic_time m_begunAt {};
     /// The reporter that was named as the next coordinator.
     std::string m_successor;
     credit_bank m_bank;
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -13,9 +13,6 @@
 constexpr milliseconds soon { 2 };
 // Life of granted credit; a process that stood still longer spends none of it.
 constexpr milliseconds grantLife { 1000 };
-// Part of a team's rate that all gateways spend together while none hears the coordinator. Beside a
-// coordinator that a part of them cannot reach, it stays within the bound's slack.
-constexpr double shareAlone = 0.5;
 // Part of its objective that a request waits for credit before it is told that the limit is not known.
 constexpr double creditPatience = 0.4;
 // Between looks at what waits for credit.
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -145,7 +145,7 @@
     m_isInterim = !holds && !isOnlyOne && !m_relay.isDraining() && m_share.isInterimDue();
     const bool coordinates = holds || isOnlyOne || m_isInterim;
     if (coordinates && !m_coordinates)
-        m_coordinator.begin(now);
+        m_coordinator.begin(m_share.gateways(), now);
     if (!coordinates && m_coordinates)
         m_coordinator.end();
     if (coordinates != m_coordinates || holds != m_heldDuty)
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds toldPause { 200 };
 // Pause after a call that was not answered or declined.
 constexpr milliseconds failurePause { 200 };
+// How much longer gateways wait after such a call while they hear a coordinator, which reads for all.
+constexpr int heardFactor = 2;
 // Pause between looks at the lease; it does most looks without a call.
 constexpr milliseconds leasePause { 50 };
 // How much longer than the expected successor other gateways wait before they take the lease.
@@ -96,6 +98,15 @@
         { { "call", call }, { "seconds", secondsBetween(m_answeredAt, now) } }, now);
 }
 
+milliseconds store_follower::pauseAfterFailure() const
+{
+    if (m_lease.holds(suspendedNow()))
+        return failurePause;
+    // A store that turns the whole fleet away is not asked by all at the pace of one.
+    const milliseconds pause = std::max(failurePause, paceOf(m_lease.record().gateways).leaseReadPause);
+    return m_hooks.hearsHolder() ? pause * heardFactor : pause;
+}
+
 void store_follower::readTable(table_reading& reading)
 {
     if (m_hooks.isReadForUs()) {
@@ -129,7 +140,7 @@
         [this, &reading, sentAt](const std::optional<http_answer>& answer) {
             if (!answer || answer->status != statusOk) {
                 onLost("newest");
-                again(reading, failurePause);
+                again(reading, pauseAfterFailure());
                 return;
             }
             onAnswered();
@@ -138,7 +149,7 @@
             } catch (const std::invalid_argument& error) {
                 m_lines.write(
                     log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
-                again(reading, failurePause);
+                again(reading, pauseAfterFailure());
             }
         });
 }
@@ -192,7 +203,7 @@
                 onLost("tail");
                 // Versions that were missed meanwhile are not worth their way: the newest is enough.
                 reading.next.reset();
-                again(reading, failurePause);
+                again(reading, pauseAfterFailure());
                 return;
             }
             onAnswered();
@@ -200,7 +211,7 @@
                 const auto tail = platform::readTail(answer->body, from);
                 // An end before what was read is an answer from the past.
                 if (tail.end < from) {
-                    again(reading, failurePause);
+                    again(reading, pauseAfterFailure());
                     return;
                 }
                 reading.next = from + tail.records.size();
@@ -210,7 +221,7 @@
                 m_lines.write(
                     log_level::Error, "store_unreadable", { { "error", error.what() } }, monotonicNow());
                 reading.next.reset();
-                again(reading, failurePause);
+                again(reading, pauseAfterFailure());
             }
         });
 }
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -71,6 +71,8 @@
         bool isBusy { false };
     };
 
+    /// \return the time from a call that failed to the next one.
+    milliseconds pauseAfterFailure() const;
     void readTable(table_reading& reading);
     void readNow(table_reading& reading);
     void readPage(table_reading& reading, const std::string& after);
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -15,8 +15,10 @@
 constexpr seconds idleAdapter { 2 };
 // Part of the weight store's rate that is used; late orders and other holders' loads have the rest.
 constexpr double loadShare = 0.85;
-// Loads that may be saved up.
-constexpr double loadBurst = 2.5;
+// Loads that may be saved up: so many, and those of this time. With the part of the rate they stay within what the
+// weight store's bound allows in five seconds.
+constexpr double leastLoadBurst = 1.5;
+constexpr double loadBurstSeconds = 1;
 // Engines that may stand with room for a model at once, beyond the loads that are allowed now.
 constexpr int roomsAhead = 2;
 // Copies for each engine that the demand is spread over: over one, so that requests have a choice.
@@ -29,8 +31,8 @@
 constexpr int nearEngines = 4;
 // One engine of so many may load ahead of demand: while it does, it takes no order for an adapter.
 constexpr int enginesPerSpread = 6;
-// Loads that stay saved up for demand while models are spread ahead of it.
-constexpr double savedLoads = 1.5;
+// Loads that stay saved up for demand while models are spread ahead of it, as a part of those that may be.
+constexpr double savedPart = 0.6;
 // Requests a second that a copy should at least serve.
 constexpr double requestsPerCopy = 1.5;
 // Requests a second for each copy from which an adapter is put into a further free place.
@@ -231,11 +233,12 @@
     }
 
     /// Loads a model that lies near on the fewest engines where it does not yet, ahead of any demand for it.
-    void spreadModels(double allowance)
+    /// \param saved loads that stay saved up for demand
+    void spreadModels(double allowance, double saved)
     {
         const auto loading = std::count_if(engines.begin(), engines.end(),
             [](const engine_view& engine) { return engine.book().isLoading(); });
-        if (allowance < 1 + savedLoads
+        if (allowance < 1 + saved
             || loading >= std::max<std::ptrdiff_t>(1, std::ssize(engines) / enginesPerSpread))
             return;
         const model_config* rarest = nullptr;
@@ -419,10 +422,15 @@
 {
 }
 
+double holding_planner::mostSavedLoads() const
+{
+    return leastLoadBurst + m_loadsPerSecond * loadBurstSeconds;
+}
+
 bool holding_planner::mayLoadModel(monotonic_time now)
 {
     if (m_allowedAt != monotonic_time {})
-        m_loadAllowance = std::min(loadBurst,
+        m_loadAllowance = std::min(mostSavedLoads(),
             m_loadAllowance + m_loadsPerSecond * loadShare * std::max(0.0, secondsBetween(m_allowedAt, now)));
     m_allowedAt = now;
     return m_loadAllowance >= 1;
@@ -444,7 +452,7 @@
         current.placeModel(*model, allowance);
     current.placeAdapters(false);
     current.copyAdapters();
-    current.spreadModels(allowance);
+    current.spreadModels(allowance, savedPart * mostSavedLoads());
     return std::move(current.orders);
 }
 
--- a/Source/Plan/holding_planner.h
+++ b/Source/Plan/holding_planner.h
@@ -73,6 +73,8 @@
     struct pass;
 
     bool mayLoadModel(monotonic_time now);
+    /// \return loads from the weight store that may be saved up.
+    double mostSavedLoads() const;
 
     double m_loadsPerSecond;
     double m_loadAllowance { 0 };
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -730,7 +730,10 @@
             { "service", request.service() }, { "team", request.team() },
             { "model", request.request().model }, { "adapter", request.request().adapter },
             { "upstream", upstream == nullptr ? std::string() : upstream->entry.id }, { "sends", sends },
-            { "waited_ms", waited * 1000 }, { "seconds", elapsed },
+            { "waited_ms", waited * 1000 },
+            { "first_ms", std::chrono::duration<double, std::milli>(request.firstBytesAfter()).count() },
+            { "gap_ms", std::chrono::duration<double, std::milli>(request.longestGap()).count() },
+            { "seconds", elapsed },
             { "config", m_table ? static_cast<std::int64_t>(m_table->config().version) : 0 } },
         monotonicNow());
 }
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -261,6 +261,16 @@
     m_aheadTokens = 0;
 }
 
+void relay_exchange::noteBytes()
+{
+    const monotonic_time now = monotonicNow();
+    if (m_firstBytesAfter == monotonic_span::zero())
+        m_firstBytesAfter = now - m_arrivedAt;
+    else
+        m_longestGap = std::max(m_longestGap, now - m_lastBytesAt);
+    m_lastBytesAt = now;
+}
+
 void relay_exchange::onHead(http_head head)
 {
     m_owner.noteSign(*m_upstream);
@@ -310,6 +320,7 @@
     }
     if (m_isForeignAnswer)
         return;
+    noteBytes();
     m_owner.noteSign(*m_upstream);
     if (m_delivering) {
         if (!isSound)
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -48,6 +48,10 @@
     monotonic_time sentAt() const { return m_sentAt; }
     /// \return when its bytes last left for an upstream.
     monotonic_time leftAt() const { return m_leftAt; }
+    /// \return from its arrival to the first bytes of the answer's body; zero where none came.
+    monotonic_span firstBytesAfter() const { return m_firstBytesAfter; }
+    /// \return the longest time between two pieces of the answer's body.
+    monotonic_span longestGap() const { return m_longestGap; }
 
     /// Its ask for credit was settled.
     /// \param retryAfter when to come back, where none was granted
@@ -84,6 +88,8 @@
     void retryOr(relay_reason reason);
     void leaveUpstream(bool keepLink);
     void countFirstByte();
+    /// Notes when a piece of the answer's body came.
+    void noteBytes();
     void logEnd(std::string_view outcome, int status);
     milliseconds timeLeft() const;
     void finish();
@@ -108,6 +114,9 @@
     int m_sends { 0 };
     monotonic_time m_sentAt {};
     monotonic_time m_leftAt {};
+    monotonic_span m_firstBytesAfter { 0 };
+    monotonic_span m_longestGap { 0 };
+    monotonic_time m_lastBytesAt {};
     double m_aheadTokens { 0 };
     double m_memoryTokens { 0 };
     double m_aheadAtSend { 0 };
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -1,7 +1,9 @@
 #include "Gateway/coordinator.h"
+#include "Limit/credit_purse.h"
 #include "Support/test_time.h"
 
 #include <algorithm>
+#include <deque>
 #include <doctest/doctest.h>
 
 using namespace sagesaddle;
@@ -101,8 +103,8 @@
     const auto news = tested.onReport(reportOf("g2", true), start + seconds(2));
     CHECK(news.work.empty());
     CHECK(tested.gateways(start + seconds(2)) == 2);
-    tested.onReport(reportOf("g2"), start + seconds(11));
-    CHECK(tested.gateways(start + seconds(11)) == 1);
+    tested.onReport(reportOf("g2"), start + seconds(21));
+    CHECK(tested.gateways(start + seconds(21)) == 1);
 }
 
 TEST_CASE("coordinator: credit goes beyond the lease only while every gateway it heard finds the store away")
@@ -168,6 +170,110 @@
     CHECK(tested.onReport(other, start).credit.at(0).tokens == doctest::Approx(4000));
 }
 
+TEST_CASE("coordinator: with a third of the gateways cut off, a hot team stays within the platform's bound")
+{
+    constexpr int gateways = 103;
+    constexpr int cutOff = 36;
+    constexpr double rate = 250000;
+    constexpr double windowSeconds = 8;
+    // The platform allows a tenth more, and 11,000 tokens.
+    constexpr double bound = (rate * windowSeconds + rate) * 1.1 + 11000;
+    fleet_config config;
+    team_config team;
+    team.name = "atelier";
+    team.ratePerSecond = team.burst = rate;
+    config.teams.push_back(team);
+    coordinator tested;
+    tested.onConfig(config, start);
+    std::vector<credit_purse> purses(gateways, credit_purse(seconds(1), shareAlone));
+    for (auto& purse : purses) {
+        purse.setTeams(config.teams, start);
+        purse.setEntries(gateways);
+        purse.setAlone(false, start);
+    }
+    std::deque<std::pair<monotonic_time, double>> spent;
+    double inWindow = 0;
+    double most = 0;
+    // The team is quiet until the cut, so that its burst is whole; then each gateway has a request for it at each step:
+    // three times what the limit allows.
+    constexpr int cutAt = 160;
+    constexpr int missedAt = 176;
+    constexpr int healedAt = 400;
+    for (int step = 0; step < 600; ++step) {
+        const monotonic_time now = start + milliseconds(50 * step);
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            // Small enough for the share of a gateway that is alone.
+            constexpr double tokens = 600;
+            auto& purse = purses.at(gateway);
+            const bool isCut = gateway < cutOff && step >= cutAt && step < healedAt;
+            purse.setAlone(isCut && step >= missedAt, now);
+            if (!isCut) {
+                auto report = reportOf("g" + std::to_string(gateway), step == 0);
+                if (step >= missedAt)
+                    report.credit = { { "atelier", tokens, 0, 0 } };
+                for (const auto& grant : tested.onReport(report, now).credit)
+                    purse.onGrant(grant.team, grant.tokens, now);
+            }
+            if (step < missedAt || !purse.take("atelier", tokens, now))
+                continue;
+            spent.emplace_back(now, tokens);
+            inWindow += tokens;
+            for (; secondsBetween(spent.front().first, now) > windowSeconds; spent.pop_front())
+                inWindow -= spent.front().second;
+            most = std::max(most, inWindow);
+        }
+    }
+    CHECK(most <= bound);
+    CHECK(most >= 0.8 * bound);
+}
+
+TEST_CASE("coordinator: a successor without the lease grants only the shares of those that report to it")
+{
+    fleet_config config;
+    team_config team;
+    team.name = "atelier";
+    team.ratePerSecond = team.burst = 10000;
+    config.teams.push_back(team);
+    coordinator tested;
+    tested.onConfig(config, start);
+    tested.begin(10, start);
+    tested.setGround(10, start);
+    double granted = 0;
+    for (int step = 0; step <= 100; ++step) {
+        const monotonic_time now = start + milliseconds(100 * step);
+        for (const char* gateway : { "g1", "g2" }) {
+            auto report = reportOf(gateway);
+            report.credit = { { "atelier", 5000, 0, 0 } };
+            for (const auto& grant : tested.onReport(report, now).credit)
+                granted += grant.tokens;
+        }
+    }
+    // Half of the burst that a tenure begins with, and a fifth of the rate.
+    CHECK(granted <= 5000 + 2000 * 10);
+    CHECK(granted >= 2000 * 10);
+}
+
+TEST_CASE("coordinator: a fit gateway is named as the next coordinator and keeps that place while it is heard")
+{
+    coordinator tested;
+    auto weak = reportOf("a", true);
+    auto second = reportOf("b", true);
+    auto third = reportOf("c", true);
+    second.member = "10.0.0.2:7600#1";
+    third.member = "10.0.0.3:7600#1";
+    auto self = reportOf("self", true);
+    self.member = "10.0.0.9:7600#1";
+    tested.onReport(self, start);
+    tested.onReport(weak, start);
+    CHECK(tested.successor("self", start).empty());
+    tested.onReport(third, start);
+    CHECK(tested.successor("self", start) == third.member);
+    tested.onReport(second, start);
+    CHECK(tested.successor("self", start) == third.member);
+    tested.onReport(second, start + seconds(2));
+    CHECK(tested.successor("self", start + seconds(2)) == second.member);
+}
+
 TEST_CASE("coordinator: the number of an upstream that was removed names another one only when all were told")
 {
     coordinator tested;
--- a/Tests/Limit/gateway_credit_tests.cpp
+++ b/Tests/Limit/gateway_credit_tests.cpp
@@ -14,7 +14,6 @@
 
 using testing::start;
 constexpr milliseconds grantLife { 1000 };
-constexpr double shareAlone = 0.5;
 
 team_config teamWith(double rate, double burst)
 {
