Plan: Load several copies of the model that lacks most in one pass

The hot model had 9 copies after ten seconds, and two thirds of its requests were turned away.

Change: what is ordered counts as a copy, and the model with most requests for each copy goes on until it no longer leads. A test's expectation changes with it: one load for the model that demand moved to becomes two, which is what the store's rate let be saved up; still an exact number.

--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <queue>
 #include <string_view>
 #include <unordered_map>
 
@@ -293,21 +294,46 @@
     /// Loads a model where it fits, or makes room for it first. A load from the weight store takes several
     /// times as long as dropping another model and loading what lies at hand.
     /// \param allowance loads from the weight store that may begin now; less one where this begins one
-    void placeModel(const model_config& model, double& allowance)
+    /// \return whether a load was ordered
+    bool placeModel(const model_config& model, double& allowance)
     {
         if (engine_view* const atHand = engineWithRoom(model, true)) {
             order(*atHand, holding_order::action::Load, model.name, {});
-            return;
+            return true;
         }
         if (isRoomComingAtHand(model) || makeRoom(model, 0, true))
-            return;
+            return false;
         engine_view* const far = allowance >= 1 ? engineWithRoom(model, false) : nullptr;
         if (far == nullptr) {
             makeRoom(model, allowance, false);
-            return;
+            return false;
         }
         allowance -= 1;
         order(*far, holding_order::action::Load, model.name, {});
+        return true;
+    }
+
+    /// Loads copies of the models that lack some, the one with most requests for each copy first; what is ordered
+    /// counts as a copy, so that a model that everybody asks for gets several loads before others get one.
+    void copyModels(double& allowance)
+    {
+        using lack = std::pair<double, const model_config*>;
+        std::priority_queue<lack> lacking;
+        const auto add = [&](const model_config& model) {
+            const int have = copies(model.name);
+            if (have < desiredCopies(model, 1))
+                lacking.emplace(modelDemand.at(&model) / std::max(have, 1), &model);
+        };
+        for (const auto& model : config.models)
+            add(model);
+        while (!lacking.empty()) {
+            const model_config* const model = lacking.top().second;
+            lacking.pop();
+            if (!placeModel(*model, allowance))
+                continue;
+            ++copyCounts[model->name];
+            add(*model);
+        }
     }
 
     /// \return engines that have room for a model, or will have it soon.
@@ -374,23 +400,6 @@
         return std::clamp(static_cast<int>(std::ceil(wanted * factor)), 1, static_cast<int>(engines.size()));
     }
 
-    /// \return models that lack copies, the one with most requests for each copy first.
-    std::vector<const model_config*> modelsToCopy() const
-    {
-        std::vector<std::pair<double, const model_config*>> lacking;
-        for (const auto& model : config.models) {
-            const int have = copies(model.name);
-            if (have < desiredCopies(model, 1))
-                lacking.emplace_back(-modelDemand.at(&model) / std::max(have, 1), &model);
-        }
-        std::sort(lacking.begin(), lacking.end());
-        std::vector<const model_config*> models;
-        models.reserve(lacking.size());
-        for (const auto& [weight, model] : lacking)
-            models.push_back(model);
-        return models;
-    }
-
     /// Puts further copies of the adapters that are asked for most into free places.
     void copyAdapters()
     {
@@ -448,8 +457,7 @@
     pass current(engines, config, demand, now);
     current.placeAdapters(true);
     double allowance = mayLoadModel(now) ? m_loadAllowance : 0;
-    for (const auto* model : current.modelsToCopy())
-        current.placeModel(*model, allowance);
+    current.copyModels(allowance);
     current.placeAdapters(false);
     current.copyAdapters();
     current.spreadModels(allowance, savedPart * mostSavedLoads());
