Relay: Tell callers of a model that must be loaded to return when it can be there

Cause: a caller whose model no upstream holds was told to come back after 2.5 objectives, at most 3 s; a load from the weight store takes 9 s and clients return once.

Change: the time told is the model's load time and what its order takes, within the third of the time left that clients wait at most.

--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -32,6 +32,12 @@
 // Bounds of that time: clients take at most a third of the time that they have left.
 constexpr milliseconds leastRetryAfter { 300 };
 constexpr milliseconds mostRetryAfter { 3000 };
+// Time beyond a model's load until it can be used: its order, and room that is made for it.
+constexpr milliseconds loadReserve { 400 };
+// Spread of the return of callers whose model is loaded.
+constexpr milliseconds loadSpread { 300 };
+// Clients wait for a return at most this part of the time that they have left.
+constexpr int returnsWithinPart = 3;
 // Spread of the callers' return, so that they do not come together.
 constexpr double retrySpread = 0.5;
 // How long a call to a plain service stays there, until the first answers tell.
@@ -434,7 +440,21 @@
         = static_cast<double>(std::max<std::int64_t>(request.route().objective.count(), 1));
     if (hasModel && !asked.adapter.empty() && waited < objective * waitShare)
         return relay_wait {};
-    return relay_refuse { relay_reason::ModelAbsent, declinedRetryAfter(request) };
+    return relay_refuse { relay_reason::ModelAbsent,
+        hasModel ? declinedRetryAfter(request) : loadedRetryAfter(request) };
+}
+
+milliseconds relay::loadedRetryAfter(const relay_exchange& request)
+{
+    const milliseconds least = declinedRetryAfter(request);
+    const service_config* service = m_table->findService(request.service());
+    const model_config* model
+        = service != nullptr && service->engine ? service->engine->find(request.request().model) : nullptr;
+    if (model == nullptr)
+        return least;
+    const milliseconds spread(static_cast<std::int64_t>(draw() * loadSpread.count()));
+    const milliseconds longest = request.timeLeft() / returnsWithinPart;
+    return std::max(least, std::min(model->loadTime + loadReserve + spread, longest));
 }
 
 void relay::noteFull(
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -65,6 +65,7 @@
     int urgency() const { return m_urgency; }
     monotonic_time arrivedAt() const { return m_arrivedAt; }
     bool isOver() const { return m_over; }
+    milliseconds timeLeft() const;
 
     void refuse(relay_reason reason, std::optional<milliseconds> retryAfter = {});
 
@@ -91,7 +92,6 @@
     /// Notes when a piece of the answer's body came.
     void noteBytes();
     void logEnd(std::string_view outcome, int status);
-    milliseconds timeLeft() const;
     void finish();
 
     relay& m_owner;
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -47,6 +47,32 @@
     CHECK(caller.status() == 200);
 }
 
+TEST_CASE("relay: the caller of a model that must be loaded is told to come back when it can be there")
+{
+    relay_world world;
+    auto config = relay_world::config(2);
+    engine_config engine;
+    model_config model;
+    model.name = "m1";
+    model.loadTime = milliseconds(2500);
+    engine.models = { model };
+    config.services = { { "desk", 0, engine } };
+    for (auto& route : config.routes)
+        route.objective = milliseconds(200);
+    world.tested.onConfig(std::make_shared<fleet_config>(config));
+    world.addUpstream("u1", { { "m2", {} } });
+    auto& caller = world.addCaller();
+    caller.request("POST", "/resume/a", modelFields);
+    REQUIRE(world.ended(caller));
+    CHECK(caller.has("model_absent"));
+    const std::string name = "Retry-After: ";
+    REQUIRE(caller.has(name));
+    const double told = std::stod(caller.text().substr(caller.text().find(name) + name.size()));
+    // The route's timeout of 8 s leaves a third of it for the return.
+    CHECK(told >= 2.5);
+    CHECK(told <= 8.0 / 3 + 0.01);
+}
+
 TEST_CASE("relay: a request whose model nobody holds is refused at once and asked for")
 {
     relay_world world;
