Loop: Give up answers to calls that never end

Cause: an answer of the store or an engine was collected for as long as bytes came; each read started its timeout anew.

--- a/Tests/Loop/http_caller_tests.cpp
+++ b/Tests/Loop/http_caller_tests.cpp
@@ -93,6 +93,34 @@
     CHECK(got->body == "xxxxxxxx");
 }
 
+TEST_CASE("http caller: an answer that never ends is given up at a bound")
+{
+    event_loop loop;
+    constexpr std::size_t farTooMuch = std::size_t { 64 } << 20U;
+    const std::string piece(65536, 'x');
+    raw_server server(loop, "HTTP/1.1 200 OK\r\n\r\n");
+    std::size_t written = 0;
+    timer writing(loop, [&] {
+        if (written < farTooMuch && server.streams.back()->unwritten() < piece.size()) {
+            server.streams.back()->write(piece);
+            written += piece.size();
+        }
+        writing.start({});
+    });
+    http_caller caller(loop, server.where());
+    bool ended = false;
+    bool hasAnswer = true;
+    caller.call(request, seconds(5), [&](const std::optional<http_answer>& answer) {
+        ended = true;
+        hasAnswer = answer.has_value();
+    });
+    REQUIRE(loopUntil(loop, [&] { return server.accepted == 1; }));
+    writing.start({});
+    CHECK(loopUntil(loop, [&] { return ended; }));
+    CHECK_FALSE(hasAnswer);
+    CHECK(written < farTooMuch / 2);
+}
+
 TEST_CASE("http caller: a second answer on the connection is nobody's")
 {
     event_loop loop;
