--- a/Source/Fleet/duty_lease.cpp
+++ b/Source/Fleet/duty_lease.cpp
@@ -57,7 +57,8 @@
         return append { m_record.end, false };
     }
     const bool isFree = m_record.holder.empty() || isFromHere(m_record.holder);
-    const monotonic_span wait = m_times.reluctance + m_deference + (isFree ? monotonic_span::zero() : m_times.timeToLive);
+    const monotonic_span wait
+        = m_times.reluctance + m_deference + (isFree ? monotonic_span::zero() : m_times.timeToLive);
     const bool mayTake = m_knowsRecord && now - m_recordSeenAt >= wait;
     if (hearsHolder)
         return {};
--- a/Source/Fleet/fleet_pace.cpp
+++ b/Source/Fleet/fleet_pace.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// The coordinator's time for each gateway's report, a fiftieth of which it uses: an answer costs it some 60 us.
+// The coordinator's time for each gateway's report, a fiftieth of which it uses: an answer costs it some 60
+// us.
 constexpr milliseconds pauseForEach { 3 };
 constexpr milliseconds shortestPause { 100 };
 constexpr milliseconds leastPauseForEach { 2 };
--- a/Source/Fleet/fleet_pace.h
+++ b/Source/Fleet/fleet_pace.h
@@ -4,10 +4,11 @@
 
 namespace sagesaddle {
 
-/// \brief Times of the exchange between the gateways and their coordinator, all from the size of the fleet; pure.
+/// \brief Times of the exchange between the gateways and their coordinator, all from the size of the fleet;
+/// pure.
 ///
-/// The coordinator's work is bounded by spreading the reports: what compares with the age of a report or of the
-/// news follows from their pause, so that a sound gateway never looks lost because the fleet is large.
+/// The coordinator's work is bounded by spreading the reports: what compares with the age of a report or of
+/// the news follows from their pause, so that a sound gateway never looks lost because the fleet is large.
 struct fleet_pace {
     /// Between a gateway's whole reports, where nothing asks for one sooner.
     milliseconds reportPause { 0 };
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// Time for which a gateway that is not heard counts among those that share the limits: it may be cut off from this
-// one only. Longer cuts are rare, and leave it a hundredth of half of each limit in a large fleet.
+// Time for which a gateway that is not heard counts among those that share the limits: it may be cut off from
+// this one only. Longer cuts are rare, and leave it a hundredth of half of each limit in a large fleet.
 constexpr milliseconds countedFor { 20000 };
 
 // Differences of load that are too small to change a choice.
@@ -228,7 +228,8 @@
     if (m_poolOf > 0)
         return std::min(1.0, hearing / m_poolOf);
     const unsigned expected = now - m_begunAt < countedFor ? m_expected : 0;
-    const double all = std::max<double>({ 1.0, static_cast<double>(expected), static_cast<double>(gateways(now)) });
+    const double all
+        = std::max<double>({ 1.0, static_cast<double>(expected), static_cast<double>(gateways(now)) });
     return 1 - shareAlone * std::max(0.0, all - hearing) / all;
 }
 
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -22,12 +22,13 @@
     void onConfig(const fleet_config& config, monotonic_time now);
 
     /// Begins a tenure: what was granted before may still be spent, so buckets start half full.
-    /// \param expected gateways that shared the limits before, as far as known: those that do not report may live
+    /// \param expected gateways that shared the limits before, as far as known: those that do not report may
+    /// live
     void begin(unsigned expected, monotonic_time now);
 
     /// Says on what ground credit is granted.
-    /// \param poolOf 0 with the lease; without it, gateways among which the limits are shared: only the shares
-    /// of those that report here are granted
+    /// \param poolOf 0 with the lease; without it, gateways among which the limits are shared: only the
+    /// shares of those that report here are granted
     void setGround(unsigned poolOf, monotonic_time now);
 
     /// \return name in the lease of the gateway that is to coordinate next; empty where none is fit.
@@ -82,7 +83,8 @@
     void forgetSilent(monotonic_time now);
     /// \return gateways whose last report is recent.
     unsigned heard(monotonic_time now) const;
-    /// \return the part of each team's rate that may be granted here: gateways that are not heard spend the rest.
+    /// \return the part of each team's rate that may be granted here: gateways that are not heard spend the
+    /// rest.
     double grantedShare(monotonic_time now) const;
     void replaceWork(reporter& from, const std::vector<upstream_work>& work);
     void tellWork(reporter& to, fleet_news& news) const;
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -12,8 +12,8 @@
 
 // Time in which an engine answers a report or takes an order; it answers without a slot.
 constexpr milliseconds engineTimeout { 800 };
-// Engines for each millisecond between two plans: a pass costs some 10 us of a core for an engine, and a burst of
-// reports on missing adapters is answered by one. A small fleet plans at each report.
+// Engines for each millisecond between two plans: a pass costs some 10 us of a core for an engine, and a
+// burst of reports on missing adapters is answered by one. A small fleet plans at each report.
 constexpr std::size_t enginesPerPauseMs = 16;
 
 } // namespace
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -17,9 +17,11 @@
 constexpr double creditPatience = 0.4;
 // Between looks at what waits for credit.
 constexpr milliseconds creditLook { 50 };
-// Between two tries to reach the one that coordinates next; it declines until it misses the coordinator itself.
+// Between two tries to reach the one that coordinates next; it declines until it misses the coordinator
+// itself.
 constexpr milliseconds successorPause { 150 };
-// Time after the coordinator's connection was cut from which it is missed; a restarted one is back by then or not soon.
+// Time after the coordinator's connection was cut from which it is missed; a restarted one is back by then or
+// not soon.
 constexpr milliseconds cutReserve { 100 };
 // When to come back where no coordinator is known.
 constexpr milliseconds unknownRetryAfter { 600 };
@@ -278,11 +280,10 @@
 
 bool fleet_share::isAnythingWanted() const
 {
-    const bool wantsCredit
-        = std::any_of(m_waiting.begin(), m_waiting.end(), [](const auto& item) {
-              return std::any_of(item.second.begin(), item.second.end(),
-                  [](const waiting_credit& waiting) { return !waiting.isAsked; });
-          });
+    const bool wantsCredit = std::any_of(m_waiting.begin(), m_waiting.end(), [](const auto& item) {
+        return std::any_of(item.second.begin(), item.second.end(),
+            [](const waiting_credit& waiting) { return !waiting.isAsked; });
+    });
     return wantsCredit || std::any_of(m_demand.begin(), m_demand.end(), [](const auto& item) {
         return item.second.unplaced > 0;
     });
@@ -451,7 +452,8 @@
 
 bool fleet_share::isReadFor() const
 {
-    return !m_isAlone && m_link && m_link->isConnected() && suspendedNow() - m_toldProofAt < pace().proofIsRecent;
+    return !m_isAlone && m_link && m_link->isConnected()
+        && suspendedNow() - m_toldProofAt < pace().proofIsRecent;
 }
 
 void fleet_share::settleCredit(const std::string& team, std::optional<milliseconds> retryAfter)
--- a/Source/Gateway/fleet_share.h
+++ b/Source/Gateway/fleet_share.h
@@ -42,8 +42,8 @@
     /// The coordinator's address, by the lease.
     /// \param leaseEnd offset behind the record that names it
     void onHolder(const address& where, std::uint64_t leaseEnd);
-    /// \return whether this gateway was named the next coordinator and the one before fell silent: then it grants
-    /// the shares of those that report to it, until someone holds the lease.
+    /// \return whether this gateway was named the next coordinator and the one before fell silent: then it
+    /// grants the shares of those that report to it, until someone holds the lease.
     bool isInterimDue() const;
     /// \return gateways that share the limits, as last told.
     unsigned gateways() const { return m_gateways; }
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -84,7 +84,8 @@
     , m_orders(
           loop, m_coordinator, m_settings.name, [this]() -> const duty_lease& { return m_follower.lease(); },
           m_lines, m_metrics)
-    , m_share(loop, m_settings.name, isFitToCoordinate(m_settings) ? m_member : std::string(), m_relay, m_lines,
+    , m_share(loop, m_settings.name, isFitToCoordinate(m_settings) ? m_member : std::string(), m_relay,
+          m_lines,
           { [this](const fleet_report& report) { return answerReport(report); },
               [this] { return m_follower.isStoreAway(); },
               [this](std::uint64_t configEnd, monotonic_time provenAt) {
--- a/Source/Gateway/member_name.h
+++ b/Source/Gateway/member_name.h
@@ -9,8 +9,8 @@
 /// \return what the names in the lease of all starts of the gateway at that address begin with.
 std::string memberPlace(const address& peers);
 
-/// \return a name in the lease for this start of the gateway: its address for other gateways, and what tells two
-/// starts apart.
+/// \return a name in the lease for this start of the gateway: its address for other gateways, and what tells
+/// two starts apart.
 std::string newMemberName(const address& peers);
 
 /// \return the address for other gateways in a name of the lease.
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -345,7 +345,8 @@
             onAnswered();
             try {
                 m_lease.onRead(platform::readLease(answer->body), now);
-                // Those that take the lease at once look for it often; the others learn it from them or later.
+                // Those that take the lease at once look for it often; the others learn it from them or
+                // later.
                 if (m_isReluctant)
                     m_lease.setReadPause(paceOf(m_lease.record().gateways).leaseReadPause);
                 if (m_lease.record().gateways > 0)
--- a/Source/Limit/credit_purse.cpp
+++ b/Source/Limit/credit_purse.cpp
@@ -34,7 +34,8 @@
         if (team.ratePerSecond <= 0)
             continue;
         const auto known = m_accounts.find(team.name);
-        account value = known == m_accounts.end() ? account { 0, 0, 0, now, 0, now, 0, now, 0 } : known->second;
+        account value
+            = known == m_accounts.end() ? account { 0, 0, 0, now, 0, now, 0, now, 0 } : known->second;
         value.ratePerSecond = team.ratePerSecond;
         value.burst = team.burst;
         next.emplace(team.name, value);
--- a/Source/Loop/http_caller.cpp
+++ b/Source/Loop/http_caller.cpp
@@ -8,9 +8,11 @@
 constexpr std::size_t maxAnswerHeadBytes = 16384;
 // Bytes that stay unacknowledged so long mean a lost path; within the usual timeouts of calls.
 constexpr milliseconds pathSilence { 1000 };
-// Bytes of an answer beyond which it is no answer: the store's pages are at most 1 MB, and a third more as text.
+// Bytes of an answer beyond which it is no answer: the store's pages are at most 1 MB, and a third more as
+// text.
 constexpr std::size_t maxAnswerBytes = std::size_t { 4 } << 20U;
-// Time beyond the timeout in which an answer that goes on must end: 4 MB over the thinnest link take some 4 s.
+// Time beyond the timeout in which an answer that goes on must end: 4 MB over the thinnest link take some 4
+// s.
 constexpr milliseconds longestAnswer { 10000 };
 // Kept connections of one peer beyond which ended calls close theirs.
 constexpr std::size_t keptConnections = 3;
@@ -64,9 +66,9 @@
             const bool expected = raw->handler != nullptr;
             raw->stream->consume(raw->reader->feed(bytes));
             raw->deadline->start(raw->timeout);
-            const bool isEndless
-                = raw->answer.body.size() > maxAnswerBytes || monotonicNow() > raw->endsAt;
-            if (!expected || isEndless || raw->reader->failed() || (raw->answered && !raw->stream->readable().empty()))
+            const bool isEndless = raw->answer.body.size() > maxAnswerBytes || monotonicNow() > raw->endsAt;
+            if (!expected || isEndless || raw->reader->failed()
+                || (raw->answered && !raw->stream->readable().empty()))
                 finish(*raw, std::nullopt, false);
             else if (raw->answered)
                 finish(*raw, std::move(raw->answer), raw->keepsAlive);
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -16,8 +16,8 @@
 constexpr seconds idleAdapter { 2 };
 // Part of the weight store's rate that is used; late orders and other holders' loads have the rest.
 constexpr double loadShare = 0.85;
-// Loads that may be saved up: so many, and those of this time. With the part of the rate they stay within what the
-// weight store's bound allows in five seconds.
+// Loads that may be saved up: so many, and those of this time. With the part of the rate they stay within
+// what the weight store's bound allows in five seconds.
 constexpr double leastLoadBurst = 1.5;
 constexpr double loadBurstSeconds = 1;
 // Engines that may stand with room for a model at once, beyond the loads that are allowed now.
@@ -113,8 +113,8 @@
     std::unordered_map<const model_config*, double> modelDemand;
     double total { 0 };
 
-    engine_view viewOf(const engine_sight& sight,
-        const std::unordered_map<std::string_view, const model_config*>& models)
+    engine_view viewOf(
+        const engine_sight& sight, const std::unordered_map<std::string_view, const model_config*>& models)
     {
         const engine_book& book = *sight.book;
         engine_view view { &sight, {}, {}, book.freeAdapterPlaces(), book.freeWeightsMb(),
@@ -156,8 +156,8 @@
         return known.lastAsked == monotonic_time {} || now - known.lastAsked >= span;
     }
 
-    void order(engine_view& engine, holding_order::action what, const std::string& model,
-        const std::string& adapter)
+    void order(
+        engine_view& engine, holding_order::action what, const std::string& model, const std::string& adapter)
     {
         orders.push_back({ engine.book().upstream(), what, model, adapter });
         engine.isFree = false;
@@ -313,8 +313,9 @@
         return true;
     }
 
-    /// Loads copies of the models that lack some, the one with most requests for each copy first; what is ordered
-    /// counts as a copy, so that a model that everybody asks for gets several loads before others get one.
+    /// Loads copies of the models that lack some, the one with most requests for each copy first; what is
+    /// ordered counts as a copy, so that a model that everybody asks for gets several loads before others get
+    /// one.
     void copyModels(double& allowance)
     {
         using lack = std::pair<double, const model_config*>;
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -110,8 +110,7 @@
         if (link->isIdle())
             idle.push_back(link);
     }
-    const auto looked = idle.begin()
-        + static_cast<std::ptrdiff_t>(std::min(idle.size(), mostIdleLooks));
+    const auto looked = idle.begin() + static_cast<std::ptrdiff_t>(std::min(idle.size(), mostIdleLooks));
     std::partial_sort(idle.begin(), looked, idle.end(),
         [](const auto& left, const auto& right) { return left->idleSince() < right->idleSince(); });
     return std::any_of(idle.begin(), looked, [](const auto& link) { return link->drain(); });
@@ -379,15 +378,16 @@
         = known.placedPerSecond * std::exp(-secondsBetween(known.placedAt, now) / placedSeconds);
     // News come with whole reports: at their pause, or sooner where a request asks for credit.
     const fleet_pace pace = sagesaddle::paceOf(m_gateways);
-    const double newsAge = std::chrono::duration<double>(pace.reportPause + pace.leastReportPause).count() / 2;
+    const double newsAge
+        = std::chrono::duration<double>(pace.reportPause + pace.leastReportPause).count() / 2;
     return rate * (m_gateways - 1) * newsAge;
 }
 
 engine_choice relay::chooseAmong(const relay_exchange& request,
     const std::vector<engine_candidate>& candidates, const engine_demand& demand)
 {
-    auto indices = sampleEngines(
-        candidates.size(), placedUnseen(request, monotonicNow()), [this] { return draw(); });
+    auto indices
+        = sampleEngines(candidates.size(), placedUnseen(request, monotonicNow()), [this] { return draw(); });
     if (indices.size() < candidates.size()) {
         // Whoever keeps the prompt's parts is looked at in any case.
         for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -575,8 +575,7 @@
     if (terms.isLeaving && !upstream->isLeaving) {
         upstream->isLeaving = true;
         m_leftStarts[upstream->entry.id] = upstream->entry.startedAt;
-        m_watch.lines.write(
-            log_level::Info, "upstream_leaving", { { "upstream", upstream->entry.id } }, now);
+        m_watch.lines.write(log_level::Info, "upstream_leaving", { { "upstream", upstream->entry.id } }, now);
     }
     if (terms.restFor) {
         upstream->restsUntil = std::max(upstream->restsUntil, now + *terms.restFor);
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -159,7 +159,8 @@
         const engine_demand& demand);
     std::vector<engine_candidate> describe(
         const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams);
-    /// \return when the caller of a request should come back whose model no upstream holds: when it can be loaded.
+    /// \return when the caller of a request should come back whose model no upstream holds: when it can be
+    /// loaded.
     milliseconds loadedRetryAfter(const relay_exchange& request);
     /// \return the refusal of a request whose upstreams all rest for a while; nothing where none does.
     std::optional<relay_choice> whenResting(const relay_exchange& request);
--- a/Source/Route/engine_choice.cpp
+++ b/Source/Route/engine_choice.cpp
@@ -40,8 +40,7 @@
     return forecast;
 }
 
-std::vector<std::size_t> sampleEngines(
-    std::size_t count, double unseen, const std::function<double()>& draw)
+std::vector<std::size_t> sampleEngines(std::size_t count, double unseen, const std::function<double()>& draw)
 {
     std::vector<std::size_t> indices(count);
     std::iota(indices.begin(), indices.end(), std::size_t { 0 });
--- a/Source/Route/engine_choice.h
+++ b/Source/Route/engine_choice.h
@@ -71,16 +71,13 @@
 
 /// Picks the upstreams that a request is to choose among; pure.
 ///
-/// Answers many gateways that place requests by news of each other's load: in the time until the news come, all of
-/// them find the same upstream the least loaded, and flood it. The more requests are placed unseen, the fewer
-/// upstreams a request looks at, down to two: the better of two random ones stays close to the best of all, and
-/// the gateways differ in which they look at.
-/// \param count upstreams that could take it
-/// \param unseen requests that the others placed on these upstreams since their last news, on the mean
-/// \param draw gives a number from 0 to below 1 at each call
-/// \return indices, without order
-std::vector<std::size_t> sampleEngines(
-    std::size_t count, double unseen, const std::function<double()>& draw);
+/// Answers many gateways that place requests by news of each other's load: in the time until the news come,
+/// all of them find the same upstream the least loaded, and flood it. The more requests are placed unseen,
+/// the fewer upstreams a request looks at, down to two: the better of two random ones stays close to the best
+/// of all, and the gateways differ in which they look at. \param count upstreams that could take it \param
+/// unseen requests that the others placed on these upstreams since their last news, on the mean \param draw
+/// gives a number from 0 to below 1 at each call \return indices, without order
+std::vector<std::size_t> sampleEngines(std::size_t count, double unseen, const std::function<double()>& draw);
 
 /// Chooses the upstream with the earliest forecast; pure.
 ///
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -38,11 +38,10 @@
                   builder.CreateString(item.model), builder.CreateString(item.adapter), item.requests,
                   item.unplaced, item.tokens);
           });
-    const auto work
-        = vectorOf<fleet_wire::UpstreamWork>(builder, value.work, [&](const upstream_work& item) {
-              return fleet_wire::CreateUpstreamWork(builder, builder.CreateString(item.upstream),
-                  item.inFlight, item.tokensAhead, item.memoryTokens);
-          });
+    const auto work = vectorOf<fleet_wire::UpstreamWork>(builder, value.work, [&](const upstream_work& item) {
+        return fleet_wire::CreateUpstreamWork(
+            builder, builder.CreateString(item.upstream), item.inFlight, item.tokensAhead, item.memoryTokens);
+    });
     return fleet_wire::CreateReport(builder, builder.CreateString(value.entry), value.number,
         value.isStoreAway, value.wantsAll, credit, work, demand, value.isOnlyCredit,
         builder.CreateString(value.member))
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -194,8 +194,8 @@
     std::deque<std::pair<monotonic_time, double>> spent;
     double inWindow = 0;
     double most = 0;
-    // The team is quiet until the cut, so that its burst is whole; then each gateway has a request for it at each step:
-    // three times what the limit allows.
+    // The team is quiet until the cut, so that its burst is whole; then each gateway has a request for it at
+    // each step: three times what the limit allows.
     constexpr int cutAt = 160;
     constexpr int missedAt = 176;
     constexpr int healedAt = 400;
@@ -253,7 +253,8 @@
     CHECK(granted >= 2000 * 10);
 }
 
-TEST_CASE("coordinator: a fit gateway is named as the next coordinator and keeps that place while it is heard")
+TEST_CASE(
+    "coordinator: a fit gateway is named as the next coordinator and keeps that place while it is heard")
 {
     coordinator tested;
     auto weak = reportOf("a", true);
--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -52,7 +52,8 @@
         for (std::size_t index = 0; index < m_sockets.size(); ++index) {
             std::array<char, 4096> bytes {};
             const auto size = ::recv(m_sockets[index], bytes.data(), bytes.size(), MSG_DONTWAIT);
-            if (size > 0 && std::string_view(bytes.data(), static_cast<std::size_t>(size)).starts_with("HTTP/1.1 "))
+            if (size > 0
+                && std::string_view(bytes.data(), static_cast<std::size_t>(size)).starts_with("HTTP/1.1 "))
                 m_answered[index] = true;
         }
         return std::count(m_answered.begin(), m_answered.end(), true);
@@ -65,7 +66,8 @@
 
 // More than the loop takes in at one look, and fewer than the relay accepts.
 constexpr int manyCallers = 90;
-const std::string openRequest = "GET /open/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 9000\r\n\r\n";
+const std::string openRequest
+    = "GET /open/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 9000\r\n\r\n";
 
 } // namespace
 
@@ -301,7 +303,8 @@
     CHECK(loopUntil(world.loop, [&] { return upstream.openStreams == 0; }));
 }
 
-TEST_CASE("relay: requests that came while the process stood still are answered, though idle time ran out too")
+TEST_CASE(
+    "relay: requests that came while the process stood still are answered, though idle time ran out too")
 {
     relay_world world;
     auto quick = relay_world::config(2);
--- a/Tests/Relay/relay_trouble_tests.cpp
+++ b/Tests/Relay/relay_trouble_tests.cpp
@@ -124,8 +124,7 @@
     auto& tired = world.addUpstream("u1");
     tired.onRequest = [&](const request& asked) {
         if (tired.requests.size() == 1)
-            asked.stream->write(
-                answerWithField(asked, 503, "Retry-After: 0.9\r\nNot-Run: 1", "full"));
+            asked.stream->write(answerWithField(asked, 503, "Retry-After: 0.9\r\nNot-Run: 1", "full"));
         else
             asked.stream->write(scripted_upstream::answer(asked, 200, "ok"));
     };
@@ -154,8 +153,7 @@
 {
     relay_world world;
     auto& upstream = world.addUpstream("u1");
-    endless_writer writer(upstream,
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(8192));
+    endless_writer writer(upstream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(8192));
     auto& caller = world.addCaller();
     caller.request("POST", "/unsafe/a", "", "x");
     REQUIRE(world.ended(caller));
@@ -169,8 +167,8 @@
 {
     relay_world world;
     auto& upstream = world.addUpstream("u1");
-    endless_writer writer(upstream,
-        "HTTP/1.1 500 X\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(8192));
+    endless_writer writer(
+        upstream, "HTTP/1.1 500 X\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(8192));
     auto& caller = world.addCaller();
     caller.request("POST", "/stream/a", "", "x");
     REQUIRE(world.ended(caller));
