--- a/Tests/Support/calls.cpp
+++ b/Tests/Support/calls.cpp
@@ -143,6 +143,16 @@
     return nlohmann::json::parse(send(request, "").body);
 }
 
+std::optional<nlohmann::json> tryGetJson(const address& server, const std::string& target)
+{
+    try {
+        return getJson(server, target);
+    } catch (const nlohmann::json::parse_error&) {
+        // A process that is busy or was just woken may not answer within the call's timeout.
+        return std::nullopt;
+    }
+}
+
 void setFaults(const address& fake, const nlohmann::json& switches)
 {
     http_request request;
--- a/Tests/Support/calls.h
+++ b/Tests/Support/calls.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace sagesaddle::testing {
@@ -50,6 +51,9 @@
 /// \return the JSON answer to a GET.
 nlohmann::json getJson(const address& server, const std::string& target);
 
+/// \return the page, or nothing where it could not be read this time; for waits, which ask again.
+std::optional<nlohmann::json> tryGetJson(const address& server, const std::string& target);
+
 /// Sets switches of a stand-in.
 void setFaults(const address& fake, const nlohmann::json& switches);
 
