--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -15,6 +15,9 @@
 // this one only. Longer cuts are rare, and leave it a hundredth of half of each limit in a large fleet.
 constexpr milliseconds countedFor { 20000 };
 
+// Between two looks at all books for what changed; reports come more often than that in a large fleet.
+constexpr milliseconds stampPause { 20 };
+
 // Differences of load that are too small to change a choice.
 constexpr int smallInFlight = 1;
 constexpr std::int64_t smallTokensAhead = 400;
@@ -69,6 +72,8 @@
     for (auto& sum : m_sums)
         sum = { sum.upstream };
     m_books.clear();
+    m_stamps.clear();
+    m_stampedAt = {};
     m_planners.clear();
     for (const auto& [name, engine] : m_engines)
         m_planners.try_emplace(name, engine->loadsPerSecond);
@@ -160,9 +165,9 @@
         for (auto& [name, told] : m_reporters) {
             if (known.number < told.toldWork.size())
                 told.toldWork[known.number] = { known.number };
-            if (known.number < told.toldHoldings.size())
-                told.toldHoldings[known.number] = 0;
         }
+        if (known.number < m_stamps.size())
+            m_stamps[known.number] = {};
         m_freeNumbers.push_back(known.number);
         m_numbers.erase(entry->first);
         entry = m_listings.erase(entry);
@@ -276,11 +281,12 @@
     if (report.isOnlyCredit)
         return news;
     if (report.wantsAll) {
-        from.toldHoldings.clear();
+        from.toldHoldings = 0;
         from.toldWork.clear();
         from.toldList = 0;
     }
     replaceWork(from, report.work);
+    stampHoldings(now);
     tellWork(from, news);
     tellHoldings(from, news);
     tellList(from, news);
@@ -308,20 +314,40 @@
     }
 }
 
-void coordinator::tellHoldings(reporter& to, fleet_news& news) const
+void coordinator::stampHoldings(monotonic_time now)
 {
-    to.toldHoldings.resize(m_sums.size());
+    if (now - m_stampedAt < stampPause)
+        return;
+    m_stampedAt = now;
+    m_stamps.resize(m_sums.size());
+    // Books and listings are in the same order.
+    auto listed = m_listings.begin();
     for (const auto& [id, book] : m_books) {
-        if (!book.isKnown() && book.held().empty())
+        while (listed != m_listings.end() && listed->first < id)
+            ++listed;
+        if (listed == m_listings.end() || listed->first != id || (!book.isKnown() && book.held().empty()))
             continue;
-        // Revision 0 is told too: it may differ from the listing.
+        holding_stamp& stamp = m_stamps[listed->second.number];
+        // Revision 0 counts too: it may differ from the listing.
         const std::uint64_t revision = book.revision() + 1;
-        auto& told = to.toldHoldings[m_listings.at(id).number];
-        if (told == revision)
+        if (stamp.revision != revision)
+            stamp = { revision, ++m_newestStamp };
+    }
+}
+
+void coordinator::tellHoldings(reporter& to, fleet_news& news) const
+{
+    if (to.toldHoldings == m_newestStamp)
+        return;
+    for (std::size_t number = 0; number < m_stamps.size(); ++number) {
+        if (m_stamps[number].changed <= to.toldHoldings)
             continue;
-        told = revision;
-        news.holdings.push_back({ id, { book.held().begin(), book.held().end() } });
+        const std::string& id = m_sums[number].upstream;
+        const auto book = m_books.find(id);
+        if (book != m_books.end())
+            news.holdings.push_back({ id, { book->second.held().begin(), book->second.held().end() } });
     }
+    to.toldHoldings = m_newestStamp;
 }
 
 void coordinator::tellList(reporter& to, fleet_news& news) const
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -65,8 +65,9 @@
         monotonic_time heardAt {};
         bool isStoreAway { false };
         std::string member;
-        /// By the upstream's number, as are the next ones.
-        std::vector<std::uint64_t> toldHoldings;
+        /// The newest stamp of holdings that was told.
+        std::uint64_t toldHoldings { 0 };
+        /// By the upstream's number.
         std::vector<numbered_work> toldWork;
         std::uint64_t toldList { 0 };
     };
@@ -80,6 +81,12 @@
         std::uint16_t number { 0 };
     };
 
+    /// The revision of an engine's book, and the stamp at which it was seen.
+    struct holding_stamp {
+        std::uint64_t revision { 0 };
+        std::uint64_t changed { 0 };
+    };
+
     void forgetSilent(monotonic_time now);
     /// \return gateways whose last report is recent.
     unsigned heard(monotonic_time now) const;
@@ -87,6 +94,8 @@
     /// rest.
     double grantedShare(monotonic_time now) const;
     void replaceWork(reporter& from, const std::vector<upstream_work>& work);
+    /// Looks which engines' holdings changed.
+    void stampHoldings(monotonic_time now);
     void tellWork(reporter& to, fleet_news& news) const;
     void tellHoldings(reporter& to, fleet_news& news) const;
     void tellList(reporter& to, fleet_news& news) const;
@@ -113,6 +122,10 @@
     /// Work of all gateways together, by the upstream's number.
     std::vector<upstream_work> m_sums;
     std::map<std::string, engine_book> m_books;
+    /// By the upstream's number.
+    std::vector<holding_stamp> m_stamps;
+    std::uint64_t m_newestStamp { 0 };
+    monotonic_time m_stampedAt {};
     std::map<std::string, holding_planner> m_planners;
     std::map<std::string, reporter> m_reporters;
 };
--- a/Source/Gateway/engine_orders.cpp
+++ b/Source/Gateway/engine_orders.cpp
@@ -12,6 +12,8 @@
 
 // Time in which an engine answers a report or takes an order; it answers without a slot.
 constexpr milliseconds engineTimeout { 800 };
+// Engines that are asked for a report at once; at a start all are due together.
+constexpr std::size_t mostReportsAsked = 64;
 // Engines for each millisecond between two plans: a pass costs some 10 us of a core for an engine, and a
 // burst of reports on missing adapters is answered by one. A small fleet plans at each report.
 constexpr std::size_t enginesPerPauseMs = 16;
@@ -38,6 +40,8 @@
             ++peer;
             continue;
         }
+        // Its call ends without a word.
+        m_reportsAsked.erase(peer->first);
         m_left.push_back(std::move(peer->second));
         peer = m_peers.erase(peer);
     }
@@ -63,7 +67,7 @@
     m_plannedAt = now;
     for (auto& [id, book] : m_plans.books()) {
         book.settleAdapters(now);
-        if (book.wantsReport(now))
+        if (m_reportsAsked.size() < mostReportsAsked && book.wantsReport(now))
             askReport(id, book);
     }
     if (!m_lease().mayOrder(suspendedNow()))
@@ -78,10 +82,12 @@
     if (peer == m_peers.end())
         return;
     book.onReportAsked();
+    m_reportsAsked.insert(id);
     const monotonic_time askedAt = monotonicNow();
     m_metrics.add("sagesaddle_engine_reports", "Reports asked of engines");
     peer->second.caller->call(platform::writeReportCall(peer->second.entry.where), engineTimeout,
         [this, id, askedAt](const std::optional<http_answer>& answer) {
+            m_reportsAsked.erase(id);
             const auto found = m_plans.books().find(id);
             if (found == m_plans.books().end())
                 return;
--- a/Source/Gateway/engine_orders.h
+++ b/Source/Gateway/engine_orders.h
@@ -7,6 +7,8 @@
 #include "Watch/decision_lines.h"
 #include "Watch/metric_registry.h"
 
+#include <set>
+
 namespace sagesaddle {
 
 /// \brief Asks engines for reports and gives them the coordinator's orders, while the duty lasts.
@@ -41,6 +43,8 @@
     /// Peers that left; their handlers may be running.
     std::vector<engine_peer> m_left;
     monotonic_time m_plannedAt {};
+    /// Engines that owe a report.
+    std::set<std::string> m_reportsAsked;
     timer m_planTimer;
 };
 
--- a/Source/Gateway/fleet_link.cpp
+++ b/Source/Gateway/fleet_link.cpp
@@ -64,6 +64,14 @@
     made->stream->handle({ {}, [this, raw] { read(*raw); }, {}, [this, raw](stream_end) { drop(*raw); } });
 }
 
+std::size_t report_server::unwritten() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [key, value] : m_connections)
+        bytes += value->stream->unwritten();
+    return bytes;
+}
+
 void report_server::drop(const connection& which)
 {
     const auto found = m_connections.find(&which);
--- a/Source/Gateway/fleet_link.h
+++ b/Source/Gateway/fleet_link.h
@@ -41,6 +41,8 @@
     report_server(event_loop& loop, const address& where, on_report handler);
 
     std::uint16_t port() const { return m_listener.port(); }
+    /// \return bytes of news that gateways have not taken yet.
+    std::size_t unwritten() const;
 
 private:
     struct connection {
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -203,7 +203,7 @@
         return;
     found->second->held = std::move(held);
     found->second->holdingsAreNews = true;
-    placeWaiting();
+    onPlaceFree();
 }
 
 void relay::onCoordinatorLost()
@@ -295,9 +295,10 @@
     if (service == m_byService.end())
         return found;
     const monotonic_time now = monotonicNow();
+    const auto& asked = request.request();
+    const std::string wanted = asked.model.empty() ? std::string() : holdingName(asked.model, asked.adapter);
     for (const auto& upstream : service->second) {
-        if (upstream->isOpen(now) && !tried.contains(upstream->entry.id)
-            && upstream->holds(request.request().model, request.request().adapter))
+        if (upstream->isOpen(now) && upstream->holds(wanted) && !tried.contains(upstream->entry.id))
             found.push_back(upstream);
     }
     // A silent one gets a request only to see whether it answers again, and only where no other can take it.
@@ -412,10 +413,12 @@
     if (service == m_byService.end())
         return std::nullopt;
     const monotonic_time now = monotonicNow();
+    const auto& asked = request.request();
+    const std::string wanted = asked.model.empty() ? std::string() : holdingName(asked.model, asked.adapter);
     std::optional<monotonic_time> soonest;
     for (const auto& upstream : service->second) {
         if (upstream->entry.isDraining || upstream->isLeaving || now >= upstream->restsUntil
-            || !upstream->holds(request.request().model, request.request().adapter))
+            || !upstream->holds(wanted))
             continue;
         soonest = std::min(soonest.value_or(upstream->restsUntil), upstream->restsUntil);
     }
@@ -433,7 +436,7 @@
     m_hooks.onWanted(request.service(), asked.model, asked.adapter);
     const bool hasModel = std::any_of(m_byService[request.service()].begin(),
         m_byService[request.service()].end(), [&](const upstream_state_ptr& upstream) {
-            return upstream->isOpen(monotonicNow()) && upstream->holds(asked.model, "");
+            return upstream->isOpen(monotonicNow()) && upstream->holds(asked.model);
         });
     const double waited = secondsBetween(request.arrivedAt(), monotonicNow()) * 1000;
     const double objective
@@ -536,7 +539,7 @@
         request->place();
 }
 
-void relay::onPlaceFree(const std::string&)
+void relay::onPlaceFree()
 {
     if (!m_waiting.empty() && !m_placeTimer.isRunning())
         m_placeTimer.start({});
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -482,7 +482,7 @@
         m_upstream->pool.giveBack(link);
     else
         link->close();
-    m_owner.onPlaceFree(m_service);
+    m_owner.onPlaceFree();
 }
 
 void relay_exchange::onDeadline()
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -59,10 +59,8 @@
     /// Until then it wants nothing from this process.
     monotonic_time restsUntil {};
 
-    bool holds(const std::string& model, const std::string& adapter) const
-    {
-        return model.empty() || held.contains(holdingName(model, adapter));
-    }
+    /// \param holding `model` or `model/adapter`; empty where none is needed
+    bool holds(const std::string& holding) const { return holding.empty() || held.contains(holding); }
     /// \return whether it takes new requests, as far as it and the list say.
     bool isOpen(monotonic_time now) const { return !entry.isDraining && !isLeaving && now >= restsUntil; }
     bool isSuspect(monotonic_time now) const { return now < suspectUntil; }
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -214,11 +214,11 @@
     relay_world world;
     auto& upstream = world.addUpstream("u1", { { "m1", {} } });
     world.tested.onHoldings("u1", { "m1", "m1/a1" });
-    CHECK(world.tested.upstreams().at("u1")->holds("m1", "a1"));
+    CHECK(world.tested.upstreams().at("u1")->holds("m1/a1"));
     auto entry = upstream.entry();
     entry.startedAt = 7;
     world.tested.onUpstreams({ { "u1", entry } });
-    CHECK_FALSE(world.tested.upstreams().at("u1")->holds("m1", "a1"));
+    CHECK_FALSE(world.tested.upstreams().at("u1")->holds("m1/a1"));
 }
 
 TEST_CASE("relay: an upstream that fails part of its calls with a good health check gets fewer of them")
