Gateway: Decide in the coordinator when a gateway is told everything

The pause between whole lists moves from the process to the coordinator, which is pure, with tests of the start of a hundred gateways and of holdings told once. No change of behaviour is meant.

--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -18,6 +18,12 @@
 // Between two looks at all books for what changed; reports come more often than that in a large fleet.
 constexpr milliseconds stampPause { 20 };
 
+// Bytes of news on their way up to which a gateway is told the whole list; a list of 3,000 upstreams is 1 MB.
+constexpr std::size_t mostWholeNewsBytes = std::size_t { 8 } << 20U;
+// Time between two whole lists, for each upstream in them: the weakest host that is fit takes about 6 us to
+// tell one, and must go on answering for credit meanwhile.
+constexpr std::chrono::microseconds wholeNewsPauseForEach { 15 };
+
 // Differences of load that are too small to change a choice.
 constexpr int smallInFlight = 1;
 constexpr std::int64_t smallTokensAhead = 400;
@@ -219,6 +225,15 @@
     std::erase_if(m_reporters, [&](const auto& item) { return now - item.second.heardAt > countedFor; });
 }
 
+bool coordinator::mayTellAll(std::size_t unwritten, monotonic_time now)
+{
+    const auto pause = wholeNewsPauseForEach * std::ssize(m_listings);
+    if (unwritten > mostWholeNewsBytes || (m_toldAllAt != monotonic_time {} && now - m_toldAllAt < pause))
+        return false;
+    m_toldAllAt = now;
+    return true;
+}
+
 bool coordinator::isStoreAwayFromAll(monotonic_time now) const
 {
     const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -41,6 +41,12 @@
     /// Answers a report: credit, and what changed since the last news to that gateway.
     fleet_news onReport(const fleet_report& report, monotonic_time now);
 
+    /// Bounds how often a gateway is told everything. Answers all gateways at once after a start: were each
+    /// told at once, the answers would come later than the gateways wait, and they would begin anew. \param
+    /// unwritten bytes of news that gateways have not taken yet \return whether a report that wants
+    /// everything may be answered so; it then counts as done
+    bool mayTellAll(std::size_t unwritten, monotonic_time now);
+
     /// \return whether every gateway that was heard lately is still heard and finds the store away: then
     /// nobody can take the lease, and credit may go on beyond it.
     bool isStoreAwayFromAll(monotonic_time now) const;
@@ -126,6 +132,7 @@
     std::vector<holding_stamp> m_stamps;
     std::uint64_t m_newestStamp { 0 };
     monotonic_time m_stampedAt {};
+    monotonic_time m_toldAllAt {};
     std::map<std::string, holding_planner> m_planners;
     std::map<std::string, reporter> m_reporters;
 };
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -35,11 +35,6 @@
 constexpr milliseconds endReserve { 300 };
 // Descriptors kept for files, peers and upstreams; each caller may need one upstream connection.
 constexpr std::int64_t reservedDescriptors = 400;
-// Bytes of news on their way up to which a gateway is told the whole list; a list of 3,000 upstreams is 1 MB.
-constexpr std::size_t mostWholeNewsBytes = std::size_t { 8 } << 20U;
-// Time between two whole lists, for each upstream in them: the weakest host that is fit takes about 6 us to
-// tell one, and must go on answering for credit meanwhile.
-constexpr std::chrono::microseconds wholeNewsPauseForEach { 15 };
 // Hosts below these coordinate only where no other does: each report costs about 0.1 ms of a core and 2 KB.
 constexpr double enoughCores = 0.15;
 constexpr double enoughLinkMbps = 50;
@@ -162,17 +157,6 @@
     m_coordinator.setGround(m_isInterim ? std::max(m_share.gateways(), 1U) : 0, now);
 }
 
-bool gateway::mayTellAll()
-{
-    const monotonic_time now = monotonicNow();
-    const auto pause
-        = wholeNewsPauseForEach * static_cast<std::int64_t>(m_follower.upstreams().entries().size());
-    if (now - m_toldAllAt < pause || m_reports.unwritten() > mostWholeNewsBytes)
-        return false;
-    m_toldAllAt = now;
-    return true;
-}
-
 std::optional<fleet_news> gateway::answerReport(const fleet_report& report)
 {
     onDuty();
@@ -181,7 +165,7 @@
     fleet_report answered = report;
     // All gateways ask for everything at once after a start; those beyond the bounds get it at a later
     // report.
-    if (report.wantsAll && !mayTellAll())
+    if (report.wantsAll && !m_coordinator.mayTellAll(m_reports.unwritten(), monotonicNow()))
         answered.isOnlyCredit = true;
     auto news = m_coordinator.onReport(answered, monotonicNow());
     if (report.hasUnplaced())
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -28,8 +28,6 @@
     void onDuty();
     void drainStep();
     std::optional<fleet_news> answerReport(const fleet_report& report);
-    /// \return whether a gateway may be told the whole list now, which counts as done.
-    bool mayTellAll();
     relay_options relayOptions() const;
 
     event_loop& m_loop;
@@ -43,7 +41,6 @@
     /// Coordinates without the lease, since the coordinator fell silent and this one was named to follow.
     bool m_isInterim { false };
     bool m_heldDuty { false };
-    monotonic_time m_toldAllAt {};
     relay m_relay;
     store_follower m_follower;
     engine_orders m_orders;
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <deque>
 #include <doctest/doctest.h>
+#include <optional>
+#include <set>
 
 using namespace sagesaddle;
 
@@ -323,3 +325,66 @@
         CHECK(bytes <= 200 + 12 * static_cast<std::size_t>(upstreams));
     }
 }
+
+TEST_CASE(
+    "coordinator: after a start all gateways are told everything one after another, and get credit meanwhile")
+{
+    // The weakest host that is fit tells a list of a thousand upstreams in some 6 ms, and must answer for
+    // credit besides.
+    constexpr int gateways = 100;
+    constexpr int upstreams = 1000;
+    constexpr milliseconds leastPause { 12 };
+    std::vector<std::string> ids;
+    for (int index = 0; index < upstreams; ++index)
+        ids.push_back("i-" + std::to_string(index));
+    coordinator tested;
+    tested.onUpstreams(listOf(ids, 1));
+    std::set<int> told;
+    std::optional<monotonic_time> last;
+    for (monotonic_time now = start; now < start + seconds(4); now += milliseconds(3)) {
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            auto report = reportOf("front-" + std::to_string(gateway), !told.contains(gateway));
+            report.credit = { { "atelier", 100, 0, 0 } };
+            report.isOnlyCredit = !report.wantsAll || !tested.mayTellAll(0, now);
+            const auto news = tested.onReport(report, now);
+            CHECK(news.credit.size() == 1);
+            if (report.isOnlyCredit)
+                continue;
+            CHECK(news.listed.size() == upstreams);
+            CHECK((!last || now - *last >= leastPause));
+            last = now;
+            told.insert(gateway);
+        }
+    }
+    CHECK(told.size() == gateways);
+    CHECK_FALSE(tested.mayTellAll(std::size_t { 16 } << 20U, start + seconds(10)));
+}
+
+TEST_CASE("coordinator: what an engine holds is told once to each gateway, and again when it changes")
+{
+    fleet_config config;
+    service_config service;
+    service.name = "desk";
+    service.engine = engine_config {};
+    service.engine->adapterSlots = 8;
+    config.services.push_back(service);
+    coordinator tested;
+    tested.onConfig(config, start);
+    tested.onUpstreams(listOf({ "a", "b" }, 1));
+    tested.begin(0, start);
+    holding_report holds;
+    holds.models = { { "m1", {} } };
+    tested.books().at("a").onReport(holds, start, start);
+    const auto holdingsTold = [&](const std::string& gateway, milliseconds after) {
+        return tested.onReport(reportOf(gateway), start + after).holdings;
+    };
+    CHECK(holdingsTold("g1", milliseconds(0)) == std::vector<upstream_holding> { { "a", { "m1" } } });
+    CHECK(holdingsTold("g1", milliseconds(100)).empty());
+    CHECK(holdingsTold("g2", milliseconds(100)).size() == 1);
+    holds.models = { { "m1", { "a1" } } };
+    holds.orders = 1;
+    tested.books().at("a").onReport(holds, start + seconds(1), start + seconds(1));
+    CHECK(holdingsTold("g1", milliseconds(1100))
+        == std::vector<upstream_holding> { { "a", { "m1", "m1/a1" } } });
+    CHECK(holdingsTold("g1", milliseconds(1200)).empty());
+}
