--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -27,6 +27,15 @@
     return list;
 }
 
+std::vector<std::string> namesOf(int upstreams)
+{
+    std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(upstreams));
+    for (int index = 0; index < upstreams; ++index)
+        names.push_back("i-" + std::to_string(1000000 + index));
+    return names;
+}
+
 fleet_report reportOf(const std::string& gateway, bool wantsAll = false)
 {
     fleet_report report;
@@ -301,9 +310,7 @@
 {
     for (const int gateways : { 4, 29, 103, 350 }) {
         const int upstreams = gateways * 5 / 3;
-        std::vector<std::string> ids;
-        for (int index = 0; index < upstreams; ++index)
-            ids.push_back("i-" + std::to_string(1000000 + index));
+        const auto ids = namesOf(upstreams);
         coordinator tested;
         tested.onUpstreams(listOf(ids, 1));
         for (int gateway = 0; gateway < gateways; ++gateway) {
@@ -334,11 +341,8 @@
     constexpr int gateways = 100;
     constexpr int upstreams = 1000;
     constexpr milliseconds leastPause { 12 };
-    std::vector<std::string> ids;
-    for (int index = 0; index < upstreams; ++index)
-        ids.push_back("i-" + std::to_string(index));
     coordinator tested;
-    tested.onUpstreams(listOf(ids, 1));
+    tested.onUpstreams(listOf(namesOf(upstreams), 1));
     std::set<int> told;
     std::optional<monotonic_time> last;
     for (monotonic_time now = start; now < start + seconds(4); now += milliseconds(3)) {
--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -267,6 +267,7 @@
     planning it(config);
     for (int engine = 0; engine < engines; ++engine) {
         std::vector<std::string> held;
+        held.reserve(3);
         for (int place = 0; place < 3; ++place)
             held.push_back("m" + std::to_string((engine * 3 + place) % models));
         it.add(held, engine % 16);
