Tests: Bound a planner's pass by its growth, and by time where the code is optimized

Under the sanitizers, unoptimized, the test's bound of 10 ms a pass failed at some 33 ms: the only one of 597 that failed there. The bound belongs to the optimized program.

--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -252,14 +252,12 @@
     CHECK(orders == std::vector<planned_holding> { { "u1", holding_order::action::Load, "m0", "" } });
 }
 
-TEST_CASE("holding planner: a pass over hundreds of engines and models takes a small part of its pause")
+namespace {
+
+/// \return processor time of a pass over so many engines and models, in seconds.
+double passSeconds(int engines, int models)
 {
-    // A pass each 50 ms may take a fiftieth of a core on the mean; over many passes a slow machine's hiccups
-    // weigh little. A pass that looks at each model on each engine takes a hundred times as long.
-    constexpr int engines = 160;
-    constexpr int models = 266;
     constexpr int passes = 40;
-    constexpr double bound = 0.2;
     engine_config config = configOf(models, 0);
     config.weightsMb = 230000;
     for (auto& model : config.models)
@@ -279,8 +277,22 @@
     const auto begun = std::clock();
     for (int pass = 0; pass < passes; ++pass)
         it.planner.plan(it.engines, it.config, it.demand, start + milliseconds(50 * pass));
-    const double used = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
-    CHECK(used / passes < 0.05 * bound);
+    return static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC / passes;
+}
+
+} // namespace
+
+TEST_CASE("holding planner: a pass over hundreds of engines and models takes a small part of its pause")
+{
+    // A pass that looks at each model on each engine takes sixteen times as long at four times the size, or
+    // more.
+    const double small = passSeconds(40, 66);
+    const double large = passSeconds(160, 264);
+    CHECK(large < 14 * small);
+#ifdef NDEBUG
+    // Optimized, a fifth of the pause of 50 ms bounds it on a slow machine too.
+    CHECK(large < 0.01);
+#endif
 }
 
 TEST_CASE("holding planner: the copy that serves is not dropped because others are still being loaded")
