--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -36,6 +36,17 @@
     return names;
 }
 
+/// \return a configuration with the team `atelier`, whose burst is a second of its rate.
+fleet_config configWithTeam(double ratePerSecond)
+{
+    team_config team;
+    team.name = "atelier";
+    team.ratePerSecond = team.burst = ratePerSecond;
+    fleet_config config;
+    config.teams.push_back(team);
+    return config;
+}
+
 fleet_report reportOf(const std::string& gateway, bool wantsAll = false)
 {
     fleet_report report;
@@ -141,11 +152,7 @@
 TEST_CASE("coordinator: credit is answered by itself, and the work told before still counts")
 {
     coordinator tested;
-    fleet_config config;
-    team_config team;
-    team.name = "atelier";
-    team.ratePerSecond = team.burst = 10000;
-    config.teams.push_back(team);
+    const fleet_config config = configWithTeam(10000);
     tested.onConfig(config, start);
     tested.onUpstreams(listOf({ "a" }, 1));
     auto report = reportOf("g1", true);
@@ -164,11 +171,7 @@
 TEST_CASE("coordinator: credit that a gateway gives back is there for the others")
 {
     coordinator tested;
-    fleet_config config;
-    team_config team;
-    team.name = "atelier";
-    team.ratePerSecond = team.burst = 10000;
-    config.teams.push_back(team);
+    const fleet_config config = configWithTeam(10000);
     tested.onConfig(config, start);
     auto ask = reportOf("g1", true);
     ask.credit = { { "atelier", 5000, 0, 0 } };
@@ -189,11 +192,7 @@
     constexpr double windowSeconds = 8;
     // The platform allows a tenth more, and 11,000 tokens.
     constexpr double bound = (rate * windowSeconds + rate) * 1.1 + 11000;
-    fleet_config config;
-    team_config team;
-    team.name = "atelier";
-    team.ratePerSecond = team.burst = rate;
-    config.teams.push_back(team);
+    const fleet_config config = configWithTeam(rate);
     coordinator tested;
     tested.onConfig(config, start);
     std::vector<credit_purse> purses(gateways, credit_purse(seconds(1), shareAlone));
@@ -240,11 +239,7 @@
 
 TEST_CASE("coordinator: a successor without the lease grants only the shares of those that report to it")
 {
-    fleet_config config;
-    team_config team;
-    team.name = "atelier";
-    team.ratePerSecond = team.burst = 10000;
-    config.teams.push_back(team);
+    const fleet_config config = configWithTeam(10000);
     coordinator tested;
     tested.onConfig(config, start);
     tested.begin(10, start);
--- a/Tests/Relay/relay_trouble_tests.cpp
+++ b/Tests/Relay/relay_trouble_tests.cpp
@@ -19,6 +19,16 @@
     return text.insert(text.find("\r\n") + 2, field + "\r\n");
 }
 
+/// \return an upstream that says in each answer that it leaves.
+scripted_upstream& addLeaving(relay_world& world)
+{
+    auto& leaving = world.addUpstream("u1");
+    leaving.onRequest = [](const request& asked) {
+        asked.stream->write(answerWithField(asked, 200, "Server-Leaving: 1", "last"));
+    };
+    return leaving;
+}
+
 /// Writes bytes to whoever asks, piece by piece, until the connection is closed or far too many are written.
 class endless_writer {
 public:
@@ -70,10 +80,7 @@
 TEST_CASE("relay: an upstream that says in an answer that it leaves gets no request more")
 {
     relay_world world;
-    auto& leaving = world.addUpstream("u1");
-    leaving.onRequest = [](const request& asked) {
-        asked.stream->write(answerWithField(asked, 200, "Server-Leaving: 1", "last"));
-    };
+    auto& leaving = addLeaving(world);
     auto& first = world.addCaller();
     first.request("GET", "/safe/a");
     REQUIRE(world.ended(first));
@@ -94,10 +101,7 @@
 TEST_CASE("relay: an upstream that leaves is not used again because the list lost it and names it once more")
 {
     relay_world world;
-    auto& leaving = world.addUpstream("u1");
-    leaving.onRequest = [](const request& asked) {
-        asked.stream->write(answerWithField(asked, 200, "Server-Leaving: 1", "last"));
-    };
+    auto& leaving = addLeaving(world);
     auto& first = world.addCaller();
     first.request("GET", "/safe/a");
     REQUIRE(world.ended(first));
