Tests: Repeat the host list's older state by time, so that each reader meets both

Cause of the landing's failure ("drain: a leaving upstream gets nothing new", seven runs at the leaving engine): the stand-in showed the newer list at one read of three, counted over all readers. The failed run itself left no logs of its entries, so this is read from the code and the count, not from that run. Ruled out by reading: a host told as leaving that comes back, since the watcher tells each host once and the router keeps it.

Now the older and the newer state take turns by time, each for longer than the longest pause between two reads, so that each entry meets both within the wait. The check is the same; the stand-in's own test sees two turns.

--- a/Tests/Failure/drain_tests.cpp
+++ b/Tests/Failure/drain_tests.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t streams = 8;
 constexpr seconds leavingBound { 4 };
+// Over the longest pause between an entry's reads of the host list, so that each entry meets both states.
+constexpr int repeatOldMs = 700;
 
 // 4 s long, so that they outlast the entry's wait for the balancer and the side's shortest drain.
 const chat_call slowStream { .model = "model-1", .tokens = 80, .stream = true };
@@ -68,7 +70,7 @@
     list.target = "/admin/hosts";
     list.body = R"({"hosts":[{"name":"engine-1","state":"live"},{"name":"engine-2","state":"live"}]})";
     REQUIRE(send(list, "").status == 200);
-    setFaults(fleet.hosts().listen, { { "repeat_old", true } });
+    setFaults(fleet.hosts().listen, { { "repeat_old_ms", repeatOldMs } });
     list.body = R"({"hosts":[{"name":"engine-1","state":"leaving"},{"name":"engine-2","state":"live"}]})";
     REQUIRE(send(list, "").status == 200);
 
--- a/Tests/Fakes/fake_hosts.cpp
+++ b/Tests/Fakes/fake_hosts.cpp
@@ -23,7 +23,7 @@
         if (isList)
             m_versions.push_back({ monotonicNow(), document.at("hosts") });
         setSwitch(document, "lag_ms", m_lagMs);
-        setSwitch(document, "repeat_old", m_repeatOld);
+        setSwitch(document, "repeat_old_ms", m_repeatOldMs);
     }
     respondJson(call, 200, nlohmann::json::object());
 }
@@ -35,9 +35,12 @@
     std::size_t index = m_versions.size() - 1;
     while (m_versions[index].since > asOf)
         --index;
-    // Two reads of three repeat the state before, so that each of two readers sees both.
-    if (m_repeatOld && ++m_reads % 3 != 0 && index > 0)
-        --index;
+    // By time and not by count of reads: however readers mix, each that asks within a span sees both states.
+    if (m_repeatOldMs > 0 && index > 0) {
+        const auto age = monotonicNow() - m_versions[index].since;
+        if (age / milliseconds(m_repeatOldMs) % 2 == 0)
+            --index;
+    }
     return m_versions[index].hosts;
 }
 
--- a/Tests/Fakes/fake_hosts.h
+++ b/Tests/Fakes/fake_hosts.h
@@ -32,8 +32,8 @@
     std::mutex m_mutex;
     std::deque<version> m_versions;
     std::uint32_t m_lagMs { 0 };
-    bool m_repeatOld { false };
-    std::uint64_t m_reads { 0 };
+    /// How long the state before a change is shown, and then the change, in turns; 0 shows the newest only.
+    std::uint32_t m_repeatOldMs { 0 };
 };
 
 } // namespace sagesaddle::testing
--- a/Tests/Fakes/fake_tests.cpp
+++ b/Tests/Fakes/fake_tests.cpp
@@ -183,8 +183,9 @@
             == 200);
     const auto shown = [&] { return getJson(hosts.listen, "/v1/hosts").at("hosts").at(0).at("state"); };
     CHECK(shown() == "leaving");
-    setFaults(hosts.listen, { { "repeat_old", true } });
-    CHECK(shown() == "live");
-    CHECK(shown() == "live");
-    CHECK(shown() == "leaving");
+    setFaults(hosts.listen, { { "repeat_old_ms", 300 } });
+    for (int turn = 0; turn < 2; ++turn) {
+        CHECK(until([&] { return shown() == "live"; }));
+        CHECK(until([&] { return shown() == "leaving"; }));
+    }
 }
