Plan: Give an adapter the copies that its requests ask for, not one on each engine

Pattern: one request for an adapter in a large fleet with free places. The orders and the news of them to every gateway held the coordinator up past the others' patience; they turned away as over an unknown limit, and after a loss of all gateways that went on for 15 s and more. Each pass also looked up the demand of every adapter for every engine.

Now an order counts as a copy in its pass, adapters that lack copies are found once a pass, and further copies go to the engines with most free places and least work.

--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -161,8 +161,7 @@
     {
         orders.push_back({ engine.book().upstream(), what, model, adapter });
         engine.isFree = false;
-        if (what == holding_order::action::Unload)
-            --copyCounts[holdingName(model, adapter)];
+        copyCounts[holdingName(model, adapter)] += what == holding_order::action::Load ? 1 : -1;
     }
 
     /// \return the adapter that is easiest to do without there, where one may be dropped.
@@ -188,6 +187,13 @@
         return std::find(engine.models.begin(), engine.models.end(), &model) != engine.models.end();
     }
 
+    /// \return whether an adapter goes to an engine rather than to another one.
+    static bool isBetterPlace(const engine_view& engine, const engine_view& other)
+    {
+        return std::pair(-engine.freeAdapterPlaces, engine.sight->inFlight)
+            < std::pair(-other.freeAdapterPlaces, other.sight->inFlight);
+    }
+
     void placeAdapter(const model_config& model, const std::string& adapter, bool mayDrop)
     {
         engine_view* best = nullptr;
@@ -196,7 +202,7 @@
                 continue;
             if (engine.freeAdapterPlaces <= 0 && !(mayDrop && adapterToDrop(engine)))
                 continue;
-            if (best == nullptr || engine.freeAdapterPlaces > best->freeAdapterPlaces)
+            if (best == nullptr || isBetterPlace(engine, *best))
                 best = &engine;
         }
         if (best == nullptr)
@@ -330,10 +336,8 @@
         while (!lacking.empty()) {
             const model_config* const model = lacking.top().second;
             lacking.pop();
-            if (!placeModel(*model, allowance))
-                continue;
-            ++copyCounts[model->name];
-            add(*model);
+            if (placeModel(*model, allowance))
+                add(*model);
         }
     }
 
@@ -401,28 +405,62 @@
         return std::clamp(static_cast<int>(std::ceil(wanted * factor)), 1, static_cast<int>(engines.size()));
     }
 
-    /// Puts further copies of the adapters that are asked for most into free places.
+    /// An adapter whose copies serve more requests than they should.
+    struct busy_adapter {
+        const model_config* model { nullptr };
+        std::string adapter;
+        std::string name;
+        double requestsPerSecond { 0 };
+    };
+
+    double requestsPerCopyOf(const busy_adapter& busy) const
+    {
+        return busy.requestsPerSecond / std::max(copies(busy.name), 1);
+    }
+
+    std::vector<busy_adapter> busyAdapters() const
+    {
+        std::vector<busy_adapter> busy;
+        for (const auto& model : config.models) {
+            for (int index = 1; index <= model.adapters; ++index) {
+                const std::string adapter = "a" + std::to_string(index);
+                const std::string name = holdingName(model.name, adapter);
+                busy.push_back({ &model, adapter, name, demand.of(name, now).requestsPerSecond });
+                if (requestsPerCopyOf(busy.back()) <= adapterCopyDemand)
+                    busy.pop_back();
+            }
+        }
+        return busy;
+    }
+
+    /// Puts further copies of the adapters that are asked for most into free places, as many as their
+    /// requests ask for.
     void copyAdapters()
     {
+        std::vector<busy_adapter> busy = busyAdapters();
+        if (busy.empty())
+            return;
+        std::vector<engine_view*> places;
         for (auto& engine : engines) {
-            if (!engine.isFree || engine.freeAdapterPlaces <= 0)
-                continue;
-            std::string best;
-            double most = adapterCopyDemand;
-            for (const model_config* model : engine.models) {
-                for (int index = 1; index <= model->adapters; ++index) {
-                    const std::string name = holdingName(model->name, "a" + std::to_string(index));
-                    const double perCopy = demand.of(name, now).requestsPerSecond / std::max(copies(name), 1);
-                    if (perCopy <= most || engine.book().mayHold(name))
-                        continue;
-                    best = name;
-                    most = perCopy;
-                }
+            if (engine.isFree && engine.freeAdapterPlaces > 0)
+                places.push_back(&engine);
+        }
+        std::stable_sort(places.begin(), places.end(),
+            [](const engine_view* one, const engine_view* other) { return isBetterPlace(*one, *other); });
+        for (engine_view* const engine : places) {
+            const busy_adapter* best = nullptr;
+            for (const auto& item : busy) {
+                if ((best == nullptr || requestsPerCopyOf(item) > requestsPerCopyOf(*best))
+                    && holdsModel(*engine, *item.model) && !engine->book().mayHold(item.name))
+                    best = &item;
             }
-            if (best.empty())
+            if (best == nullptr)
                 continue;
-            const holding_parts chosen = splitHolding(best);
-            order(engine, holding_order::action::Load, chosen.model, chosen.adapter);
+            order(*engine, holding_order::action::Load, best->model->name, best->adapter);
+            std::erase_if(
+                busy, [&](const busy_adapter& item) { return requestsPerCopyOf(item) <= adapterCopyDemand; });
+            if (busy.empty())
+                return;
         }
     }
 };
--- a/Tests/Plan/holding_planner_tests.cpp
+++ b/Tests/Plan/holding_planner_tests.cpp
@@ -242,6 +242,42 @@
     CHECK(orders.at(0) == planned_holding { "u0", holding_order::action::Unload, "m0", "a1" });
 }
 
+TEST_CASE("holding planner: an adapter gets the copies that its requests ask for, not one on each engine")
+{
+    for (const int engines : { 4, 40, 300 }) {
+        planning it(configOf(1, 3));
+        for (int engine = 0; engine < engines; ++engine)
+            it.add({ "m0" });
+        // Three requests in two seconds, of which one copy should serve 0.3 a second: five copies. The other
+        // two adapters are placed once, ahead of demand.
+        it.demand.onRequests("m0/a2", 3, 0, start);
+        const auto orders = it.plan();
+        const auto copies = std::count_if(orders.begin(), orders.end(), [](const planned_holding& order) {
+            return order.what == holding_order::action::Load && order.adapter == "a2";
+        });
+        CHECK(copies == std::min(engines - 2, 5));
+        CHECK(std::ssize(orders) == copies + 2);
+    }
+}
+
+TEST_CASE("holding planner: further copies of an adapter go to the engines with the least work")
+{
+    planning it(configOf(1, 3));
+    for (int engine = 0; engine < 12; ++engine) {
+        it.add({ "m0" });
+        it.engines.back().inFlight = 12 - engine;
+    }
+    it.demand.onRequests("m0/a1", 1, 0, start);
+    const auto orders = it.plan();
+    std::vector<std::string> places;
+    for (const auto& order : orders) {
+        if (order.adapter == "a1")
+            places.push_back(order.upstream);
+    }
+    // The other two adapters went to those between.
+    CHECK(places == std::vector<std::string> { "u11", "u8" });
+}
+
 TEST_CASE("holding planner: a draining engine gets no order and its copies do not count")
 {
     planning it(configOf(1, 0));
