Gateway: Tell what changed of an engine's holdings in place of all it holds

Cause: each order for an adapter had the engine's whole set of holdings told to every gateway, some 200 bytes and a dozen names. With a hundred gateways and 1,000 engines the news of one burst of orders kept the coordinator from answering for credit.

`held_changes` keeps for each holding the stamp at which it came or went, with up to 16 that went; a gateway that was told up to a stamp gets the names that changed since, and one that was told less gets everything. A change that finds nothing to add to makes the gateway ask for everything. An engine that starts anew begins anew.

--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <limits>
+#include <utility>
 
 namespace sagesaddle {
 
@@ -127,7 +128,7 @@
         known.revision = m_listRevision;
         // A removal without a record of its own still comes after the entry's last one.
         known.offset = std::max(list.offsetOf(id), known.offset + 1);
-        m_books.erase(id);
+        dropBook(id, known.number);
     }
     for (const auto& [id, entry] : list.entries()) {
         const auto [place, isNew] = m_listings.try_emplace(id);
@@ -135,7 +136,7 @@
         if (!isNew && !known.isRemoved && known.entry == entry)
             continue;
         if (!known.entry.isSameStart(entry))
-            m_books.erase(id);
+            dropBook(id, known.number);
         known = { entry, list.offsetOf(id), m_listRevision, false, numberOf(id) };
     }
     makeBooks();
@@ -193,6 +194,13 @@
     }
 }
 
+void coordinator::dropBook(const std::string& upstream, std::uint16_t number)
+{
+    m_books.erase(upstream);
+    if (number < m_stamps.size())
+        m_stamps[number] = {};
+}
+
 void coordinator::replaceWork(reporter& from, const std::vector<upstream_work>& work)
 {
     for (const auto& [number, old] : from.work) {
@@ -344,11 +352,11 @@
             ++listed;
         if (listed == m_listings.end() || listed->first != id || (!book.isKnown() && book.held().empty()))
             continue;
-        holding_stamp& stamp = m_stamps[listed->second.number];
+        stamped_book& stamped = m_stamps[listed->second.number];
         // Revision 0 counts too: it may differ from the listing.
         const std::uint64_t revision = book.revision() + 1;
-        if (stamp.revision != revision)
-            stamp = { revision, ++m_newestStamp };
+        if (std::exchange(stamped.revision, revision) != revision)
+            stamped.holdings.onHeld(book.held(), ++m_newestStamp);
     }
 }
 
@@ -357,12 +365,12 @@
     if (to.toldHoldings == m_newestStamp)
         return;
     for (std::size_t number = 0; number < m_stamps.size(); ++number) {
-        if (m_stamps[number].changed <= to.toldHoldings)
+        const held_changes& holdings = m_stamps[number].holdings;
+        if (holdings.changed() <= to.toldHoldings)
             continue;
-        const std::string& id = m_sums[number].upstream;
-        const auto book = m_books.find(id);
-        if (book != m_books.end())
-            news.holdings.push_back({ id, { book->second.held().begin(), book->second.held().end() } });
+        held_change change = holdings.since(to.toldHoldings);
+        news.holdings.push_back(
+            { m_sums[number].upstream, std::move(change.held), change.isChange, std::move(change.dropped) });
     }
     to.toldHoldings = m_newestStamp;
 }
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/fleet_config.h"
 #include "Fleet/fleet_pace.h"
+#include "Fleet/held_changes.h"
 #include "Fleet/upstream_list.h"
 #include "Limit/credit_bank.h"
 #include "Place/engine_book.h"
@@ -87,10 +88,10 @@
         std::uint16_t number { 0 };
     };
 
-    /// The revision of an engine's book, and the stamp at which it was seen.
-    struct holding_stamp {
+    /// What an engine's book held, and the book's revision then.
+    struct stamped_book {
         std::uint64_t revision { 0 };
-        std::uint64_t changed { 0 };
+        held_changes holdings;
     };
 
     void forgetSilent(monotonic_time now);
@@ -106,6 +107,8 @@
     void tellHoldings(reporter& to, fleet_news& news) const;
     void tellList(reporter& to, fleet_news& news) const;
     void makeBooks();
+    /// Drops an engine's book, which may begin anew: all that it holds is told again.
+    void dropBook(const std::string& upstream, std::uint16_t number);
     /// \return the number that names an upstream in the news; it keeps it when it is listed again.
     std::uint16_t numberOf(const std::string& upstream);
     /// Forgets removed upstreams that every gateway was told of; their numbers are free again.
@@ -129,7 +132,7 @@
     std::vector<upstream_work> m_sums;
     std::map<std::string, engine_book> m_books;
     /// By the upstream's number.
-    std::vector<holding_stamp> m_stamps;
+    std::vector<stamped_book> m_stamps;
     std::uint64_t m_newestStamp { 0 };
     monotonic_time m_stampedAt {};
     monotonic_time m_toldAllAt {};
--- a/Source/Gateway/fleet_share.cpp
+++ b/Source/Gateway/fleet_share.cpp
@@ -403,8 +403,11 @@
         m_hooks.onProof(news.proof->configEnd, provenAt);
     }
     takeWork(news);
-    for (const auto& holding : news.holdings)
-        m_relay.onHoldings(holding.upstream, { holding.held.begin(), holding.held.end() });
+    for (const auto& holding : news.holdings) {
+        // A change of something that is not known here: everything is asked for.
+        if (!m_relay.onHoldings(holding.upstream, { holding.held, holding.dropped, holding.isChange }))
+            m_wantsAll = true;
+    }
     for (const auto& grant : news.credit) {
         m_purse.onGrant(grant.team, grant.tokens, askedAt == monotonic_time {} ? suspendedNow() : askedAt);
         settleCredit(grant.team,
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -196,14 +196,22 @@
     placeWaiting();
 }
 
-void relay::onHoldings(const std::string& id, std::set<std::string> held)
+bool relay::onHoldings(const std::string& id, const held_change& change)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
-        return;
-    found->second->held = std::move(held);
-    found->second->holdingsAreNews = true;
+        return true;
+    upstream_state& upstream = *found->second;
+    if (change.isChange && !upstream.holdingsAreNews)
+        return false;
+    if (!change.isChange)
+        upstream.held.clear();
+    upstream.held.insert(change.held.begin(), change.held.end());
+    for (const auto& name : change.dropped)
+        upstream.held.erase(name);
+    upstream.holdingsAreNews = true;
     onPlaceFree();
+    return true;
 }
 
 void relay::onCoordinatorLost()
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/contact_clock.h"
 #include "Fleet/fleet_pace.h"
+#include "Fleet/held_changes.h"
 #include "Fleet/route_table.h"
 #include "Limit/return_schedule.h"
 #include "Relay/caller_link.h"
@@ -76,7 +77,8 @@
     void onConfig(fleet_config_ptr config);
     void onUpstreams(const std::map<std::string, upstream_entry>& entries);
     /// Takes in what an upstream holds, newer than its listing.
-    void onHoldings(const std::string& id, std::set<std::string> held);
+    /// \return false where it is a change of something that was not told here
+    bool onHoldings(const std::string& id, const held_change& change);
     /// Takes in the load that others put on an upstream.
     void onForeignLoad(const std::string& id, const foreign_load& load);
     /// Evidence that the configuration was the newest at that time, on the clock that counts suspension.
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -697,7 +697,9 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_UPSTREAM = 4,
-    VT_HELD = 6
+    VT_HELD = 6,
+    VT_IS_CHANGE = 8,
+    VT_DROPPED = 10
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
@@ -705,6 +707,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *held() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HELD);
   }
+  bool is_change() const {
+    return GetField<uint8_t>(VT_IS_CHANGE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *dropped() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_DROPPED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
@@ -712,6 +720,10 @@
            VerifyOffset(verifier, VT_HELD) &&
            verifier.VerifyVector(held()) &&
            verifier.VerifyVectorOfStrings(held()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_CHANGE, 1) &&
+           VerifyOffset(verifier, VT_DROPPED) &&
+           verifier.VerifyVector(dropped()) &&
+           verifier.VerifyVectorOfStrings(dropped()) &&
            verifier.EndTable();
   }
 };
@@ -726,6 +738,12 @@
   void add_held(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> held) {
     fbb_.AddOffset(Holding::VT_HELD, held);
   }
+  void add_is_change(bool is_change) {
+    fbb_.AddElement<uint8_t>(Holding::VT_IS_CHANGE, static_cast<uint8_t>(is_change), 0);
+  }
+  void add_dropped(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> dropped) {
+    fbb_.AddOffset(Holding::VT_DROPPED, dropped);
+  }
   explicit HoldingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -741,10 +759,14 @@
 inline flatbuffers::Offset<Holding> CreateHolding(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> held = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> held = 0,
+    bool is_change = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> dropped = 0) {
   HoldingBuilder builder_(_fbb);
+  builder_.add_dropped(dropped);
   builder_.add_held(held);
   builder_.add_upstream(upstream);
+  builder_.add_is_change(is_change);
   return builder_.Finish();
 }
 
@@ -756,13 +778,18 @@
 inline flatbuffers::Offset<Holding> CreateHoldingDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *upstream = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *held = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *held = nullptr,
+    bool is_change = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *dropped = nullptr) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*held) : 0;
+  auto dropped__ = dropped ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*dropped) : 0;
   return sagesaddle::fleet_wire::CreateHolding(
       _fbb,
       upstream__,
-      held__);
+      held__,
+      is_change,
+      dropped__);
 }
 
 struct Listed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -65,8 +65,9 @@
           });
     const auto holdings
         = vectorOf<fleet_wire::Holding>(builder, value.holdings, [&](const upstream_holding& item) {
-              return fleet_wire::CreateHolding(
-                  builder, builder.CreateString(item.upstream), builder.CreateVectorOfStrings(item.held));
+              return fleet_wire::CreateHolding(builder, builder.CreateString(item.upstream),
+                  builder.CreateVectorOfStrings(item.held), item.isChange,
+                  item.isChange ? builder.CreateVectorOfStrings(item.dropped) : 0);
           });
     std::vector<fleet_wire::NumberedWork> numbered;
     numbered.reserve(value.work.size());
@@ -87,6 +88,17 @@
     return text == nullptr ? std::string() : text->str();
 }
 
+std::vector<std::string> namesOf(const flatbuffers::Vector<Offset<flatbuffers::String>>* names)
+{
+    std::vector<std::string> read;
+    if (names == nullptr)
+        return read;
+    read.reserve(names->size());
+    for (const auto* name : *names)
+        read.push_back(name->str());
+    return read;
+}
+
 fleet_report decodeReport(const fleet_wire::Report& table)
 {
     fleet_report value;
@@ -115,14 +127,9 @@
 
 listed_upstream decodeListed(const fleet_wire::Listed& item)
 {
-    listed_upstream value { item.upstream()->str(), item.offset(), item.is_removed(), textOf(item.service()),
+    return { item.upstream()->str(), item.offset(), item.is_removed(), textOf(item.service()),
         textOf(item.address()), textOf(item.zone()), item.slots(), item.is_draining(), item.started_at(),
-        item.orders(), {}, item.number() };
-    if (item.held() != nullptr) {
-        for (const auto* name : *item.held())
-            value.held.push_back(name->str());
-    }
-    return value;
+        item.orders(), namesOf(item.held()), item.number() };
 }
 
 fleet_news decodeNews(const fleet_wire::News& table)
@@ -152,12 +159,8 @@
     }
     if (table.holdings() != nullptr) {
         for (const auto* item : *table.holdings()) {
-            upstream_holding holding { item->upstream()->str(), {} };
-            if (item->held() != nullptr) {
-                for (const auto* name : *item->held())
-                    holding.held.push_back(name->str());
-            }
-            value.holdings.push_back(std::move(holding));
+            value.holdings.push_back({ item->upstream()->str(), namesOf(item->held()), item->is_change(),
+                namesOf(item->dropped()) });
         }
     }
     return value;
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -69,6 +69,9 @@
 struct upstream_holding {
     std::string upstream;
     std::vector<std::string> held;
+    /// Whether this adds to what was told before: `held` came and `dropped` went. Otherwise `held` is all.
+    bool isChange { false };
+    std::vector<std::string> dropped;
 
     auto operator<=>(const upstream_holding&) const = default;
 };
