Gateway: Write shared names once in a message, and tell a list without what its engines' news tell

Cause: a whole list named each engine's models and adapters twice, from the platform's list and from the engine's own report, and wrote each name, service and zone anew. At 300 gateways with 3,000 engines it was 1.31 MB; every gateway gets one at a start and after a change of the coordinator, paced by its cost.

Now a message writes each text once, and the list leaves out what an engine was heard to hold, which is newer and told beside it.

A test bounds the bytes of a list of long names.

--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -385,8 +385,10 @@
             continue;
         listed_upstream item { id, known.offset, known.isRemoved, known.entry.service,
             formatAddress(known.entry.where), known.entry.zone, static_cast<std::uint32_t>(known.entry.slots),
-            known.entry.isDraining, known.entry.startedAt, known.entry.orders,
-            holdingNames(known.entry.models), known.number };
+            known.entry.isDraining, known.entry.startedAt, known.entry.orders, {}, known.number };
+        // What its engine was heard to hold is newer, and is told beside the list.
+        if (known.number >= m_stamps.size() || m_stamps[known.number].holdings.changed() == 0)
+            item.held = holdingNames(known.entry.models);
         news.listed.push_back(std::move(item));
     }
     to.toldList = m_listRevision;
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -4,6 +4,7 @@
 #include "Wire/frame_tables.h"
 
 #include <stdexcept>
+#include <unordered_map>
 
 namespace sagesaddle {
 
@@ -48,12 +49,45 @@
         .Union();
 }
 
-Offset<fleet_wire::Listed> encodeListed(FlatBufferBuilder& builder, const listed_upstream& item)
+/// \brief Writes each text into a message once: a list names the same few services, zones and models with
+/// each upstream.
+class shared_texts {
+public:
+    explicit shared_texts(FlatBufferBuilder& builder)
+        : m_builder(builder)
+    {
+    }
+
+    /// \param text lives as long as this object
+    Offset<flatbuffers::String> text(const std::string& text)
+    {
+        const auto [place, isNew] = m_written.try_emplace(text);
+        if (isNew)
+            place->second = m_builder.CreateString(text);
+        return place->second;
+    }
+
+    /// \param texts live as long as this object
+    Offset<flatbuffers::Vector<Offset<flatbuffers::String>>> texts(const std::vector<std::string>& texts)
+    {
+        std::vector<Offset<flatbuffers::String>> offsets;
+        offsets.reserve(texts.size());
+        for (const auto& item : texts)
+            offsets.push_back(text(item));
+        return m_builder.CreateVector(offsets);
+    }
+
+private:
+    FlatBufferBuilder& m_builder;
+    std::unordered_map<std::string_view, Offset<flatbuffers::String>> m_written;
+};
+
+Offset<fleet_wire::Listed> encodeListed(
+    FlatBufferBuilder& builder, shared_texts& shared, const listed_upstream& item)
 {
-    return fleet_wire::CreateListed(builder, builder.CreateString(item.upstream), item.offset, item.isRemoved,
-        builder.CreateString(item.service), builder.CreateString(item.address),
-        builder.CreateString(item.zone), item.slots, item.isDraining, item.startedAt, item.orders,
-        builder.CreateVectorOfStrings(item.held), item.number);
+    return fleet_wire::CreateListed(builder, shared.text(item.upstream), item.offset, item.isRemoved,
+        shared.text(item.service), builder.CreateString(item.address), shared.text(item.zone), item.slots,
+        item.isDraining, item.startedAt, item.orders, shared.texts(item.held), item.number);
 }
 
 Offset<void> encodeNews(FlatBufferBuilder& builder, const fleet_news& value)
@@ -63,19 +97,19 @@
               return fleet_wire::CreateCreditGrant(
                   builder, builder.CreateString(grant.team), grant.tokens, grant.retryAfterMs);
           });
+    shared_texts shared(builder);
     const auto holdings
         = vectorOf<fleet_wire::Holding>(builder, value.holdings, [&](const upstream_holding& item) {
-              return fleet_wire::CreateHolding(builder, builder.CreateString(item.upstream),
-                  builder.CreateVectorOfStrings(item.held), item.isChange,
-                  item.isChange ? builder.CreateVectorOfStrings(item.dropped) : 0);
+              return fleet_wire::CreateHolding(builder, shared.text(item.upstream), shared.texts(item.held),
+                  item.isChange, item.isChange ? shared.texts(item.dropped) : 0);
           });
     std::vector<fleet_wire::NumberedWork> numbered;
     numbered.reserve(value.work.size());
     for (const auto& item : value.work)
         numbered.emplace_back(item.number, item.inFlight, item.tokensAhead, item.memoryTokens);
     const auto work = builder.CreateVectorOfStructs(numbered);
-    const auto listed = vectorOf<fleet_wire::Listed>(
-        builder, value.listed, [&](const listed_upstream& item) { return encodeListed(builder, item); });
+    const auto listed = vectorOf<fleet_wire::Listed>(builder, value.listed,
+        [&](const listed_upstream& item) { return encodeListed(builder, shared, item); });
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.proof.has_value(),
         value.proof ? value.proof->ageMs : 0, value.proof ? value.proof->configEnd : 0, value.isListWhole,
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -22,6 +22,7 @@
         entry.id = id;
         entry.service = "desk";
         entry.where = { "10.0.0.1", 80 };
+        entry.models = { { "m0", {} } };
         list.onRecord({ id, offset++, entry }, start);
     }
     return list;
@@ -391,7 +392,12 @@
     fleet_report all = reportOf("g1");
     all.wantsAll = true;
     const std::vector<upstream_holding> whole { { "a", { "m1", "m1/a1" }, false, {} } };
-    CHECK(tested.onReport(all, start + milliseconds(1300)).holdings == whole);
+    const fleet_news told = tested.onReport(all, start + milliseconds(1300));
+    CHECK(told.holdings == whole);
+    // The list does not name them a second time; of the other engine nothing newer is known.
+    REQUIRE(told.listed.size() == 2);
+    CHECK(told.listed.at(0).held.empty());
+    CHECK(told.listed.at(1).held == std::vector<std::string> { "m0" });
     CHECK(holdingsTold("g3", milliseconds(1300)) == whole);
     // An engine that starts anew is told whole as well.
     tested.onUpstreams(listOf({ "b" }, 2));
--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -49,6 +49,25 @@
     CHECK(first.size + second.size == bytes.size());
 }
 
+TEST_CASE("fleet messages: names that many upstreams share are written once")
+{
+    fleet_news news;
+    for (int index = 0; index < 1000; ++index) {
+        listed_upstream item;
+        item.upstream = "i-" + std::to_string(index);
+        item.service = "a-service-with-a-long-name";
+        item.zone = "a-zone-with-a-long-name";
+        item.address = "10.0.0.1:8308";
+        for (int name = 0; name < 9; ++name)
+            item.held.push_back("a-model-with-a-long-name/a" + std::to_string(name));
+        news.listed.push_back(item);
+    }
+    const std::string bytes = encodeFleetMessage(news);
+    // Nine names by their places, the other fields, and what the table itself takes.
+    CHECK(bytes.size() < 1000 * (9 * 4 + 130));
+    CHECK(std::get<fleet_news>(*decodeFleetMessage(bytes).message) == news);
+}
+
 TEST_CASE("fleet messages: a frame that is not whole yet waits for the rest")
 {
     const std::string bytes = encodeFleetMessage(sampleNews());
--- a/Utilities/bench/bench_coordinator.cpp
+++ b/Utilities/bench/bench_coordinator.cpp
@@ -43,6 +43,7 @@
             entry.service = "desk";
             entry.where = { "10.0.0.1", 80 };
             entry.zone = "zone-" + std::to_string(engine % 3);
+            entry.models = { { "model-" + std::to_string(engine % models), {} } };
             list.onRecord({ entry.id, engine + 1, entry }, m_now);
             m_engines.push_back(entry.id);
             m_held.emplace_back();
@@ -70,6 +71,13 @@
         return answer(m_next, false);
     }
 
+    /// Tells the next gateway everything.
+    std::size_t tellAll()
+    {
+        m_next = (m_next + 1) % m_gateways;
+        return answer(m_next, true);
+    }
+
 private:
     std::string adapterName() { return "adapter-" + std::to_string(m_random() % adapters); }
 
@@ -117,7 +125,19 @@
         = benchmark::Counter(static_cast<double>(bytes), benchmark::Counter::kAvgIterations);
 }
 
+/// Argument: gateways.
+void tellWholeLists(benchmark::State& state)
+{
+    world tested(static_cast<unsigned>(state.range(0)));
+    std::size_t bytes = 0;
+    for (auto _ : state)
+        bytes += tested.tellAll();
+    state.counters["bytes"]
+        = benchmark::Counter(static_cast<double>(bytes), benchmark::Counter::kAvgIterations);
+}
+
 BENCHMARK(answerReports)->ArgsProduct({ { 30, 100, 300 }, { 0, 30 } })->Unit(benchmark::kMicrosecond);
+BENCHMARK(tellWholeLists)->ArgsProduct({ { 30, 100, 300 } })->Unit(benchmark::kMicrosecond);
 
 } // namespace
 
