Gateway: Take over settings that change without a signal, and more of them

Cause: the platform may replace the settings file without SIGHUP; the gateway read it only at that signal and took over the grace alone. A grace shortened without a signal would have been outlived by the stop, a shorter bound on withdrawn keys ignored.

Grace, the bound on withdrawn keys, the bounds on second sends and the log's level are taken over; `reloaded` names settings that differ and need a restart. A file that is half written is told and leaves the process as it is; the whole one is taken when it is there.

The new test writes half a file, then a whole one with a shorter grace and another zone, without a signal. Without the watch there is no line `reload_failed` to wait for (not run apart: there was no code that could write it).

--- a/Source/Fleet/contact_clock.h
+++ b/Source/Fleet/contact_clock.h
@@ -15,6 +15,9 @@
     /// \param keysFor age of the evidence from which requests with keys are refused
     explicit contact_clock(monotonic_span keysFor);
 
+    /// Takes over another bound, which holds for the evidence at hand too.
+    void setKeysFor(monotonic_span keysFor) { m_keysFor = keysFor; }
+
     /// A read of the configuration that was sent at that time was answered and taken in.
     void onProof(monotonic_time sentAt);
 
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -216,9 +216,20 @@
 void gateway::reload(const std::function<gateway_settings()>& read)
 {
     try {
-        gateway_settings next = read();
+        const gateway_settings next = read();
+        const auto kept = settingsForRestart(m_settings, next);
         m_settings.grace = next.grace;
-        m_lines.write(log_level::Info, "reloaded", { { "name", next.name } }, monotonicNow());
+        m_settings.revoke = next.revoke;
+        m_settings.retryRatio = next.retryRatio;
+        m_settings.retrySlack = next.retrySlack;
+        m_settings.level = next.level;
+        m_lines.setLevel(next.level);
+        m_relay.setOptions(relayOptions());
+        std::string names;
+        for (const auto& name : kept)
+            names += (names.empty() ? "" : ", ") + name;
+        m_lines.write(kept.empty() ? log_level::Info : log_level::Warning, "reloaded",
+            { { "name", m_settings.name }, { "kept_until_restart", names } }, monotonicNow());
     } catch (const std::exception& error) {
         m_lines.write(log_level::Error, "reload_failed",
             { { "error", error.what() }, { "kept", "the settings before" } }, monotonicNow());
--- a/Source/Gateway/gateway_settings.cpp
+++ b/Source/Gateway/gateway_settings.cpp
@@ -18,6 +18,27 @@
 
 } // namespace
 
+std::vector<std::string> settingsForRestart(const gateway_settings& running, const gateway_settings& next)
+{
+    std::vector<std::string> names;
+    const auto compare = [&](const char* name, const auto& one, const auto& other) {
+        if (one != other)
+            names.emplace_back(name);
+    };
+    compare("process.name", running.name, next.name);
+    compare("process.zone", running.zone, next.zone);
+    compare("listen.callers", running.callers, next.callers);
+    compare("listen.readiness", running.readiness, next.readiness);
+    compare("listen.peers", running.peers, next.peers);
+    compare("listen.metrics", running.metrics, next.metrics);
+    compare("store.address", running.store, next.store);
+    compare("bounds.lease_ms", running.lease, next.lease);
+    compare("limits.descriptors", running.descriptors, next.descriptors);
+    compare("limits.cores", running.cores, next.cores);
+    compare("limits.link_mbps", running.linkMbps, next.linkMbps);
+    return names;
+}
+
 gateway_settings parseGatewaySettings(settings_reader& reader)
 {
     const gateway_settings standard;
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sagesaddle {
 
@@ -42,6 +43,9 @@
     double linkMbps { 1000 };
 };
 
+/// \return names of the settings that differ and that a running process does not take over
+std::vector<std::string> settingsForRestart(const gateway_settings& running, const gateway_settings& next);
+
 /// Reads the settings of a gateway.
 /// \throws settings_error naming every fault
 gateway_settings parseGatewaySettings(settings_reader& reader);
--- a/Source/Gateway/main.cpp
+++ b/Source/Gateway/main.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/gateway.h"
+#include "Gateway/settings_watch.h"
 #include "Settings/program_main.h"
 #include "Settings/settings_reader.h"
 #include "settings_place.h"
@@ -24,8 +25,8 @@
   -h --help      Show this text.
   --version      Show the version.
 
-SIGTERM or SIGINT drains: not ready first, then finish the running requests, then leave. SIGHUP reads the
-settings again.
+SIGTERM or SIGINT drains: not ready first, then finish the running requests, then leave. The settings are read
+again when their file changes, and at SIGHUP.
 Exit codes: 0 ended as asked, 1 failed, 2 wrong settings or command line.
 )";
 
@@ -40,9 +41,16 @@
     std::signal(SIGPIPE, SIG_IGN);
     sagesaddle::event_loop loop;
     sagesaddle::gateway process(loop, settings);
-    loop.onSignal(SIGTERM, [&] { process.drain(); });
-    loop.onSignal(SIGINT, [&] { process.drain(); });
-    loop.onSignal(SIGHUP, [&] { process.reload([&] { return readSettings(file); }); });
+    const auto reload = [&] { process.reload([&] { return readSettings(file); }); };
+    sagesaddle::settings_watch watch(loop, file, reload);
+    const auto drain = [&] {
+        // How long the end may take is a setting.
+        watch.look();
+        process.drain();
+    };
+    loop.onSignal(SIGTERM, drain);
+    loop.onSignal(SIGINT, drain);
+    loop.onSignal(SIGHUP, reload);
     loop.run();
     return 0;
 }
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -138,6 +138,18 @@
     return m_table ? m_table->config().limits : standard;
 }
 
+void relay::setOptions(const relay_options& options)
+{
+    m_contact.setKeysFor(options.keysFor);
+    const bool isSameBudget = m_options.retriesPerRequest == options.retriesPerRequest
+        && m_options.retrySlack == options.retrySlack;
+    const std::string zone = std::exchange(m_options, options).zone;
+    m_options.zone = zone;
+    // Budgets begin anew with other bounds.
+    if (!isSameBudget)
+        m_retries.clear();
+}
+
 void relay::onConfig(fleet_config_ptr config)
 {
     if (m_table && config->version <= m_table->config().version)
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -73,6 +73,8 @@
     relay& operator=(const relay&) = delete;
 
     void accept(evutil_socket_t socket);
+    /// Takes over other bounds; the zone stays.
+    void setOptions(const relay_options& options);
     /// Takes in a newer configuration; an older one is ignored.
     void onConfig(fleet_config_ptr config);
     void onUpstreams(const std::map<std::string, upstream_entry>& entries);
--- a/Source/Watch/decision_lines.h
+++ b/Source/Watch/decision_lines.h
@@ -36,6 +36,8 @@
 
     void write(log_level level, std::string_view kind, std::vector<log_field> fields, monotonic_time now);
 
+    void setLevel(log_level level) { m_level = level; }
+
     /// \return lines left out so far, for a budget or for a reader that does not keep up.
     std::uint64_t leftOut() const { return m_leftOut; }
 
--- a/Tests/Fleet/contact_clock_tests.cpp
+++ b/Tests/Fleet/contact_clock_tests.cpp
@@ -20,6 +20,15 @@
     CHECK(clock.age(sentAt + seconds(1)) == monotonic_span(seconds(1)));
 }
 
+TEST_CASE("contact clock: another bound holds for the evidence at hand")
+{
+    contact_clock clock(seconds(4));
+    clock.onProof(monotonic_time(seconds(100)));
+    clock.setKeysFor(seconds(2));
+    CHECK(clock.mayUseKeys(monotonic_time(milliseconds(101999))));
+    CHECK_FALSE(clock.mayUseKeys(monotonic_time(seconds(102))));
+}
+
 TEST_CASE("contact clock: an answer that comes late does not make the evidence older")
 {
     contact_clock clock(seconds(4));
--- a/Tests/Gateway/gateway_process_tests.cpp
+++ b/Tests/Gateway/gateway_process_tests.cpp
@@ -213,6 +213,35 @@
     CHECK(attempt.caller->status() == 200);
 }
 
+TEST_CASE("gateway: settings that change without a signal are taken over, and a half-written file is not")
+{
+    platform_world world;
+    ready(world, 1, 60);
+    auto& gateway = world.gateways.at(0);
+    const auto outputHas = [&](const std::string& text) {
+        return loopUntil(world.loop, [&] { return world.outputOf(gateway).find(text) != std::string::npos; });
+    };
+    std::string text = testing::readFile(gateway.settings);
+    testing::writeFile(gateway.settings, text.substr(0, text.size() / 2));
+    CHECK(outputHas("reload_failed"));
+    constexpr const char* grace = "grace_s = ";
+    const std::size_t at = text.find(grace);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, text.find('\n', at) - at, std::string(grace) + "0.6");
+    const std::string zone = "zone = \"";
+    text.insert(text.find(zone) + zone.size(), "other-");
+    testing::writeFile(gateway.settings, text);
+    CHECK(outputHas("\"kept_until_restart\":\"process.zone\""));
+    // The stream lasts longer than what the process has left to end now, and ends within what it had before.
+    const auto& stream = world.send(gateway, "/stream/", "key-1", modelFields);
+    REQUIRE(loopUntil(world.loop, [&] { return stream.caller->has("event 1 "); }));
+    const monotonic_time asked = monotonicNow();
+    gateway.process->terminate();
+    CHECK(loopUntil(world.loop, [&] { return !gateway.process->isRunning(); }));
+    CHECK(monotonicNow() - asked < platform_world::grace / 2);
+    CHECK_FALSE(platform_world::isWhole(stream));
+}
+
 TEST_CASE("gateway: unreadable records of the store are left out and told, the others hold")
 {
     platform_world world;
