Relay: Ask an upstream once more where it dropped an idle connection as a request came

Cause: a request that met the end of a kept connection counted its upstream as tried.

Now the same upstream is asked once more on a new connection, after all others, within the bounds on second sends. A call that may run once is still told that it may have run.

The world's audit now looks at the answer of every plain route.

--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -179,7 +179,8 @@
 void relay_exchange::send(const upstream_state_ptr& target, double forecast)
 {
     m_upstream = target;
-    m_link = target->pool.take(false);
+    m_link = target->pool.take(m_wasDroppedEarly);
+    m_linkWasIdle = m_link->isConnected();
     const double prompt = m_request.promptTokens.value_or(0);
     m_aheadTokens = prompt;
     m_memoryTokens = prompt
@@ -416,6 +417,10 @@
         place();
         return;
     }
+    // It may just have closed a connection that was idle: where no other can take the request, it is asked
+    // once more, on a new connection.
+    if (m_linkWasIdle && !m_firstByteCame && !std::exchange(m_wasDroppedEarly, true))
+        m_tried.erase(m_upstream->entry.id);
     leaveUpstream(false);
     retryOr(relay_reason::UpstreamBroke);
 }
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -111,6 +111,10 @@
     upstream_state_ptr m_upstream;
     upstream_link_ptr m_link;
     std::set<std::string> m_tried;
+    /// Whether the connection had stood idle before this request.
+    bool m_linkWasIdle { false };
+    /// A connection that had been idle ended before any byte of an answer.
+    bool m_wasDroppedEarly { false };
     int m_sends { 0 };
     monotonic_time m_sentAt {};
     monotonic_time m_leftAt {};
--- a/Tests/Gateway/gateway_process_tests.cpp
+++ b/Tests/Gateway/gateway_process_tests.cpp
@@ -146,6 +146,34 @@
     checkPromises(world);
 }
 
+TEST_CASE(
+    "gateway: of configurations in quick succession the newest is soon in force, with all of its routes")
+{
+    constexpr int versions = 12;
+    constexpr int routes = 500;
+    platform_world world;
+    ready(world, 2);
+    for (int version = 2; version <= versions; ++version) {
+        world.configure({ "new-" + std::to_string(version) }, 1e6, version * routes / versions);
+        loopFor(world.loop, milliseconds(20));
+    }
+    const monotonic_time written = monotonicNow();
+    const std::string newest = "new-" + std::to_string(versions);
+    for (const auto& gateway : world.gateways) {
+        const auto statusOf = [&](const std::string& path, const std::string& key) {
+            const auto& attempt = world.send(gateway, path, key);
+            return world.waitEnd(attempt) ? attempt.caller->status() : 0;
+        };
+        CHECK(loopUntil(world.loop, [&] { return statusOf("/safe/", newest) == 200; }));
+        CHECK(monotonicNow() - written <= platform_world::revoke);
+        for (const int route : { 0, routes / 2, routes - 1 })
+            CHECK(statusOf("/more/" + std::to_string(route) + "/", newest) == 200);
+        for (int version = 2; version < versions; ++version)
+            CHECK(statusOf("/safe/", "new-" + std::to_string(version)) == 401);
+    }
+    checkPromises(world);
+}
+
 TEST_CASE("gateway: a gateway whose own way to the store is cut serves on the coordinator's evidence")
 {
     platform_world world;
--- a/Tests/Gateway/platform_world.cpp
+++ b/Tests/Gateway/platform_world.cpp
@@ -78,7 +78,7 @@
     store.put("keyed.servers", engine.id(), engine.listing());
 }
 
-void platform_world::configure(const std::vector<std::string>& keysOfAtelier, double rate)
+void platform_world::configure(const std::vector<std::string>& keysOfAtelier, double rate, int moreRoutes)
 {
     nlohmann::json models = nlohmann::json::array();
     for (const char* name : { "m1", "m2", "m3" })
@@ -86,11 +86,12 @@
             { "adapter-mb", 1 } });
     const nlohmann::json engine { { "slots", 8 }, { "kv-capacity", 100000 }, { "weights-mb", 206 },
         { "adapter-slots", 2 }, { "loads-per-s", 5 }, { "models", models } };
-    const nlohmann::json config { { "version", m_version += 3 },
-        { "routes",
-            { routeOf("/safe/", "safe", "ledger", false), routeOf("/unsafe/", "unsafe", "ledger", false),
-                routeOf("/stream/", "streaming", "desk", false),
-                routeOf("/resume/", "streaming", "desk", true) } },
+    nlohmann::json routes { routeOf("/safe/", "safe", "ledger", false),
+        routeOf("/unsafe/", "unsafe", "ledger", false), routeOf("/stream/", "streaming", "desk", false),
+        routeOf("/resume/", "streaming", "desk", true) };
+    for (int index = 0; index < moreRoutes; ++index)
+        routes.push_back(routeOf("/more/" + std::to_string(index) + "/", "safe", "ledger", false));
+    const nlohmann::json config { { "version", m_version += 3 }, { "routes", routes },
         { "services", { { { "name", "desk" }, { "engine", engine } }, { { "name", "ledger" } } } },
         { "tenants",
             { { { "name", "atelier" }, { "api-keys", keysOfAtelier }, { "unit", "tokens" },
@@ -166,7 +167,7 @@
         broken.push_back(of.id + " was told not to have run, and ran");
     if (status != 200 || !isWhole(of))
         return;
-    if (of.path == "/safe/" || of.path == "/unsafe/") {
+    if (of.path != "/stream/" && of.path != "/resume/") {
         if (!of.caller->has("answer to " + of.id))
             broken.push_back(of.id + " got another answer");
         return;
--- a/Tests/Gateway/platform_world.h
+++ b/Tests/Gateway/platform_world.h
@@ -51,7 +51,8 @@
     /// Lists the engine as it is now.
     void list(const engine_stand_in& engine);
     /// Writes the next configuration: the teams' keys, and a rate for the first team.
-    void configure(const std::vector<std::string>& keysOfAtelier, double rate = 1e6);
+    /// \param moreRoutes further routes, `/more/0/` and so on, to the plain service
+    void configure(const std::vector<std::string>& keysOfAtelier, double rate = 1e6, int moreRoutes = 0);
 
     /// Sends a request on a new connection.
     attempt& send(const gateway_process& to, const std::string& path, const std::string& key = "key-1",
--- a/Tests/Relay/relay_trouble_tests.cpp
+++ b/Tests/Relay/relay_trouble_tests.cpp
@@ -208,3 +208,80 @@
     CHECK(loopUntil(world.loop, [&] { return writer.isClosed(); }));
     CHECK(writer.written() < farTooMuch / 8);
 }
+
+TEST_CASE(
+    "relay: connections that an upstream drops while they are idle, sooner than it said, cost no request")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest = [](const request& asked) {
+        asked.stream->write(answerWithField(asked, 200, "Keep-Alive: timeout=60", "ok"));
+    };
+    for (int call = 0; call < 20; ++call) {
+        // Calls that may run once: a lost one cannot be sent again.
+        auto& caller = world.addCaller();
+        caller.request("POST", "/unsafe/a");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 200);
+        upstream.cutAll();
+        loopFor(world.loop, milliseconds(5));
+    }
+    CHECK(upstream.accepted == 20);
+}
+
+TEST_CASE(
+    "relay: a request that crosses an early drop is repeated where it may be, and else not called unrun")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    int arrived = 0;
+    upstream.onRequest = [&](const request& asked) {
+        // Each second request meets the end of the connection that the one before it left.
+        if (++arrived % 2 == 0)
+            upstream.cut(asked.stream);
+        else
+            asked.stream->write(scripted_upstream::answer(asked, 200, "ok"));
+    };
+    const auto call = [&](const std::string& method, const std::string& path) -> scripted_caller& {
+        auto& caller = world.addCaller();
+        caller.request(method, path);
+        REQUIRE(world.ended(caller));
+        return caller;
+    };
+    CHECK(call("GET", "/safe/a").status() == 200);
+    CHECK(call("GET", "/safe/b").status() == 200);
+    CHECK(arrived == 3);
+    auto& lost = call("POST", "/unsafe/c");
+    CHECK(arrived == 4);
+    CHECK(lost.status() == 502);
+    CHECK_FALSE(lost.has("not_run"));
+}
+
+TEST_CASE("relay: while an upstream flaps, calls that may be repeated are answered and it gets few of them")
+{
+    relay_world world;
+    auto& flapping = world.addUpstream("u1");
+    auto& sound = world.addUpstream("u2");
+    sound.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    bool isDown = false;
+    int lost = 0;
+    flapping.onRequest = [&](const request& asked) {
+        if (!isDown)
+            return asked.stream->write(scripted_upstream::answer(asked, 200, "ok"));
+        ++lost;
+        flapping.cut(asked.stream);
+    };
+    for (int call = 0; call < 100; ++call) {
+        if (call % 10 == 0)
+            isDown = !isDown;
+        if (isDown && call % 10 == 0)
+            flapping.cutAll();
+        auto& caller = world.addCaller();
+        caller.request("GET", "/safe/a");
+        REQUIRE(world.ended(caller));
+        CHECK(caller.status() == 200);
+    }
+    // Without its failures being weighed it would lose half of the fifty calls that come while it is down.
+    CHECK(lost <= 10);
+}
