--- a/Tests/Support/free_port.cpp
+++ b/Tests/Support/free_port.cpp
@@ -1,12 +1,15 @@
 #include "Support/free_port.h"
 
-#include "Base/scope_guard.h"
-
 #include <arpa/inet.h>
 #include <cerrno>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
 #include <mutex>
-#include <set>
+#include <stdexcept>
+#include <string>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <system_error>
 #include <unistd.h>
 
@@ -14,18 +17,61 @@
 
 namespace {
 
-std::uint16_t takeFreePort()
+// Below the ports that the system gives to outgoing connections: one of those may take any port of its range
+// between the look here and the bind of the process that gets it.
+constexpr std::uint16_t firstPort = 12000;
+constexpr std::uint16_t portCount = 20000;
+
+/// A socket that is closed at the end of its scope, unless it is kept.
+class open_socket {
+public:
+    open_socket(int family)
+        : m_descriptor(::socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        if (m_descriptor < 0)
+            throw std::system_error(errno, std::generic_category(), "cannot open a socket");
+    }
+    ~open_socket()
+    {
+        if (m_descriptor >= 0)
+            ::close(m_descriptor);
+    }
+
+    open_socket(const open_socket&) = delete;
+    open_socket& operator=(const open_socket&) = delete;
+
+    int get() const { return m_descriptor; }
+    /// Leaves it open until the process ends.
+    void keep() { m_descriptor = -1; }
+
+private:
+    int m_descriptor;
+};
+
+/// Claims a port among the tests that run at once, until this process ends.
+bool claim(std::uint16_t port)
+{
+    open_socket mark(AF_UNIX);
+    sockaddr_un name {};
+    name.sun_family = AF_UNIX;
+    // A name that begins with a zero byte has no file, and is free again when its process ends.
+    const std::string text = "sagesaddle-test-port-" + std::to_string(port);
+    std::memcpy(name.sun_path + 1, text.data(), text.size());
+    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
+    if (::bind(mark.get(), reinterpret_cast<const sockaddr*>(&name), size) != 0)
+        return false;
+    mark.keep();
+    return true;
+}
+
+bool isFree(std::uint16_t port)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    const scope_guard close([descriptor] { ::close(descriptor); });
+    const open_socket probe(AF_INET);
     sockaddr_in name {};
     name.sin_family = AF_INET;
+    name.sin_port = htons(port);
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof name;
-    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&name), size) != 0
-        || ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&name), &size) != 0)
-        throw std::system_error(errno, std::generic_category(), "cannot take a free loopback port");
-    return ntohs(name.sin_port);
+    return ::bind(probe.get(), reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
 }
 
 } // namespace
@@ -33,12 +79,15 @@
 address freeAddress()
 {
     static std::mutex mutex;
-    static std::set<std::uint16_t> given;
+    // Tests that run at once begin their search apart.
+    static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * 97;
     const std::lock_guard lock(mutex);
-    std::uint16_t port = takeFreePort();
-    while (!given.insert(port).second)
-        port = takeFreePort();
-    return { "127.0.0.1", port };
+    for (int attempt = 0; attempt < portCount; ++attempt) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        if (claim(port) && isFree(port))
+            return { "127.0.0.1", port };
+    }
+    throw std::runtime_error("all loopback ports for tests are taken; end the tests that still run");
 }
 
 } // namespace sagesaddle::testing
--- a/Tests/Support/free_port.h
+++ b/Tests/Support/free_port.h
@@ -4,7 +4,8 @@
 
 namespace sagesaddle::testing {
 
-/// \return a loopback address whose port was free a moment ago and is not handed out again by this process.
+/// \return a loopback address whose port is free, and is handed out to no other test while this process
+/// lasts. \throws std::runtime_error where none is left
 address freeAddress();
 
 } // namespace sagesaddle::testing
