Relay: Let connections stay idle as long as the newest configuration says

Cause: a connection's idle time ran by the limit in force at its last answer. A configuration that raises the limit lets callers come back later; their connections were closed as the request came.

When the time is over, what is left by the configuration in force now is waited for.

The new test failed before: no caller had an answer after 500 ms idle, with the limit raised from 200 ms to 30 s.

--- a/Source/Relay/caller_link.cpp
+++ b/Source/Relay/caller_link.cpp
@@ -27,6 +27,8 @@
             m_patience.start(m_owner.limits().headTimeout);
         else if (m_reader->isInMessage() && !m_closesWhenWritten)
             refuseEarly(408);
+        else if (const auto rest = idleTimeLeft(); rest > monotonic_span::zero())
+            m_patience.start(rest);
         else
             close();
     })
@@ -165,6 +167,13 @@
     finishAnswer();
 }
 
+monotonic_span caller_link::idleTimeLeft() const
+{
+    if (m_closesWhenWritten || m_refusedEarly)
+        return {};
+    return m_idleSince + m_owner.limits().idleTimeout - monotonicNow();
+}
+
 void caller_link::finishAnswer()
 {
     m_exchange.reset();
--- a/Source/Relay/caller_link.h
+++ b/Source/Relay/caller_link.h
@@ -52,6 +52,10 @@
     void close();
 
     relay& m_owner;
+    /// \return how long a connection on which nothing comes may stay open yet, by the configuration in force
+    /// now.
+    monotonic_span idleTimeLeft() const;
+
     std::unique_ptr<tcp_stream> m_stream;
     std::unique_ptr<http_reader> m_reader;
     timer m_patience;
--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -324,6 +324,31 @@
     CHECK(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
 }
 
+TEST_CASE("relay: connections may stay idle as long as the newest configuration says")
+{
+    relay_world world;
+    auto config = relay_world::config(2);
+    config.limits.idleTimeout = milliseconds(200);
+    world.tested.onConfig(std::make_shared<fleet_config>(config));
+    auto& upstream = world.addUpstream("u1");
+    upstream.onRequest
+        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    blocking_callers callers(world.listener.port(), manyCallers);
+    callers.send(openRequest);
+    REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+    config.version = 3;
+    config.limits.idleTimeout = seconds(30);
+    world.tested.onConfig(std::make_shared<fleet_config>(config));
+    loopFor(world.loop, milliseconds(500));
+    callers.send(openRequest);
+    CHECK(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+    config.version = 4;
+    config.limits.idleTimeout = milliseconds(50);
+    world.tested.onConfig(std::make_shared<fleet_config>(config));
+    callers.send(openRequest);
+    CHECK(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
+}
+
 TEST_CASE("relay: requests that came right before a planned stop are answered")
 {
     relay_world world;
