Relay: Log each caller's connection that is closed with something left on it

Ruled out by the logs: a refusal, a caller that left, the limit of connections (each would have a line), and idle time (15 s there).

`caller_cut` says why a connection was closed while a request ran, bytes had come, or an answer was not written out. The cause stays open.

--- a/Source/Relay/caller_link.cpp
+++ b/Source/Relay/caller_link.cpp
@@ -30,7 +30,7 @@
         else if (const auto rest = idleTimeLeft(); rest > monotonic_span::zero())
             m_patience.start(rest);
         else
-            close();
+            close("time");
     })
 {
     m_reader = std::make_unique<http_reader>(http_reader::message::Requests, owner.limits().maxHeadBytes,
@@ -196,7 +196,7 @@
         m_exchange->holdBack(false);
     // The caller closes first where it still sends, so that our answer is not lost to a reset.
     if (m_closesWhenWritten && !m_refusedEarly)
-        close();
+        close("answered");
 }
 
 void caller_link::onLeft()
@@ -206,13 +206,13 @@
         const auto left = std::move(m_exchange);
         left->onCallerLeft();
     }
-    close();
+    close("caller");
 }
 
 void caller_link::breakOff()
 {
     m_exchange.reset();
-    close();
+    close("broke_off");
 }
 
 bool caller_link::drain()
@@ -220,14 +220,18 @@
     // A request that came already is answered, which closes the connection.
     if (!isIdle() || m_stream->hasIncoming())
         return false;
-    close();
+    close("idle");
     return true;
 }
 
-void caller_link::close()
+void caller_link::close(std::string_view why)
 {
     if (m_closed)
         return;
+    const bool hasIncoming = m_stream->hasIncoming();
+    if (m_exchange || hasIncoming || m_reader->isInMessage() || m_stream->unwritten() > 0)
+        m_owner.noteCut(
+            why, m_exchange != nullptr, hasIncoming || m_reader->isInMessage(), m_stream->unwritten());
     m_closed = true;
     m_patience.stop();
     m_stream->handle({});
--- a/Source/Relay/caller_link.h
+++ b/Source/Relay/caller_link.h
@@ -49,7 +49,8 @@
     void refuseEarly(int status);
     void finishAnswer();
     void appendHead(std::string& out, int status, const std::vector<http_field>& fields) const;
-    void close();
+    /// \param why for the log, where something is lost by it
+    void close(std::string_view why);
 
     relay& m_owner;
     /// \return how long a connection on which nothing comes may stay open yet, by the configuration in force
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -116,6 +116,13 @@
     return std::any_of(idle.begin(), looked, [](const auto& link) { return link->drain(); });
 }
 
+void relay::noteCut(std::string_view why, bool hasRequest, bool hasIncoming, std::size_t unwritten)
+{
+    m_watch.lines.write(log_level::Warning, "caller_cut",
+        { { "by", why }, { "request", hasRequest }, { "incoming", hasIncoming }, { "unwritten", unwritten } },
+        monotonicNow());
+}
+
 void relay::forget(const caller_link& link)
 {
     const auto found = m_callers.find(&link);
