--- a/Tests/Relay/relay_answer_tests.cpp
+++ b/Tests/Relay/relay_answer_tests.cpp
@@ -181,6 +181,28 @@
     CHECK(arrived() == 1);
 }
 
+TEST_CASE("relay: what came of a stream before it broke off is delivered, though the break is at once")
+{
+    relay_world world;
+    auto& upstream = world.addUpstream("u1");
+    // The events and the break reach the relay together.
+    constexpr int events = 3;
+    upstream.onRequest = [&](const request& asked) {
+        std::string text = scripted_upstream::streamHead(asked);
+        for (int event = 1; event <= events; ++event)
+            text += scripted_upstream::event(event, "number " + std::to_string(event) + " of many");
+        // No chunk begins so: the relay finds the answer broken right behind the events.
+        asked.stream->write(text + "no chunk\r\n");
+    };
+    for (int call = 0; call < 10; ++call) {
+        auto& caller = world.addCaller();
+        caller.request("POST", "/stream/a", "", "x");
+        REQUIRE(loopUntil(world.loop, [&] { return caller.isClosed(); }));
+        CHECK(caller.has("data: number " + std::to_string(events) + " of many"));
+        CHECK_FALSE(caller.has("\r\n0\r\n\r\n"));
+    }
+}
+
 TEST_CASE("relay: a resumable stream goes on behind its last whole event on another upstream")
 {
     relay_world world;
