--- /dev/null
+++ b/Source/Base/join.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace sagesaddle {
+
+/// \return the parts as one text, with the separator between them.
+std::string join(const std::vector<std::string>& parts, const std::string& separator);
+
+} // namespace sagesaddle
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -98,7 +98,7 @@
 
 std::string coordinator::successor(const std::string& self, monotonic_time now)
 {
-    const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
+    const milliseconds heardWithin = pace().heardWithin;
     const auto isFit = [&](const auto& item) {
         return item.first != self && !item.second.member.empty() && now - item.second.heardAt <= heardWithin;
     };
@@ -175,8 +175,6 @@
             if (known.number < told.toldWork.size())
                 told.toldWork[known.number] = { known.number };
         }
-        if (known.number < m_stamps.size())
-            m_stamps[known.number] = {};
         m_freeNumbers.push_back(known.number);
         m_numbers.erase(entry->first);
         entry = m_listings.erase(entry);
@@ -227,9 +225,9 @@
 
 void coordinator::forgetSilent(monotonic_time now)
 {
-    const fleet_pace pace = paceOf(static_cast<unsigned>(m_reporters.size()));
+    const milliseconds silentAfter = pace().silentAfter;
     for (auto& [name, known] : m_reporters) {
-        if (now - known.heardAt > pace.silentAfter && !known.work.empty())
+        if (now - known.heardAt > silentAfter && !known.work.empty())
             replaceWork(known, {});
     }
     std::erase_if(m_reporters, [&](const auto& item) { return now - item.second.heardAt > countedFor; });
@@ -246,7 +244,7 @@
 
 bool coordinator::isStoreAwayFromAll(monotonic_time now) const
 {
-    const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
+    const milliseconds heardWithin = pace().heardWithin;
     return !m_reporters.empty() && std::all_of(m_reporters.begin(), m_reporters.end(), [&](const auto& item) {
         return item.second.isStoreAway && now - item.second.heardAt <= heardWithin;
     });
@@ -263,9 +261,14 @@
     return 1 - shareAlone * std::max(0.0, all - hearing) / all;
 }
 
+fleet_pace coordinator::pace() const
+{
+    return paceOf(static_cast<unsigned>(m_reporters.size()));
+}
+
 unsigned coordinator::heard(monotonic_time now) const
 {
-    const milliseconds heardWithin = paceOf(static_cast<unsigned>(m_reporters.size())).heardWithin;
+    const milliseconds heardWithin = pace().heardWithin;
     return static_cast<unsigned>(std::count_if(m_reporters.begin(), m_reporters.end(),
         [&](const auto& item) { return now - item.second.heardAt <= heardWithin; }));
 }
@@ -368,9 +371,7 @@
         const held_changes& holdings = m_stamps[number].holdings;
         if (holdings.changed() <= to.toldHoldings)
             continue;
-        held_change change = holdings.since(to.toldHoldings);
-        news.holdings.push_back(
-            { m_sums[number].upstream, std::move(change.held), change.isChange, std::move(change.dropped) });
+        news.holdings.push_back({ m_sums[number].upstream, holdings.since(to.toldHoldings) });
     }
     to.toldHoldings = m_newestStamp;
 }
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -94,6 +94,8 @@
         held_changes holdings;
     };
 
+    /// \return the times that follow from the number of gateways that report.
+    fleet_pace pace() const;
     void forgetSilent(monotonic_time now);
     /// \return gateways whose last report is recent.
     unsigned heard(monotonic_time now) const;
--- a/Source/Gateway/fleet_link.cpp
+++ b/Source/Gateway/fleet_link.cpp
@@ -93,7 +93,7 @@
             which.stream->consume(frame.size);
             if (!frame.message || !std::holds_alternative<fleet_report>(*frame.message))
                 continue;
-            const auto news = m_handler(std::get<fleet_report>(*frame.message));
+            const auto news = m_handler(std::get<fleet_report>(std::move(*frame.message)));
             if (!news || which.stream->unwritten() > maxUnreadBytes) {
                 drop(which);
                 return;
--- a/Source/Gateway/fleet_link.h
+++ b/Source/Gateway/fleet_link.h
@@ -36,7 +36,7 @@
 public:
     /// Receives a report.
     /// \return the news; nothing where this gateway does not coordinate, which closes the connection
-    using on_report = std::function<std::optional<fleet_news>(const fleet_report&)>;
+    using on_report = std::function<std::optional<fleet_news>(fleet_report)>;
 
     report_server(event_loop& loop, const address& where, on_report handler);
 
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/gateway.h"
 
 #include "Base/http_status.h"
+#include "Base/join.h"
 #include "Gateway/member_name.h"
 #include "caller_wire.h"
 
@@ -96,7 +97,8 @@
               },
               [this](const duty_record& record) { m_follower.onHeardLease(record); },
               [this] { m_orders.work(); }, [this](bool isSuccessor) { m_follower.setFirst(isSuccessor); } })
-    , m_reports(loop, m_settings.peers, [this](const fleet_report& report) { return answerReport(report); })
+    , m_reports(
+          loop, m_settings.peers, [this](fleet_report report) { return answerReport(std::move(report)); })
     , m_readiness(loop, m_settings.readiness,
           [this](const http_head& head) -> status_server::reply {
               if (!platform::isReadinessCall(head))
@@ -157,21 +159,20 @@
     m_coordinator.setGround(m_isInterim ? std::max(m_share.gateways(), 1U) : 0, now);
 }
 
-std::optional<fleet_news> gateway::answerReport(const fleet_report& report)
+std::optional<fleet_news> gateway::answerReport(fleet_report report)
 {
     onDuty();
     if (!m_coordinates)
         return std::nullopt;
-    fleet_report answered = report;
     // All gateways ask for everything at once after a start; those beyond the bounds get it at a later
     // report.
     if (report.wantsAll && !m_coordinator.mayTellAll(m_reports.unwritten(), monotonicNow()))
-        answered.isOnlyCredit = true;
-    auto news = m_coordinator.onReport(answered, monotonicNow());
+        report.isOnlyCredit = true;
+    auto news = m_coordinator.onReport(report, monotonicNow());
     if (report.hasUnplaced())
         m_orders.work();
     news.isInterim = m_isInterim;
-    if (answered.isOnlyCredit || m_isInterim)
+    if (report.isOnlyCredit || m_isInterim)
         return news;
     news.successor = m_coordinator.successor(m_settings.name, monotonicNow());
     if (const auto proof = m_follower.proof()) {
@@ -225,11 +226,8 @@
         m_settings.level = next.level;
         m_lines.setLevel(next.level);
         m_relay.setOptions(relayOptions());
-        std::string names;
-        for (const auto& name : kept)
-            names += (names.empty() ? "" : ", ") + name;
         m_lines.write(kept.empty() ? log_level::Info : log_level::Warning, "reloaded",
-            { { "name", m_settings.name }, { "kept_until_restart", names } }, monotonicNow());
+            { { "name", m_settings.name }, { "kept_until_restart", join(kept, ", ") } }, monotonicNow());
     } catch (const std::exception& error) {
         m_lines.write(log_level::Error, "reload_failed",
             { { "error", error.what() }, { "kept", "the settings before" } }, monotonicNow());
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -27,7 +27,7 @@
 private:
     void onDuty();
     void drainStep();
-    std::optional<fleet_news> answerReport(const fleet_report& report);
+    std::optional<fleet_news> answerReport(fleet_report report);
     relay_options relayOptions() const;
 
     event_loop& m_loop;
--- a/Source/Plan/holding_planner.cpp
+++ b/Source/Plan/holding_planner.cpp
@@ -425,9 +425,9 @@
             for (int index = 1; index <= model.adapters; ++index) {
                 const std::string adapter = "a" + std::to_string(index);
                 const std::string name = holdingName(model.name, adapter);
-                busy.push_back({ &model, adapter, name, demand.of(name, now).requestsPerSecond });
-                if (requestsPerCopyOf(busy.back()) <= adapterCopyDemand)
-                    busy.pop_back();
+                busy_adapter item { &model, adapter, name, demand.of(name, now).requestsPerSecond };
+                if (requestsPerCopyOf(item) > adapterCopyDemand)
+                    busy.push_back(std::move(item));
             }
         }
         return busy;
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -150,8 +150,7 @@
     m_contact.setKeysFor(options.keysFor);
     const bool isSameBudget = m_options.retriesPerRequest == options.retriesPerRequest
         && m_options.retrySlack == options.retrySlack;
-    const std::string zone = std::exchange(m_options, options).zone;
-    m_options.zone = zone;
+    m_options = options;
     // Budgets begin anew with other bounds.
     if (!isSameBudget)
         m_retries.clear();
@@ -322,8 +321,7 @@
     if (service == m_byService.end())
         return found;
     const monotonic_time now = monotonicNow();
-    const auto& asked = request.request();
-    const std::string wanted = asked.model.empty() ? std::string() : holdingName(asked.model, asked.adapter);
+    const std::string wanted = request.request().holding();
     for (const auto& upstream : service->second) {
         if (upstream->isOpen(now) && upstream->holds(wanted) && !tried.contains(upstream->entry.id))
             found.push_back(upstream);
@@ -399,11 +397,15 @@
         chooseAmong(request, candidates, demand));
 }
 
+double relay::model_pace::placedRate(monotonic_time now) const
+{
+    return placedPerSecond * std::exp(-secondsBetween(placedAt, now) / placedSeconds);
+}
+
 double relay::placedUnseen(const relay_exchange& request, monotonic_time now)
 {
     const model_pace& known = paceOf(request);
-    const double rate
-        = known.placedPerSecond * std::exp(-secondsBetween(known.placedAt, now) / placedSeconds);
+    const double rate = known.placedRate(now);
     // News come with whole reports: at their pause, or sooner where a request asks for credit.
     const fleet_pace pace = sagesaddle::paceOf(m_gateways);
     const double newsAge
@@ -440,8 +442,7 @@
     if (service == m_byService.end())
         return std::nullopt;
     const monotonic_time now = monotonicNow();
-    const auto& asked = request.request();
-    const std::string wanted = asked.model.empty() ? std::string() : holdingName(asked.model, asked.adapter);
+    const std::string wanted = request.request().holding();
     std::optional<monotonic_time> soonest;
     for (const auto& upstream : service->second) {
         if (upstream->entry.isDraining || upstream->isLeaving || now >= upstream->restsUntil
@@ -631,9 +632,7 @@
     const monotonic_time now = monotonicNow();
     returnsOf(request).onTaken(1, now);
     model_pace& pace = paceOf(request);
-    pace.placedPerSecond
-        = pace.placedPerSecond * std::exp(-secondsBetween(pace.placedAt, now) / placedSeconds)
-        + 1 / placedSeconds;
+    pace.placedPerSecond = pace.placedRate(now) + 1 / placedSeconds;
     pace.placedAt = now;
     m_watch.lines.write(log_level::Debug, "sent",
         { { "id", request.request().id }, { "upstream", upstream.entry.id }, { "forecast_ms", forecast },
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -73,7 +73,7 @@
     relay& operator=(const relay&) = delete;
 
     void accept(evutil_socket_t socket);
-    /// Takes over other bounds; the zone stays.
+    /// Takes over other bounds.
     void setOptions(const relay_options& options);
     /// Takes in a newer configuration; an older one is ignored.
     void onConfig(fleet_config_ptr config);
@@ -155,6 +155,9 @@
         /// Requests a second that were placed here, weighted towards the last seconds.
         double placedPerSecond { 0 };
         monotonic_time placedAt {};
+
+        /// \return placedPerSecond as of now: it fades since placedAt.
+        double placedRate(monotonic_time now) const;
     };
 
     std::vector<upstream_state_ptr> candidatesFor(
--- a/Source/Relay/relay_request.h
+++ b/Source/Relay/relay_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/clock.h"
+#include "Fleet/holding_name.h"
 #include "Loop/http_text.h"
 
 #include <cstdint>
@@ -44,6 +45,10 @@
     std::string body;
 
     auto operator<=>(const relay_request&) const = default;
+
+    /// \return what an upstream must hold for it, as `model` or `model/adapter`; empty where nothing is
+    /// needed.
+    std::string holding() const { return model.empty() ? std::string() : holdingName(model, adapter); }
 };
 
 /// \brief What the system adds to a request for one upstream.
--- a/Source/Settings/settings_reader.cpp
+++ b/Source/Settings/settings_reader.cpp
@@ -1,5 +1,7 @@
 #include "Settings/settings_reader.h"
 
+#include "Base/join.h"
+
 #include <algorithm>
 #include <cctype>
 #include <fstream>
@@ -21,14 +23,6 @@
     });
 }
 
-std::string join(const std::vector<std::string>& parts, const std::string& separator)
-{
-    std::string text;
-    for (const auto& part : parts)
-        text += (text.empty() ? "" : separator) + part;
-    return text;
-}
-
 std::string formatNumber(double value)
 {
     std::ostringstream text;
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -100,8 +100,9 @@
     shared_texts shared(builder);
     const auto holdings
         = vectorOf<fleet_wire::Holding>(builder, value.holdings, [&](const upstream_holding& item) {
-              return fleet_wire::CreateHolding(builder, shared.text(item.upstream), shared.texts(item.held),
-                  item.isChange, item.isChange ? shared.texts(item.dropped) : 0);
+              return fleet_wire::CreateHolding(builder, shared.text(item.upstream),
+                  shared.texts(item.change.held), item.change.isChange,
+                  item.change.isChange ? shared.texts(item.change.dropped) : 0);
           });
     std::vector<fleet_wire::NumberedWork> numbered;
     numbered.reserve(value.work.size());
@@ -193,8 +194,8 @@
     }
     if (table.holdings() != nullptr) {
         for (const auto* item : *table.holdings()) {
-            value.holdings.push_back({ item->upstream()->str(), namesOf(item->held()), item->is_change(),
-                namesOf(item->dropped()) });
+            value.holdings.push_back({ item->upstream()->str(),
+                { namesOf(item->held()), namesOf(item->dropped()), item->is_change() } });
         }
     }
     return value;
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Fleet/held_changes.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <optional>
@@ -65,13 +67,10 @@
     auto operator<=>(const demand_count&) const = default;
 };
 
-/// \brief What an upstream holds, as `model` or `model/adapter`.
+/// \brief What came and went at an upstream, or all that it holds.
 struct upstream_holding {
     std::string upstream;
-    std::vector<std::string> held;
-    /// Whether this adds to what was told before: `held` came and `dropped` went. Otherwise `held` is all.
-    bool isChange { false };
-    std::vector<std::string> dropped;
+    held_change change;
 
     auto operator<=>(const upstream_holding&) const = default;
 };
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -379,19 +379,19 @@
         return tested.onReport(reportOf(gateway), start + after).holdings;
     };
     CHECK(holdingsTold("g1", milliseconds(0))
-        == std::vector<upstream_holding> { { "a", { "m1" }, false, {} } });
+        == std::vector<upstream_holding> { { "a", { { "m1" }, {}, false } } });
     CHECK(holdingsTold("g1", milliseconds(100)).empty());
     CHECK(holdingsTold("g2", milliseconds(100)).size() == 1);
     holds.models = { { "m1", { "a1" } } };
     holds.orders = 1;
     tested.books().at("a").onReport(holds, start + seconds(1), start + seconds(1));
     CHECK(holdingsTold("g1", milliseconds(1100))
-        == std::vector<upstream_holding> { { "a", { "m1/a1" }, true, {} } });
+        == std::vector<upstream_holding> { { "a", { { "m1/a1" }, {}, true } } });
     CHECK(holdingsTold("g1", milliseconds(1200)).empty());
     // One that asks for everything, and one that comes later, cannot add to what they do not have.
     fleet_report all = reportOf("g1");
     all.wantsAll = true;
-    const std::vector<upstream_holding> whole { { "a", { "m1", "m1/a1" }, false, {} } };
+    const std::vector<upstream_holding> whole { { "a", { { "m1", "m1/a1" }, {}, false } } };
     const fleet_news told = tested.onReport(all, start + milliseconds(1300));
     CHECK(told.holdings == whole);
     // The list does not name them a second time; of the other engine nothing newer is known.
--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -30,8 +30,8 @@
     news.entries = 4;
     news.credit = { { "atelier", 100, 250 } };
     news.work = { { 7, 1, 2, 3 } };
-    news.holdings = { { "u1", { "m1", "m1/a2" }, false, {} }, { "u2", {}, false, {} },
-        { "u3", { "m1/a3" }, true, { "m1/a1", "m1/a2" } } };
+    news.holdings = { { "u1", { { "m1", "m1/a2" }, {}, false } }, { "u2", {} },
+        { "u3", { { "m1/a3" }, { "m1/a1", "m1/a2" }, true } } };
     return news;
 }
 
