--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -130,8 +130,7 @@
 {
     relay_world world;
     auto& upstream = world.addUpstream("u1", { { "m1", {} } });
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(upstream);
     auto& caller = world.addCaller();
     caller.request("GET", "/safe/a");
     REQUIRE(world.ended(caller));
@@ -165,8 +164,7 @@
 {
     relay_world world;
     auto& upstream = world.addUpstream("u1");
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(upstream);
     relay stale(world.loop, { "z", milliseconds(0), 0.5, 50, 100 }, world.watch, {});
     stale.onConfig(std::make_shared<fleet_config>(relay_world::config(1)));
     stale.onContact(suspendedNow());
@@ -231,8 +229,7 @@
     auto& leaving = world.addUpstream("u1");
     auto& staying = world.addUpstream("u2");
     for (auto* upstream : { &leaving, &staying })
-        upstream->onRequest
-            = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+        answerAll(*upstream);
     std::map<std::string, upstream_entry> entries;
     for (const auto& upstream : world.upstreams) {
         auto entry = upstream.entry();
@@ -311,8 +308,7 @@
     quick.limits.idleTimeout = milliseconds(400);
     world.tested.onConfig(std::make_shared<fleet_config>(quick));
     auto& upstream = world.addUpstream("u1");
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(upstream);
     blocking_callers callers(world.listener.port(), manyCallers);
     callers.send(openRequest);
     REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
@@ -331,8 +327,7 @@
     config.limits.idleTimeout = milliseconds(200);
     world.tested.onConfig(std::make_shared<fleet_config>(config));
     auto& upstream = world.addUpstream("u1");
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(upstream);
     blocking_callers callers(world.listener.port(), manyCallers);
     callers.send(openRequest);
     REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
@@ -353,8 +348,7 @@
 {
     relay_world world;
     auto& upstream = world.addUpstream("u1");
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(upstream);
     blocking_callers callers(world.listener.port(), manyCallers);
     callers.send(openRequest);
     REQUIRE(loopUntil(world.loop, [&] { return callers.answered() == manyCallers; }));
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -11,12 +11,6 @@
 const std::string modelFields = "Model: m1\r\nToken-Counts: 100,10\r\n";
 const std::string adapterFields = "Model: m1/a1\r\nToken-Counts: 100,10\r\n";
 
-void answerAll(scripted_upstream& upstream)
-{
-    upstream.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
-}
-
 } // namespace
 
 TEST_CASE("relay: a request goes to an upstream that holds its model and adapter")
--- a/Tests/Relay/relay_fixture.cpp
+++ b/Tests/Relay/relay_fixture.cpp
@@ -85,4 +85,11 @@
     return loopUntil(loop, [&] { return caller.status() != 0 || caller.isClosed(); });
 }
 
+void answerAll(scripted_upstream& upstream)
+{
+    upstream.onRequest = [](const scripted_upstream::request& asked) {
+        asked.stream->write(scripted_upstream::answer(asked, 200, "ok"));
+    };
+}
+
 } // namespace sagesaddle
--- a/Tests/Relay/relay_fixture.h
+++ b/Tests/Relay/relay_fixture.h
@@ -34,4 +34,7 @@
     std::deque<scripted_caller> callers;
 };
 
+/// Has an upstream answer each request with 200.
+void answerAll(scripted_upstream& upstream);
+
 } // namespace sagesaddle
--- a/Tests/Relay/relay_trouble_tests.cpp
+++ b/Tests/Relay/relay_trouble_tests.cpp
@@ -86,8 +86,7 @@
     REQUIRE(world.ended(first));
     CHECK(first.status() == 200);
     auto& sound = world.addUpstream("u2");
-    sound.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(sound);
     for (int call = 0; call < 6; ++call) {
         auto& caller = world.addCaller();
         caller.request("GET", "/safe/a");
@@ -262,8 +261,7 @@
     relay_world world;
     auto& flapping = world.addUpstream("u1");
     auto& sound = world.addUpstream("u2");
-    sound.onRequest
-        = [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 200, "ok")); };
+    answerAll(sound);
     bool isDown = false;
     int lost = 0;
     flapping.onRequest = [&](const request& asked) {
--- a/Tests/Support/free_port.cpp
+++ b/Tests/Support/free_port.cpp
@@ -1,5 +1,7 @@
 #include "Support/free_port.h"
 
+#include "Base/scope_guard.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstddef>
@@ -22,56 +24,40 @@
 constexpr std::uint16_t firstPort = 12000;
 constexpr std::uint16_t portCount = 20000;
 
-/// A socket that is closed at the end of its scope, unless it is kept.
-class open_socket {
-public:
-    open_socket(int family)
-        : m_descriptor(::socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        if (m_descriptor < 0)
-            throw std::system_error(errno, std::generic_category(), "cannot open a socket");
-    }
-    ~open_socket()
-    {
-        if (m_descriptor >= 0)
-            ::close(m_descriptor);
-    }
-
-    open_socket(const open_socket&) = delete;
-    open_socket& operator=(const open_socket&) = delete;
-
-    int get() const { return m_descriptor; }
-    /// Leaves it open until the process ends.
-    void keep() { m_descriptor = -1; }
-
-private:
-    int m_descriptor;
-};
+int openSocket(int family)
+{
+    const int made = ::socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (made < 0)
+        throw std::system_error(errno, std::generic_category(), "cannot open a socket");
+    return made;
+}
 
 /// Claims a port among the tests that run at once, until this process ends.
 bool claim(std::uint16_t port)
 {
-    open_socket mark(AF_UNIX);
+    const int mark = openSocket(AF_UNIX);
+    scope_guard close([mark] { ::close(mark); });
     sockaddr_un name {};
     name.sun_family = AF_UNIX;
     // A name that begins with a zero byte has no file, and is free again when its process ends.
     const std::string text = "sagesaddle-test-port-" + std::to_string(port);
     std::memcpy(name.sun_path + 1, text.data(), text.size());
     const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
-    if (::bind(mark.get(), reinterpret_cast<const sockaddr*>(&name), size) != 0)
+    if (::bind(mark, reinterpret_cast<const sockaddr*>(&name), size) != 0)
         return false;
-    mark.keep();
+    close.dismiss();
     return true;
 }
 
 bool isFree(std::uint16_t port)
 {
-    const open_socket probe(AF_INET);
+    const int probe = openSocket(AF_INET);
+    const scope_guard close([probe] { ::close(probe); });
     sockaddr_in name {};
     name.sin_family = AF_INET;
     name.sin_port = htons(port);
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return ::bind(probe.get(), reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
+    return ::bind(probe, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
 }
 
 } // namespace
