Relay: Log and count crashes of upstreams with the prompt parts that were pending

A broken connection counts as a crash if the upstream neither sends anything nor accepts a connection within 150 ms; the gateway opens a connection to find out. The line upstream_crashed names the shared prompt parts of the requests whose answers had not begun, or had just begun.

--- /dev/null
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -0,0 +1,241 @@
+#include "Quarantine/crash_evidence.h"
+
+#include <algorithm>
+
+namespace sagesaddle {
+
+namespace {
+
+// Crashes at which a part must have been pending.
+constexpr unsigned minCrashes = 3;
+// The same for a part whose last quarantine has ended.
+constexpr unsigned minCrashesOnProbation = 1;
+// Crashes after which the answers of a part are counted.
+constexpr unsigned minCrashesToWatch = 2;
+// A part is sound if it has an answer for each such number of crashes.
+constexpr unsigned crashesPerAnswer = 4;
+// Crashes within this time of each other have one cause, such as the loss of a link or of power.
+constexpr milliseconds sameCauseWindow { 250 };
+// Time in which a sound part that is requested at all gets an answer.
+constexpr milliseconds answerWindow { 1000 };
+// Age at which a crash is no evidence any more.
+constexpr milliseconds crashLifetime { 60000 };
+constexpr milliseconds firstQuarantine { 300000 };
+// Each further quarantine of a part takes twice as long as the one before, up to this.
+constexpr milliseconds longestQuarantine { 3600000 };
+// Time after a quarantine in which a single crash renews it.
+constexpr milliseconds probation { 3600000 };
+constexpr std::size_t maxCrashes = 512;
+constexpr std::size_t maxPartsPerCrash = 512;
+constexpr std::size_t maxWatched = 256;
+constexpr std::size_t maxQuarantines = 1024;
+
+} // namespace
+
+void crash_evidence::onCrash(const upstream_crash& crash, monotonic_time now)
+{
+    if (now - crash.at > crashLifetime)
+        return;
+    if (!m_crashes.contains(crash.process) && m_crashes.size() >= maxCrashes) {
+        m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(),
+            [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
+    }
+    const auto [place, isNew] = m_crashes.try_emplace(crash.process);
+    crash_record& record = place->second;
+    record.at = isNew ? crash.at : std::min(record.at, crash.at);
+    for (const std::uint64_t part : crash.parts) {
+        if (record.parts.size() < maxPartsPerCrash)
+            record.parts.insert(part);
+        record.isExplained = record.isExplained || isQuarantined(part);
+    }
+}
+
+void crash_evidence::onAnswers(const part_answers& answers)
+{
+    const auto found = m_watched.find(answers.part);
+    if (found != m_watched.end())
+        found->second.answers += answers.answers;
+}
+
+void crash_evidence::adopt(const quarantined_part& part, monotonic_time now)
+{
+    const milliseconds left = std::chrono::duration_cast<milliseconds>(part.until - now);
+    if (left <= milliseconds(0)
+        || (m_quarantines.size() >= maxQuarantines && !m_quarantines.contains(part.part)))
+        return;
+    quarantine& entry = m_quarantines[part.part];
+    const monotonic_time until = std::min(part.until, now + longestQuarantine);
+    if (!entry.isOnProbation && entry.until >= until)
+        return;
+    entry.duration = std::max({ entry.duration, firstQuarantine, std::min(left, longestQuarantine) });
+    entry.until = until;
+    entry.isOnProbation = false;
+    ++m_revision;
+    explainCrashes();
+}
+
+void crash_evidence::expire(monotonic_time now)
+{
+    std::erase_if(m_crashes, [&](const auto& item) { return now - item.second.at > crashLifetime; });
+    for (auto& [part, entry] : m_quarantines) {
+        if (entry.isOnProbation || now < entry.until)
+            continue;
+        entry.isOnProbation = true;
+        ++m_revision;
+        // The crashes so far led to the quarantine that ends now.
+        for (auto& [process, record] : m_crashes)
+            record.isExplained = record.isExplained || record.parts.contains(part);
+    }
+    std::erase_if(m_quarantines,
+        [&](const auto& item) { return item.second.isOnProbation && now >= item.second.until + probation; });
+}
+
+std::map<std::uint64_t, unsigned> crash_evidence::countCrashes() const
+{
+    std::vector<const crash_record*> unexplained;
+    for (const auto& [process, record] : m_crashes) {
+        if (!record.isExplained)
+            unexplained.push_back(&record);
+    }
+    std::sort(unexplained.begin(), unexplained.end(),
+        [](const crash_record* left, const crash_record* right) { return left->at < right->at; });
+    struct count {
+        unsigned crashes { 0 };
+        monotonic_time lastAt {};
+    };
+    std::map<std::uint64_t, count> counts;
+    for (const crash_record* record : unexplained) {
+        for (const std::uint64_t part : record->parts) {
+            count& counted = counts[part];
+            if (counted.crashes > 0 && record->at - counted.lastAt < sameCauseWindow)
+                continue;
+            ++counted.crashes;
+            counted.lastAt = record->at;
+        }
+    }
+    std::map<std::uint64_t, unsigned> crashes;
+    for (const auto& [part, counted] : counts)
+        crashes.emplace(part, counted.crashes);
+    return crashes;
+}
+
+bool crash_evidence::isOnProbation(std::uint64_t part) const
+{
+    const auto found = m_quarantines.find(part);
+    return found != m_quarantines.end() && found->second.isOnProbation;
+}
+
+void crash_evidence::updateWatched(const std::map<std::uint64_t, unsigned>& crashes, monotonic_time now)
+{
+    const auto isWanted = [&](std::uint64_t part) {
+        const auto found = crashes.find(part);
+        return found != crashes.end() && found->second >= minCrashesToWatch && !isQuarantined(part);
+    };
+    const std::size_t before = m_watched.size();
+    std::erase_if(m_watched, [&](const auto& item) { return !isWanted(item.first); });
+    bool hasChanged = m_watched.size() != before;
+    std::vector<std::pair<unsigned, std::uint64_t>> wanted;
+    for (const auto& [part, count] : crashes) {
+        if (isWanted(part) && !m_watched.contains(part))
+            wanted.emplace_back(count, part);
+    }
+    // Where not all can be watched, those with the most crashes are.
+    std::sort(wanted.begin(), wanted.end(), std::greater<>());
+    for (const auto& [count, part] : wanted) {
+        if (m_watched.size() >= maxWatched)
+            break;
+        m_watched.emplace(part, watched_part { now, 0 });
+        hasChanged = true;
+    }
+    m_revision += hasChanged ? 1 : 0;
+}
+
+bool crash_evidence::isGuilty(
+    std::uint64_t part, unsigned crashes, milliseconds reportInterval, monotonic_time now) const
+{
+    if (isOnProbation(part))
+        return crashes >= minCrashesOnProbation;
+    const auto watched = m_watched.find(part);
+    return crashes >= minCrashes && watched != m_watched.end()
+        && now - watched->second.since >= answerWindow + reportInterval
+        && watched->second.answers * crashesPerAnswer < crashes;
+}
+
+quarantine_decision crash_evidence::decide(std::uint64_t part, unsigned crashes, monotonic_time now)
+{
+    const auto watched = m_watched.find(part);
+    const unsigned answers = watched == m_watched.end() ? 0 : watched->second.answers;
+    quarantine& entry = m_quarantines[part];
+    entry.duration = entry.duration == milliseconds(0) ? firstQuarantine
+                                                       : std::min(entry.duration * 2, longestQuarantine);
+    entry.until = now + entry.duration;
+    entry.isOnProbation = false;
+    ++m_revision;
+    return { { part, entry.until }, crashes, answers };
+}
+
+void crash_evidence::explainCrashes()
+{
+    for (auto& [process, record] : m_crashes) {
+        record.isExplained = record.isExplained
+            || std::any_of(record.parts.begin(), record.parts.end(),
+                [this](std::uint64_t part) { return isQuarantined(part); });
+    }
+}
+
+std::vector<quarantine_decision> crash_evidence::update(milliseconds reportInterval, monotonic_time now)
+{
+    std::vector<quarantine_decision> decisions;
+    expire(now);
+    while (true) {
+        const auto crashes = countCrashes();
+        updateWatched(crashes, now);
+        // The part with the most crashes explains them best; parts that cannot be told apart share its fate.
+        unsigned most = 0;
+        for (const auto& [part, count] : crashes) {
+            if (isGuilty(part, count, reportInterval, now))
+                most = std::max(most, count);
+        }
+        if (most == 0 || m_quarantines.size() >= maxQuarantines)
+            return decisions;
+        for (const auto& [part, count] : crashes) {
+            if (count == most && isGuilty(part, count, reportInterval, now))
+                decisions.push_back(decide(part, count, now));
+        }
+        explainCrashes();
+    }
+}
+
+void crash_evidence::clear()
+{
+    m_crashes.clear();
+    m_watched.clear();
+    m_quarantines.clear();
+    ++m_revision;
+}
+
+bool crash_evidence::isQuarantined(std::uint64_t part) const
+{
+    const auto found = m_quarantines.find(part);
+    return found != m_quarantines.end() && !found->second.isOnProbation;
+}
+
+std::vector<quarantined_part> crash_evidence::quarantined() const
+{
+    std::vector<quarantined_part> parts;
+    for (const auto& [part, entry] : m_quarantines) {
+        if (!entry.isOnProbation)
+            parts.push_back({ part, entry.until });
+    }
+    return parts;
+}
+
+std::vector<std::uint64_t> crash_evidence::watched() const
+{
+    std::vector<std::uint64_t> parts;
+    for (const auto& [part, entry] : m_watched)
+        parts.push_back(part);
+    return parts;
+}
+
+} // namespace sagesaddle
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -94,6 +94,7 @@
               m_silenceTimer.start(silenceCheckInterval);
               checkSilence();
           })
+    , m_crashWatch(loop, telemetry, [](const upstream_crash&) {})
     , m_random(std::random_device {}())
 {
     m_silenceTimer.start(silenceCheckInterval);
@@ -830,9 +831,17 @@
         now);
 }
 
+void relay::onConnectionBroken(
+    const relay_exchange& request, const upstream_state_ptr& upstream, bool isUnderWay)
+{
+    m_crashWatch.onConnectionBroken(upstream->entry, request.request(), isUnderWay);
+    probe(upstream, monotonicNow());
+}
+
 void relay::recordActivity(upstream_state& upstream)
 {
     upstream.lastActivityAt = monotonicNow();
+    m_crashWatch.onActivity(upstream.entry.id);
     if (!upstream.isSilent)
         return;
     upstream.isSilent = false;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -7,6 +7,7 @@
 #include "Limit/retry_after_schedule.h"
 #include "Limit/send_credit.h"
 #include "Relay/caller_connection.h"
+#include "Relay/crash_watch.h"
 #include "Relay/relay_exchange.h"
 #include "Relay/relay_telemetry.h"
 #include "Route/retry_budget.h"
@@ -185,6 +186,10 @@
     /// \brief Records a complete answer.
     /// \param isSound whether the upstream worked properly; otherwise it gets fewer requests than its peers
     void recordAnswer(const relay_exchange& request, upstream_state& upstream, bool isSound);
+    /// \brief Finds out whether an upstream crashed when the connection of a request to it broke.
+    /// \param isUnderWay whether the answer began long enough before that its beginning was no cause
+    void onConnectionBroken(
+        const relay_exchange& request, const upstream_state_ptr& upstream, bool isUnderWay);
     /// \brief Records a failure, after which the upstream is avoided for a while.
     void recordFailure(upstream_state& upstream, bool beforeFirstByte);
     /// \brief Records that an upstream sent something or accepted a connection, so that it is no longer
@@ -290,6 +295,7 @@
     timer m_readTimer;
     timer m_placeTimer;
     timer m_silenceTimer;
+    crash_watch m_crashWatch;
     std::minstd_rand m_random;
     std::size_t m_running { 0 };
     bool m_draining { false };
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds answerReserve { 20 };
 // By then another gateway accepts the caller's connection.
 constexpr milliseconds drainingRetryAfter { 100 };
+// Time from an answer's first byte from which on the upstream counts as having survived its beginning.
+constexpr milliseconds answerBeginning { 250 };
 constexpr int statusMisdirected = 421;
 constexpr int firstServerError = 500;
 
@@ -259,6 +261,7 @@
         return;
     m_firstByteCame = true;
     const monotonic_time now = monotonicNow();
+    m_firstByteAt = now;
     m_upstream->failures = 0;
     m_upstream->suspectUntil = {};
     m_upstream->tokensAhead -= m_aheadTokens;
@@ -267,6 +270,11 @@
     m_aheadTokens = 0;
 }
 
+bool relay_exchange::isAnswerUnderWay() const
+{
+    return m_firstByteCame && monotonicNow() - m_firstByteAt >= answerBeginning;
+}
+
 void relay_exchange::recordBodyTimes()
 {
     const monotonic_time now = monotonicNow();
@@ -417,6 +425,8 @@
     const auto self = shared_from_this();
     m_connectTimer.stop();
     m_owner.recordFailure(*m_upstream, !m_firstByteCame);
+    if (m_mayHaveRun)
+        m_owner.onConnectionBroken(*this, m_upstream, isAnswerUnderWay());
     if (!m_mayHaveRun) {
         // Nothing was sent, or the upstream declined the request: it is placed again without using up a
         // retry.
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -106,6 +106,8 @@
     void leaveUpstream(bool keepConnection);
     /// Called for the first byte of a body and for the end of an answer; only the first call counts.
     void onFirstByte();
+    /// \return whether the current answer began some time ago, so that its beginning crashed nothing.
+    bool isAnswerUnderWay() const;
     /// Records when a piece of the answer's body arrived.
     void recordBodyTimes();
     void logEnd(std::string_view outcome, int status);
@@ -164,6 +166,7 @@
     /// Whether the head of the answer was sent to the caller.
     bool m_isDelivering { false };
     bool m_firstByteCame { false };
+    monotonic_time m_firstByteAt {};
     /// Whether the request is counted in the upstream's load.
     bool m_isCounted { false };
     /// Whether bytes were sent to an upstream that did not decline the request.
