--- a/Tests/Gateway/engine_stand_in.cpp
+++ b/Tests/Gateway/engine_stand_in.cpp
@@ -47,7 +47,7 @@
     return nlohmann::json {
         { "service", m_settings.service }, { "address", formatAddress(server.entry().endpoint) },
         { "zone", "z" }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" }, { "models", models },
-        { "sequence", orders }, { "born", 1 }
+        { "sequence", orders }, { "born", m_startedAt }
     }.dump();
 }
 
@@ -89,6 +89,31 @@
         run(call);
 }
 
+bool engine_stand_in::isCrashing(const http_head& head) const
+{
+    const std::string* value = head.find("Prompt-Prefix");
+    if (value == nullptr)
+        return false;
+    std::string rest = *value;
+    // The last part is the request's own.
+    for (std::size_t comma = rest.find(','); comma != std::string::npos; comma = rest.find(',')) {
+        if (crashingParts.contains(rest.substr(0, std::min(comma, rest.find(':')))))
+            return true;
+        rest.erase(0, comma + 1);
+    }
+    return false;
+}
+
+void engine_stand_in::crash()
+{
+    crashes.push_back(monotonicNow());
+    m_restartAt = crashes.back() + restartTime;
+    m_isCrashDue = false;
+    m_loading.reset();
+    m_streams.clear();
+    server.stopListening();
+}
+
 void engine_stand_in::decline(const scripted_upstream::request& call, int status)
 {
     writeAnswer(call.stream,
@@ -151,6 +176,12 @@
     const double tokens
         = counts.empty() ? 10 : std::stod(counts) + std::stod(counts.substr(counts.find(',') + 1));
     spent.emplace_back(monotonicNow(), team, tokens);
+    if (isCrashing(call.head)) {
+        crashingArrivals.push_back(monotonicNow());
+        // Not here, since the caller of this function uses the connection.
+        m_isCrashDue = true;
+        return;
+    }
     if (cutAnswers > 0) {
         --cutAnswers;
         server.cut(call.stream);
@@ -169,6 +200,15 @@
 {
     m_timer.start(enginePollInterval);
     const monotonic_time now = monotonicNow();
+    if (m_isCrashDue)
+        crash();
+    if (m_restartAt && now >= *m_restartAt) {
+        m_restartAt.reset();
+        ++m_startedAt;
+        server.listen();
+        if (onRestarted)
+            onRestarted();
+    }
     if (m_loading && now >= m_loading->first)
         held.insert(std::exchange(m_loading, std::nullopt)->second);
     std::erase_if(m_streams, [&](stream_run& run) {
--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -43,6 +43,20 @@
     std::optional<double> requestLimit;
     /// When each request arrived, with its id.
     std::vector<std::pair<monotonic_time, std::string>> arrivals;
+    /// Shared prompt parts, as the header names them, that crash the engine when it begins an answer.
+    std::set<std::string> crashingParts;
+    /// Number of crashes, and when each happened.
+    std::vector<monotonic_time> crashes;
+    /// Time from a crash to the restart.
+    milliseconds restartTime { 1000 };
+    /// Called after a restart, since the entry in the list of upstreams has changed.
+    std::function<void()> onRestarted;
+    /// Crashes at once: all connections break, and none is accepted until the restart.
+    void crash();
+    /// \return whether a request has such a part.
+    bool isCrashing(const http_head& head) const;
+    /// When each request with such a part arrived.
+    std::vector<monotonic_time> crashingArrivals;
     /// Number of next requests that run and whose connections are then cut without an answer.
     int cutAnswers { 0 };
     /// Number of runs, by the request's id.
@@ -78,6 +92,10 @@
     settings m_settings;
     violation_list& m_violations;
     std::deque<stream_run> m_streams;
+    /// Start of the process, in Unix milliseconds.
+    std::int64_t m_startedAt { 1 };
+    std::optional<monotonic_time> m_restartAt;
+    bool m_isCrashDue { false };
     std::optional<std::pair<monotonic_time, std::string>> m_loading;
     monotonic_time m_lastOrderAt {};
     timer m_timer;
--- a/Tests/Support/scripted_http.cpp
+++ b/Tests/Support/scripted_http.cpp
@@ -16,8 +16,21 @@
 scripted_upstream::scripted_upstream(event_loop& loop, std::string id)
     : m_loop(loop)
     , m_id(std::move(id))
-    , m_listener(loop, { "127.0.0.1", 0 }, [this](evutil_socket_t socket) { accept(socket); })
 {
+    listen();
+}
+
+void scripted_upstream::listen()
+{
+    m_listener = std::make_unique<tcp_listener>(
+        m_loop, address { "127.0.0.1", m_port }, [this](evutil_socket_t socket) { accept(socket); });
+    m_port = m_listener->port();
+}
+
+void scripted_upstream::stopListening()
+{
+    m_listener.reset();
+    cutAll();
 }
 
 void scripted_upstream::accept(evutil_socket_t socket)
@@ -95,7 +108,7 @@
     upstream_entry value;
     value.id = m_id;
     value.service = service;
-    value.endpoint = { "127.0.0.1", m_listener.port() };
+    value.endpoint = { "127.0.0.1", m_port };
     value.zone = zone;
     value.slots = 8;
     value.models = models;
--- a/Tests/Support/scripted_http.h
+++ b/Tests/Support/scripted_http.h
@@ -42,6 +42,9 @@
     /// \brief Closes a connection at once; pending answers are lost.
     void cut(const tcp_stream* stream);
     void cutAll();
+    /// \brief Closes all connections and refuses new ones until listen() is called.
+    void stopListening();
+    void listen();
     bool isOpen(const tcp_stream* stream) const;
 
     event_loop& loop() { return m_loop; }
@@ -64,7 +67,8 @@
     event_loop& m_loop;
     std::string m_id;
     std::vector<std::shared_ptr<connection>> m_connections;
-    tcp_listener m_listener;
+    std::uint16_t m_port { 0 };
+    std::unique_ptr<tcp_listener> m_listener;
 };
 
 /// \brief A client connection that sends any bytes and collects the answer as text.
