--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -8,6 +8,7 @@
 #include "Limit/upstream_limits.h"
 #include "Place/engine_model_tracker.h"
 #include "Plan/model_order_planner.h"
+#include "Quarantine/crash_evidence.h"
 #include "Wire/fleet_messages.h"
 
 #include <map>
@@ -80,6 +81,13 @@
         return m_upstreamLimits.trySpend(upstream, now);
     }
 
+    /// \return the quarantines of prompt parts that were decided since the last call.
+    std::vector<quarantine_decision> takeQuarantineDecisions();
+
+    /// \return what to tell all gateways at once, since quarantines must not wait for their next reports;
+    /// nothing if nothing changed
+    std::optional<quarantine_update> takeQuarantineBroadcast(monotonic_time now);
+
     /// \return the number of gateways that reported within the last 20 s.
     std::uint32_t knownGatewayCount(monotonic_time now) const;
 
@@ -99,6 +107,8 @@
         std::uint64_t sentLimitRevision { 0 };
         /// Revision of the list of upstreams that was sent to this gateway.
         std::uint64_t sentListRevision { 0 };
+        /// Revision of the crash evidence whose quarantines were sent to this gateway.
+        std::uint64_t sentQuarantineRevision { 0 };
     };
 
     /// A listed upstream with the list revision of its last change.
@@ -138,6 +148,9 @@
     void updateGrantableShare(monotonic_time now);
     void addTeamCredit(const fleet_report& report, fleet_update& update, monotonic_time now);
     void addSendCredit(const fleet_report& report, fleet_update& update, monotonic_time now);
+    quarantine_update describeQuarantine(monotonic_time now) const;
+    void addQuarantine(
+        gateway_state& to, const quarantine_report& report, fleet_update& update, monotonic_time now);
     void createMissingTrackers();
     /// Drops an engine's model tracker and its history, so that all its loaded models are sent again.
     void dropTracker(const std::string& upstream, std::uint16_t number);
@@ -155,6 +168,11 @@
     std::string m_successor;
     token_buckets m_buckets;
     upstream_limits m_upstreamLimits;
+    crash_evidence m_crashEvidence;
+    monotonic_time m_quarantineDecidedAt {};
+    std::vector<quarantine_decision> m_quarantineDecisions;
+    std::uint64_t m_broadcastRevision { 0 };
+    monotonic_time m_broadcastAt {};
     demand_meter m_demand;
     std::vector<rate_limit> m_teamLimits;
     std::map<std::string, engine_config_ptr> m_engines;
--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -115,6 +115,10 @@
                                               }
                                               onUpdate(update, askedAt);
                                           },
+            [this, connectionNumber](const quarantine_update& update) {
+                if (connectionNumber == m_connectionCount && m_connection)
+                    m_relay.onQuarantineTold(update);
+            },
             [this, connectionNumber] {
                 if (connectionNumber == m_connectionCount && m_connection)
                     onConnectionLost();
@@ -177,6 +181,7 @@
             item.isRequested = false;
     }
     m_relay.sendCredit().onReportsLost();
+    m_relay.quarantine().onReportsLost();
 }
 
 void coordinator_client::setCoordinatorLost(bool isLost)
@@ -273,6 +278,7 @@
         value.member = m_member;
     addCreditRequests(value);
     value.sendCredit = m_relay.sendCredit().takeRequests(bootTimeNow());
+    value.quarantine = m_relay.quarantine().takeReport(monotonicNow());
     for (auto& [key, item] : std::exchange(m_demand, {}))
         value.demand.push_back(std::move(item));
     if (isOnlyCredit)
@@ -291,7 +297,7 @@
         return std::any_of(item.second.begin(), item.second.end(),
             [](const waiting_request& waiting) { return !waiting.isRequested; });
     });
-    return wantsCredit || m_relay.sendCredit().hasUrgentReport()
+    return wantsCredit || m_relay.sendCredit().hasUrgentReport() || m_relay.quarantine().hasUrgentReport()
         || std::any_of(
             m_demand.begin(), m_demand.end(), [](const auto& item) { return item.second.unplaced > 0; });
 }
@@ -300,6 +306,7 @@
 {
     m_reportTimer.start(nextReportInterval());
     const monotonic_time now = monotonicNow();
+    m_relay.updateQuarantine(!m_isCoordinatorLost || hasLiveInterimCoordinator(now));
     const monotonic_time sentAt = bootTimeNow();
     const fleet_timing times = timing();
     const bool isOnlyCredit = !m_wantsFullUpdate && now - m_fullReportAt < times.minReportInterval;
@@ -420,6 +427,8 @@
         if (!m_relay.onLoadedModels(loaded.upstream, loaded.change))
             m_wantsFullUpdate = true;
     }
+    if (update.quarantine)
+        m_relay.onQuarantineTold(*update.quarantine);
     const monotonic_time grantedAt = askedAt == monotonic_time {} ? bootTimeNow() : askedAt;
     applyUpstreamLimits(update, grantedAt);
     for (const auto& grant : update.credit) {
@@ -440,6 +449,11 @@
         m_relay.schedulePlacement();
 }
 
+void coordinator_client::reportCrash()
+{
+    scheduleReport();
+}
+
 bool coordinator_client::requestSendCredit()
 {
     if (!mayRequestCredit(monotonicNow()))
--- a/Source/Gateway/coordinator_client.h
+++ b/Source/Gateway/coordinator_client.h
@@ -68,6 +68,8 @@
     /// Requests the credit that the relay wants for upstreams with a request limit.
     /// \return whether it may be granted soon
     bool requestSendCredit();
+    /// Reports what the relay knows of a crash without delay.
+    void reportCrash();
     void recordDemand(const relay_exchange& request);
     /// Reports a request for a model or adapter that no upstream could take; the first one is reported at
     /// once.
--- a/Source/Gateway/fleet_connections.cpp
+++ b/Source/Gateway/fleet_connections.cpp
@@ -38,8 +38,12 @@
             if (frame.size == 0)
                 return;
             m_stream.consume(frame.size);
-            if (frame.message && std::holds_alternative<fleet_update>(*frame.message))
-                m_handlers.onUpdate(std::get<fleet_update>(std::move(*frame.message)));
+            if (!frame.message)
+                continue;
+            if (auto* update = std::get_if<fleet_update>(&*frame.message))
+                m_handlers.onUpdate(std::move(*update));
+            else if (const auto* quarantine = std::get_if<quarantine_update>(&*frame.message))
+                m_handlers.onQuarantine(*quarantine);
         }
     } catch (const std::runtime_error& error) {
         writeLog(log_level::Error, "peer_unreadable",
@@ -73,6 +77,15 @@
     return bytes;
 }
 
+void report_server::broadcast(const fleet_message& message)
+{
+    const std::string bytes = encodeFleetMessage(message);
+    for (const auto& [key, value] : m_connections) {
+        if (value->stream->unwritten() <= maxUnreadBytes)
+            value->stream->write(bytes);
+    }
+}
+
 void report_server::drop(const connection& which)
 {
     const auto found = m_connections.find(&which);
--- a/Source/Gateway/fleet_connections.h
+++ b/Source/Gateway/fleet_connections.h
@@ -13,6 +13,7 @@
 public:
     struct handlers {
         std::function<void(fleet_update)> onUpdate;
+        std::function<void(const quarantine_update&)> onQuarantine;
         /// The connection failed, or the coordinator sent bytes that are no message.
         std::function<void()> onLost;
     };
@@ -42,6 +43,9 @@
     report_server(event_loop& loop, const address& where, on_report handler);
 
     std::uint16_t port() const { return m_listener.port(); }
+    /// Sends a message to all connected gateways. One that does not read is left out; its connection closes
+    /// with its next report.
+    void broadcast(const fleet_message& message);
     /// \return bytes of answers that gateways have not read yet, over all connections.
     std::size_t unwrittenBytes() const;
 
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "Base/http_status.h"
 #include "Base/join.h"
 #include "Gateway/member_name.h"
+#include "Relay/quarantine_log.h"
 #include "caller_wire.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
                   m_client.onModelMissing(service, model, adapter);
               },
               [this](const relay_exchange& request) { m_client.recordDemand(request); },
-              [this] { return m_client.requestSendCredit(); } })
+              [this] { return m_client.requestSendCredit(); }, [this] { m_client.reportCrash(); } })
     , m_storeFollower(loop, m_settings.storeAddress, m_member, memberNamePrefix(m_settings.peerListenAddress),
           lease_times { leaseTimeToLive, leaseMargin, leaseRenewalInterval,
               m_settings.handoverPause + orderTransitTime,
@@ -158,8 +159,11 @@
         && m_coordinator.isStoreUnreachableFromAll(now);
     m_isInterim = !holdsLease && !mayOutliveLease && !m_relay.isDraining() && m_client.isInterimDue();
     const bool isCoordinating = holdsLease || mayOutliveLease || m_isInterim;
-    if (isCoordinating && !m_isCoordinating)
+    if (isCoordinating && !m_isCoordinating) {
         m_coordinator.beginTerm(m_client.gatewayCount(), now);
+        // What this gateway reported went to another coordinator.
+        m_relay.quarantine().onReportsLost();
+    }
     if (!isCoordinating && m_isCoordinating)
         m_coordinator.endTerm();
     if (isCoordinating != m_isCoordinating || holdsLease != m_heldLease)
@@ -182,6 +186,12 @@
         && !m_coordinator.admitFullUpdate(m_reportServer.unwrittenBytes(), monotonicNow()))
         report.isOnlyCredit = true;
     auto update = m_coordinator.onReport(report, monotonicNow());
+    for (const auto& decision : m_coordinator.takeQuarantineDecisions())
+        logQuarantine(decision, "coordinator", m_lines, monotonicNow());
+    if (const auto told = m_coordinator.takeQuarantineBroadcast(monotonicNow())) {
+        m_reportServer.broadcast(*told);
+        m_relay.onQuarantineTold(*told);
+    }
     if (report.hasUnplaced())
         m_orderSender.runPass();
     update.isInterim = m_isInterim;
--- a/Source/Quarantine/crash_evidence.cpp
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -16,8 +16,8 @@
 constexpr unsigned crashesPerAnswer = 4;
 // Crashes within this time of each other have one cause, such as the loss of a link or of power.
 constexpr milliseconds sameCauseWindow { 250 };
-// Time in which a sound part that is requested at all gets an answer.
-constexpr milliseconds answerWindow { 1000 };
+// Time in which a sound part that is requested at all gets an answer that is reported.
+constexpr milliseconds answerWindow { 1200 };
 // Age at which a crash is no evidence any more.
 constexpr milliseconds crashLifetime { 60000 };
 constexpr milliseconds firstQuarantine { 300000 };
@@ -25,8 +25,8 @@
 constexpr milliseconds longestQuarantine { 3600000 };
 // Time after a quarantine in which a single crash renews it.
 constexpr milliseconds probation { 3600000 };
-constexpr std::size_t maxCrashes = 512;
-constexpr std::size_t maxPartsPerCrash = 512;
+constexpr std::size_t maxCrashes = 128;
+constexpr std::size_t maxPartsPerCrash = 256;
 constexpr std::size_t maxWatched = 256;
 constexpr std::size_t maxQuarantines = 1024;
 
@@ -150,14 +150,12 @@
     m_revision += hasChanged ? 1 : 0;
 }
 
-bool crash_evidence::isGuilty(
-    std::uint64_t part, unsigned crashes, milliseconds reportInterval, monotonic_time now) const
+bool crash_evidence::isGuilty(std::uint64_t part, unsigned crashes, monotonic_time now) const
 {
     if (isOnProbation(part))
         return crashes >= minCrashesOnProbation;
     const auto watched = m_watched.find(part);
-    return crashes >= minCrashes && watched != m_watched.end()
-        && now - watched->second.since >= answerWindow + reportInterval
+    return crashes >= minCrashes && watched != m_watched.end() && now - watched->second.since >= answerWindow
         && watched->second.answers * crashesPerAnswer < crashes;
 }
 
@@ -183,7 +181,7 @@
     }
 }
 
-std::vector<quarantine_decision> crash_evidence::update(milliseconds reportInterval, monotonic_time now)
+std::vector<quarantine_decision> crash_evidence::update(monotonic_time now)
 {
     std::vector<quarantine_decision> decisions;
     expire(now);
@@ -193,13 +191,13 @@
         // The part with the most crashes explains them best; parts that cannot be told apart share its fate.
         unsigned most = 0;
         for (const auto& [part, count] : crashes) {
-            if (isGuilty(part, count, reportInterval, now))
+            if (isGuilty(part, count, now))
                 most = std::max(most, count);
         }
         if (most == 0 || m_quarantines.size() >= maxQuarantines)
             return decisions;
         for (const auto& [part, count] : crashes) {
-            if (count == most && isGuilty(part, count, reportInterval, now))
+            if (count == most && isGuilty(part, count, now))
                 decisions.push_back(decide(part, count, now));
         }
         explainCrashes();
--- a/Source/Quarantine/crash_evidence.h
+++ b/Source/Quarantine/crash_evidence.h
@@ -37,9 +37,8 @@
     /// Takes over a quarantine that was decided elsewhere.
     void adopt(const quarantined_part& part, monotonic_time now);
     /// Ends quarantines and drops evidence that is out of date, and decides anew.
-    /// \param reportInterval longest time that a gateway takes to learn which parts are watched
     /// \return the new quarantines
-    std::vector<quarantine_decision> update(milliseconds reportInterval, monotonic_time now);
+    std::vector<quarantine_decision> update(monotonic_time now);
     /// Forgets everything.
     void clear();
 
@@ -76,8 +75,7 @@
     std::map<std::uint64_t, unsigned> countCrashes() const;
     void updateWatched(const std::map<std::uint64_t, unsigned>& crashes, monotonic_time now);
     bool isOnProbation(std::uint64_t part) const;
-    bool isGuilty(
-        std::uint64_t part, unsigned crashes, milliseconds reportInterval, monotonic_time now) const;
+    bool isGuilty(std::uint64_t part, unsigned crashes, monotonic_time now) const;
     quarantine_decision decide(std::uint64_t part, unsigned crashes, monotonic_time now);
     void explainCrashes();
 
--- a/Source/Relay/refusal_reason.cpp
+++ b/Source/Relay/refusal_reason.cpp
@@ -39,6 +39,8 @@
         return { 502, "upstream_broke", false };
     case refusal_reason::UpstreamGarbled:
         return { 502, "upstream_garbled", false };
+    case refusal_reason::PromptQuarantined:
+        return { 503, "prompt_quarantined", true };
     case refusal_reason::Draining:
         return { 503, "draining", true };
     }
--- a/Source/Relay/refusal_reason.h
+++ b/Source/Relay/refusal_reason.h
@@ -24,6 +24,7 @@
     NoAnswerInTime,
     UpstreamBroke,
     UpstreamGarbled,
+    PromptQuarantined,
     Draining,
 };
 
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -6,6 +6,7 @@
 #include "Fleet/route_table.h"
 #include "Limit/retry_after_schedule.h"
 #include "Limit/send_credit.h"
+#include "Quarantine/prompt_quarantine.h"
 #include "Relay/caller_connection.h"
 #include "Relay/crash_watch.h"
 #include "Relay/relay_exchange.h"
@@ -68,6 +69,8 @@
     std::function<void(const relay_exchange&)> recordDemand;
     /// Requests the credit that sendCredit() wants; returns whether it may be granted soon.
     std::function<bool()> requestSendCredit;
+    /// Reports a crash of an upstream, which quarantine() knows; may be empty.
+    std::function<void()> reportCrash;
 };
 
 /// \brief Accepts callers' requests, places each on an upstream and relays the answers; runs on one loop.
@@ -115,6 +118,12 @@
     void onUpstreamLimitTold(const upstream_limit& limit);
     /// \return the request limits of upstreams, and the credit for sending requests to them.
     send_credit& sendCredit() { return m_sendCredit; }
+    /// \return the prompt parts whose requests are refused, and the evidence for them.
+    prompt_quarantine& quarantine() { return m_quarantine; }
+    /// \brief Applies what the coordinator says about quarantined prompt parts.
+    void onQuarantineTold(const quarantine_update& told);
+    /// \brief Ends quarantines, and decides on this gateway's own evidence where nobody coordinates.
+    void updateQuarantine(bool isCoordinated);
     /// \brief Forgets what only a coordinator tells: the other gateways' load and updates of loaded models.
     void onCoordinatorLost();
 
@@ -147,6 +156,10 @@
     milliseconds fallbackRetryAfter() const;
     /// \return retry time for the caller of a request that no upstream took, with a random part.
     milliseconds declinedRetryAfter(const relay_exchange& request);
+    /// \return the time until the quarantine of the request's prompt ends; nothing if it may be sent now.
+    std::optional<milliseconds> quarantineLeft(const relay_exchange& request) const;
+    /// \brief Counts an answer that went on after its beginning.
+    void onAnswerUnderWay(const relay_exchange& request);
     /// \param tried ids of upstreams that must not be chosen again
     relay_choice decideDispatch(const relay_exchange& request, const std::set<std::string>& tried);
     void requestCredit(const relay_exchange_ptr& request);
@@ -251,6 +264,9 @@
         const std::vector<upstream_candidate>& candidates);
     relay_choice refuseOverloaded(const relay_exchange& request, const no_upstream_in_time& full);
     void placeWaiting();
+    /// Ends the requests whose prompts are in quarantine: those that wait, and those whose answers have not
+    /// begun.
+    void endQuarantinedRequests();
     /// Finds upstreams that have requests and sent nothing for too long, and probes silent ones.
     void checkSilence();
     /// Checks from time to time whether a silent upstream accepts connections again.
@@ -296,6 +312,7 @@
     timer m_placeTimer;
     timer m_silenceTimer;
     crash_watch m_crashWatch;
+    prompt_quarantine m_quarantine;
     std::minstd_rand m_random;
     std::size_t m_running { 0 };
     bool m_draining { false };
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -115,6 +115,15 @@
 }
 
 bool relay_exchange::isStillAllowed()
+{
+    if (const auto left = m_owner.quarantineLeft(*this)) {
+        refuse(refusal_reason::PromptQuarantined, left);
+        return false;
+    }
+    return hasValidKey();
+}
+
+bool relay_exchange::hasValidKey()
 {
     if (m_team.empty())
         return true;
@@ -199,6 +208,7 @@
     m_wasLimited = m_owner.sendCredit().limitOf(target->entry.id).has_value();
     m_answerBegun = false;
     m_firstByteCame = false;
+    m_isCountedUnderWay = false;
     m_isMismatched = false;
     m_nonSuccessBytes = 0;
     m_buffered.clear();
@@ -275,6 +285,12 @@
     return m_firstByteCame && monotonicNow() - m_firstByteAt >= answerBeginning;
 }
 
+void relay_exchange::countAnswerUnderWay()
+{
+    if (!std::exchange(m_isCountedUnderWay, true))
+        m_owner.onAnswerUnderWay(*this);
+}
+
 void relay_exchange::recordBodyTimes()
 {
     const monotonic_time now = monotonicNow();
@@ -349,6 +365,8 @@
             m_caller->sendBody(bytes);
         }
         onFirstByte();
+        if (isAnswerUnderWay())
+            countAnswerUnderWay();
         return;
     }
     if (m_buffered.size() + bytes.size() <= maxBufferedBytes || !isSignedSuccess)
@@ -409,6 +427,8 @@
         return;
     }
     m_owner.recordAnswer(*this, *m_upstream, status < firstServerError);
+    if (isSuccess(status))
+        countAnswerUnderWay();
     leaveUpstream(true);
     logEnd("answered", status);
     caller_connection* const caller = m_caller;
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -73,6 +73,8 @@
     int urgency() const { return m_urgency; }
     monotonic_time arrivedAt() const { return m_arrivedAt; }
     bool isOver() const { return m_over; }
+    /// \return whether the current answer began some time ago, so that its beginning crashed nothing.
+    bool isAnswerUnderWay() const;
     /// \return time until the deadline; negative after it.
     milliseconds timeLeft() const;
 
@@ -84,8 +86,13 @@
 private:
     /// Finds the route, team, cost and service, or refuses the request.
     bool resolve();
-    /// Checks the API key against the newest configuration, and refuses the request if it is no longer valid.
+    /// Checks the API key against the newest configuration and the prompt against the quarantine, and refuses
+    /// the request if either forbids it.
     bool isStillAllowed();
+    /// See isStillAllowed().
+    bool hasValidKey();
+    /// Counts the current answer as one that went on after its beginning, once.
+    void countAnswerUnderWay();
     void dispatch(const upstream_state_ptr& target, double forecastMilliseconds);
     void transmit();
     void onHead(http_head head);
@@ -106,8 +113,6 @@
     void leaveUpstream(bool keepConnection);
     /// Called for the first byte of a body and for the end of an answer; only the first call counts.
     void onFirstByte();
-    /// \return whether the current answer began some time ago, so that its beginning crashed nothing.
-    bool isAnswerUnderWay() const;
     /// Records when a piece of the answer's body arrived.
     void recordBodyTimes();
     void logEnd(std::string_view outcome, int status);
@@ -167,6 +172,8 @@
     bool m_isDelivering { false };
     bool m_firstByteCame { false };
     monotonic_time m_firstByteAt {};
+    /// Whether the current answer was counted as one that went on after its beginning.
+    bool m_isCountedUnderWay { false };
     /// Whether the request is counted in the upstream's load.
     bool m_isCounted { false };
     /// Whether bytes were sent to an upstream that did not decline the request.
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -30,6 +30,13 @@
 struct ModelDemand;
 struct ModelDemandBuilder;
 
+struct Crash;
+struct CrashBuilder;
+
+struct PartAnswers;
+
+struct Quarantine;
+
 struct Report;
 struct ReportBuilder;
 
@@ -45,6 +52,9 @@
 struct Listed;
 struct ListedBuilder;
 
+struct QuarantineNews;
+struct QuarantineNewsBuilder;
+
 struct News;
 struct NewsBuilder;
 
@@ -55,31 +65,34 @@
   NONE = 0,
   Report = 1,
   News = 2,
+  QuarantineNews = 3,
   MIN = NONE,
-  MAX = News
+  MAX = QuarantineNews
 };
 
-inline const Body (&EnumValuesBody())[3] {
+inline const Body (&EnumValuesBody())[4] {
   static const Body values[] = {
     Body::NONE,
     Body::Report,
-    Body::News
+    Body::News,
+    Body::QuarantineNews
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "NONE",
     "Report",
     "News",
+    "QuarantineNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::News)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuarantineNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -96,6 +109,10 @@
   static const Body enum_value = Body::News;
 };
 
+template<> struct BodyTraits<sagesaddle::fleet_wire::QuarantineNews> {
+  static const Body enum_value = Body::QuarantineNews;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -139,6 +156,72 @@
   using type = NumberedWork;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartAnswers FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t answers_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  PartAnswers()
+      : part_(0),
+        answers_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartAnswers(uint64_t _part, uint32_t _answers)
+      : part_(flatbuffers::EndianScalar(_part)),
+        answers_(flatbuffers::EndianScalar(_answers)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t answers() const {
+    return flatbuffers::EndianScalar(answers_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartAnswers, 16);
+
+struct PartAnswers::Traits {
+  using type = PartAnswers;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Quarantine FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t left_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  Quarantine()
+      : part_(0),
+        left_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Quarantine(uint64_t _part, uint32_t _left_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        left_ms_(flatbuffers::EndianScalar(_left_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t left_ms() const {
+    return flatbuffers::EndianScalar(left_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Quarantine, 16);
+
+struct Quarantine::Traits {
+  using type = Quarantine;
+};
+
 struct CreditAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CreditAskBuilder Builder;
   struct Traits;
@@ -581,6 +664,102 @@
       tokens);
 }
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_STARTED_AT = 6,
+    VT_AGE_MS = 8,
+    VT_PARTS = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Crash::VT_UPSTREAM, upstream);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(Crash::VT_STARTED_AT, started_at, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_AGE_MS, age_ms, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Crash::VT_PARTS, parts);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    fbb_.Required(o, Crash::VT_UPSTREAM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    int64_t started_at = 0,
+    uint32_t age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_started_at(started_at);
+  builder_.add_parts(parts);
+  builder_.add_age_ms(age_ms);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+struct Crash::Traits {
+  using type = Crash;
+  static auto constexpr Create = CreateCrash;
+};
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    int64_t started_at = 0,
+    uint32_t age_ms = 0,
+    const std::vector<uint64_t> *parts = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return sagesaddle::fleet_wire::CreateCrash(
+      _fbb,
+      upstream__,
+      started_at,
+      age_ms,
+      parts__);
+}
+
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReportBuilder Builder;
   struct Traits;
@@ -594,7 +773,10 @@
     VT_DEMAND = 16,
     VT_ONLY_CREDIT = 18,
     VT_MEMBER = 20,
-    VT_UPSTREAM_CREDIT = 22
+    VT_UPSTREAM_CREDIT = 22,
+    VT_CRASHES = 24,
+    VT_PART_ANSWERS = 26,
+    VT_QUARANTINED = 28
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -626,6 +808,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>> *upstream_credit() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>> *>(VT_UPSTREAM_CREDIT);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *> *part_answers() const {
+    return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *> *>(VT_PART_ANSWERS);
+  }
+  const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRY) &&
@@ -648,6 +839,13 @@
            VerifyOffset(verifier, VT_UPSTREAM_CREDIT) &&
            verifier.VerifyVector(upstream_credit()) &&
            verifier.VerifyVectorOfTables(upstream_credit()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_PART_ANSWERS) &&
+           verifier.VerifyVector(part_answers()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
            verifier.EndTable();
   }
 };
@@ -686,6 +884,15 @@
   void add_upstream_credit(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>>> upstream_credit) {
     fbb_.AddOffset(Report::VT_UPSTREAM_CREDIT, upstream_credit);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>> crashes) {
+    fbb_.AddOffset(Report::VT_CRASHES, crashes);
+  }
+  void add_part_answers(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *>> part_answers) {
+    fbb_.AddOffset(Report::VT_PART_ANSWERS, part_answers);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined) {
+    fbb_.AddOffset(Report::VT_QUARANTINED, quarantined);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -709,9 +916,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>> demand = 0,
     bool only_credit = false,
     flatbuffers::Offset<flatbuffers::String> member = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>>> upstream_credit = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>>> upstream_credit = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *>> part_answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_quarantined(quarantined);
+  builder_.add_part_answers(part_answers);
+  builder_.add_crashes(crashes);
   builder_.add_upstream_credit(upstream_credit);
   builder_.add_member(member);
   builder_.add_demand(demand);
@@ -740,13 +953,19 @@
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>> *demand = nullptr,
     bool only_credit = false,
     const char *member = nullptr,
-    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>> *upstream_credit = nullptr) {
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>> *upstream_credit = nullptr,
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>> *crashes = nullptr,
+    const std::vector<sagesaddle::fleet_wire::PartAnswers> *part_answers = nullptr,
+    const std::vector<sagesaddle::fleet_wire::Quarantine> *quarantined = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>(*work) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::ModelDemand>>(*demand) : 0;
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto upstream_credit__ = upstream_credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>>(*upstream_credit) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>(*crashes) : 0;
+  auto part_answers__ = part_answers ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::PartAnswers>(*part_answers) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::Quarantine>(*quarantined) : 0;
   return sagesaddle::fleet_wire::CreateReport(
       _fbb,
       entry__,
@@ -758,7 +977,10 @@
       demand__,
       only_credit,
       member__,
-      upstream_credit__);
+      upstream_credit__,
+      crashes__,
+      part_answers__,
+      quarantined__);
 }
 
 struct UpstreamLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1212,6 +1434,77 @@
       number);
 }
 
+struct QuarantineNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WATCHED_PARTS = 4,
+    VT_QUARANTINED = 6
+  };
+  const flatbuffers::Vector<uint64_t> *watched_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_WATCHED_PARTS);
+  }
+  const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *>(VT_QUARANTINED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WATCHED_PARTS) &&
+           verifier.VerifyVector(watched_parts()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuarantineNewsBuilder {
+  typedef QuarantineNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_watched_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> watched_parts) {
+    fbb_.AddOffset(QuarantineNews::VT_WATCHED_PARTS, watched_parts);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined) {
+    fbb_.AddOffset(QuarantineNews::VT_QUARANTINED, quarantined);
+  }
+  explicit QuarantineNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineNews> CreateQuarantineNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> watched_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined = 0) {
+  QuarantineNewsBuilder builder_(_fbb);
+  builder_.add_quarantined(quarantined);
+  builder_.add_watched_parts(watched_parts);
+  return builder_.Finish();
+}
+
+struct QuarantineNews::Traits {
+  using type = QuarantineNews;
+  static auto constexpr Create = CreateQuarantineNews;
+};
+
+inline flatbuffers::Offset<QuarantineNews> CreateQuarantineNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *watched_parts = nullptr,
+    const std::vector<sagesaddle::fleet_wire::Quarantine> *quarantined = nullptr) {
+  auto watched_parts__ = watched_parts ? _fbb.CreateVector<uint64_t>(*watched_parts) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::Quarantine>(*quarantined) : 0;
+  return sagesaddle::fleet_wire::CreateQuarantineNews(
+      _fbb,
+      watched_parts__,
+      quarantined__);
+}
+
 struct News FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NewsBuilder Builder;
   struct Traits;
@@ -1231,7 +1524,8 @@
     VT_SUCCESSOR = 28,
     VT_IS_INTERIM = 30,
     VT_UPSTREAM_LIMITS = 32,
-    VT_UPSTREAM_CREDIT = 34
+    VT_UPSTREAM_CREDIT = 34,
+    VT_QUARANTINE = 36
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1281,6 +1575,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *>(VT_UPSTREAM_CREDIT);
   }
+  const sagesaddle::fleet_wire::QuarantineNews *quarantine() const {
+    return GetPointer<const sagesaddle::fleet_wire::QuarantineNews *>(VT_QUARANTINE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1312,6 +1609,8 @@
            VerifyOffset(verifier, VT_UPSTREAM_CREDIT) &&
            verifier.VerifyVector(upstream_credit()) &&
            verifier.VerifyVectorOfTables(upstream_credit()) &&
+           VerifyOffset(verifier, VT_QUARANTINE) &&
+           verifier.VerifyTable(quarantine()) &&
            verifier.EndTable();
   }
 };
@@ -1368,6 +1667,9 @@
   void add_upstream_credit(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit) {
     fbb_.AddOffset(News::VT_UPSTREAM_CREDIT, upstream_credit);
   }
+  void add_quarantine(flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine) {
+    fbb_.AddOffset(News::VT_QUARANTINE, quarantine);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1396,11 +1698,13 @@
     flatbuffers::Offset<flatbuffers::String> successor = 0,
     bool is_interim = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>> upstream_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit = 0,
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
+  builder_.add_quarantine(quarantine);
   builder_.add_upstream_credit(upstream_credit);
   builder_.add_upstream_limits(upstream_limits);
   builder_.add_successor(successor);
@@ -1439,7 +1743,8 @@
     const char *successor = nullptr,
     bool is_interim = false,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>> *upstream_limits = nullptr,
-    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit = nullptr) {
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit = nullptr,
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
@@ -1465,7 +1770,8 @@
       successor__,
       is_interim,
       upstream_limits__,
-      upstream_credit__);
+      upstream_credit__,
+      quarantine);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1488,6 +1794,9 @@
   const sagesaddle::fleet_wire::News *body_as_News() const {
     return body_type() == sagesaddle::fleet_wire::Body::News ? static_cast<const sagesaddle::fleet_wire::News *>(body()) : nullptr;
   }
+  const sagesaddle::fleet_wire::QuarantineNews *body_as_QuarantineNews() const {
+    return body_type() == sagesaddle::fleet_wire::Body::QuarantineNews ? static_cast<const sagesaddle::fleet_wire::QuarantineNews *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1505,6 +1814,10 @@
   return body_as_News();
 }
 
+template<> inline const sagesaddle::fleet_wire::QuarantineNews *Frame::body_as<sagesaddle::fleet_wire::QuarantineNews>() const {
+  return body_as_QuarantineNews();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1554,6 +1867,10 @@
       auto ptr = reinterpret_cast<const sagesaddle::fleet_wire::News *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuarantineNews: {
+      auto ptr = reinterpret_cast<const sagesaddle::fleet_wire::QuarantineNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -35,6 +35,23 @@
     return requestsPerSecond >= 0 ? std::optional(requestsPerSecond) : std::nullopt;
 }
 
+std::vector<fleet_wire::Quarantine> encodeNotices(const std::vector<quarantine_notice>& notices)
+{
+    std::vector<fleet_wire::Quarantine> encoded;
+    encoded.reserve(notices.size());
+    for (const auto& notice : notices)
+        encoded.emplace_back(notice.part, static_cast<std::uint32_t>(notice.left.count()));
+    return encoded;
+}
+
+Offset<fleet_wire::QuarantineNews> encodeQuarantine(
+    FlatBufferBuilder& builder, const quarantine_update& value)
+{
+    const auto watched = builder.CreateVector(value.watched);
+    const auto quarantined = builder.CreateVectorOfStructs(encodeNotices(value.quarantined));
+    return fleet_wire::CreateQuarantineNews(builder, watched, quarantined);
+}
+
 Offset<void> encodeReport(FlatBufferBuilder& builder, const fleet_report& value)
 {
     const auto credit
@@ -59,9 +76,21 @@
                 static_cast<std::uint32_t>(item.knownFor.count()), item.isNews, item.needed, item.ahead,
                 item.returned);
         });
+    const auto crashes
+        = vectorOf<fleet_wire::Crash>(builder, value.quarantine.crashes, [&](const reported_crash& crash) {
+              return fleet_wire::CreateCrash(builder, builder.CreateString(crash.process.upstream),
+                  crash.process.startedAt, static_cast<std::uint32_t>(crash.age.count()),
+                  builder.CreateVector(crash.parts));
+          });
+    std::vector<fleet_wire::PartAnswers> answered;
+    answered.reserve(value.quarantine.answers.size());
+    for (const auto& item : value.quarantine.answers)
+        answered.emplace_back(item.part, item.answers);
+    const auto answers = builder.CreateVectorOfStructs(answered);
+    const auto quarantined = builder.CreateVectorOfStructs(encodeNotices(value.quarantine.quarantined));
     return fleet_wire::CreateReport(builder, builder.CreateString(value.gateway), value.number,
         value.isStoreUnreachable, value.wantsFullUpdate, credit, work, demand, value.isOnlyCredit,
-        builder.CreateString(value.member), sendCredit)
+        builder.CreateString(value.member), sendCredit, crashes, answers, quarantined)
         .Union();
 }
 
@@ -133,11 +162,13 @@
     const auto work = builder.CreateVectorOfStructs(numbered);
     const auto listed = vectorOf<fleet_wire::Listed>(builder, value.listed,
         [&](const listed_upstream& item) { return encodeListed(builder, shared, item); });
+    const auto quarantine = value.quarantine ? encodeQuarantine(builder, *value.quarantine) : 0;
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
-        credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit)
+        credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
+        quarantine)
         .Union();
 }
 
@@ -157,6 +188,44 @@
     return read;
 }
 
+std::vector<std::uint64_t> decodeParts(const flatbuffers::Vector<std::uint64_t>* parts)
+{
+    return parts == nullptr ? std::vector<std::uint64_t>()
+                            : std::vector<std::uint64_t>(parts->begin(), parts->end());
+}
+
+std::vector<quarantine_notice> decodeNotices(
+    const flatbuffers::Vector<const fleet_wire::Quarantine*>* notices)
+{
+    std::vector<quarantine_notice> decoded;
+    if (notices == nullptr)
+        return decoded;
+    for (const auto* notice : *notices)
+        decoded.push_back({ notice->part(), milliseconds(notice->left_ms()) });
+    return decoded;
+}
+
+quarantine_report decodeQuarantineReport(const fleet_wire::Report& table)
+{
+    quarantine_report value;
+    if (table.crashes() != nullptr) {
+        for (const auto* crash : *table.crashes())
+            value.crashes.push_back({ { crash->upstream()->str(), crash->started_at() },
+                milliseconds(crash->age_ms()), decodeParts(crash->parts()) });
+    }
+    if (table.part_answers() != nullptr) {
+        for (const auto* item : *table.part_answers())
+            value.answers.push_back({ item->part(), item->answers() });
+    }
+    value.quarantined = decodeNotices(table.quarantined());
+    return value;
+}
+
+quarantine_update decodeQuarantine(const fleet_wire::QuarantineNews& table)
+{
+    return { decodeParts(table.watched_parts()), decodeNotices(table.quarantined()) };
+}
+
 fleet_report decodeReport(const fleet_wire::Report& table)
 {
     fleet_report value;
@@ -186,6 +255,7 @@
                 { { item->upstream()->str(), decodeLimit(item->limit()) }, milliseconds(item->known_for_ms()),
                     item->is_news(), item->needed(), item->ahead(), item->returned() });
     }
+    value.quarantine = decodeQuarantineReport(table);
     return value;
 }
 
@@ -239,6 +309,8 @@
                 { namesOf(item->held()), namesOf(item->dropped()), item->is_change() } });
         }
     }
+    if (table.quarantine() != nullptr)
+        value.quarantine = decodeQuarantine(*table.quarantine());
     return value;
 }
 
@@ -253,6 +325,9 @@
                     },
             [&](const fleet_update& update) {
                 return std::pair(fleet_wire::Body::News, encodeUpdate(builder, update));
+            },
+            [&](const quarantine_update& update) {
+                return std::pair(fleet_wire::Body::QuarantineNews, encodeQuarantine(builder, update).Union());
             } },
         value);
     builder.FinishSizePrefixed(fleet_wire::CreateFrame(builder, kind, body));
@@ -283,6 +358,8 @@
         read.message = decodeReport(*report);
     else if (const auto* update = frame->body_as_News())
         read.message = decodeUpdate(*update);
+    else if (const auto* quarantine = frame->body_as_QuarantineNews())
+        read.message = decodeQuarantine(*quarantine);
     return read;
 }
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/loaded_models_history.h"
 #include "Fleet/upstream_limit.h"
+#include "Quarantine/quarantine_messages.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -135,6 +136,7 @@
     std::vector<upstream_work> work;
     std::vector<demand_count> demand;
     std::vector<send_credit_request> sendCredit;
+    quarantine_report quarantine;
 
     auto operator<=>(const fleet_report&) const = default;
 
@@ -175,11 +177,13 @@
     std::vector<upstream_limit> upstreamLimits;
     /// Credit for requests to upstreams with a limit.
     std::vector<credit_answer> sendCredit;
+    /// Nothing if no quarantine changed since the last update.
+    std::optional<quarantine_update> quarantine;
 
     auto operator<=>(const fleet_update&) const = default;
 };
 
-using fleet_message = std::variant<fleet_report, fleet_update>;
+using fleet_message = std::variant<fleet_report, fleet_update, quarantine_update>;
 
 /// \return the message as a size-prefixed frame, ready to be sent.
 std::string encodeFleetMessage(const fleet_message& value);
--- /dev/null
+++ b/Tests/Quarantine/crash_evidence_tests.cpp
@@ -0,0 +1,192 @@
+#include "Quarantine/crash_evidence.h"
+#include "Support/test_time.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+using testing::at;
+
+namespace {
+
+constexpr std::uint64_t deadly = 0xdead;
+constexpr std::uint64_t otherDeadly = 0xbad;
+constexpr std::uint64_t common = 0xc0;
+constexpr std::uint64_t rare = 0x7a;
+
+/// Crashes of one upstream after the other.
+class crash_history {
+public:
+    void crash(std::vector<std::uint64_t> parts, monotonic_time now)
+    {
+        std::sort(parts.begin(), parts.end());
+        tested.onCrash({ { "u" + std::to_string(++m_crashes), 1 }, now, std::move(parts) }, now);
+        update(now);
+    }
+
+    void update(monotonic_time now)
+    {
+        for (const auto& decision : tested.update(now))
+            decided.push_back(decision);
+    }
+
+    /// Lets time pass, in which some answers come for requests with a part.
+    void pass(monotonic_time from, monotonic_time to, std::uint64_t part = 0, unsigned answers = 0)
+    {
+        for (auto now = from; now < to; now += milliseconds(100)) {
+            if (answers > 0 && part != 0)
+                tested.onAnswers({ part, answers });
+            update(now);
+        }
+    }
+
+    crash_evidence tested;
+    std::vector<quarantine_decision> decided;
+
+private:
+    int m_crashes { 0 };
+};
+
+} // namespace
+
+TEST_CASE("crash evidence: a part that was pending at several crashes and never answered is quarantined")
+{
+    crash_history history;
+    history.crash({ deadly }, at(0));
+    history.crash({ deadly }, at(500));
+    history.crash({ deadly }, at(1000));
+    CHECK_FALSE(history.tested.isQuarantined(deadly));
+    history.pass(at(1000), at(2500));
+    CHECK(history.tested.isQuarantined(deadly));
+    REQUIRE(history.decided.size() == 1);
+    CHECK(history.decided.front().crashes == 3);
+    CHECK(history.decided.front().answers == 0);
+}
+
+TEST_CASE("crash evidence: parts that are answered are not quarantined, though pending at each crash")
+{
+    crash_history history;
+    for (int crash = 0; crash < 20; ++crash) {
+        history.crash({ deadly, common }, at(crash * 500));
+        history.pass(at(crash * 500), at(crash * 500 + 500), common, 1);
+    }
+    CHECK(history.tested.isQuarantined(deadly));
+    CHECK_FALSE(history.tested.isQuarantined(common));
+}
+
+TEST_CASE("crash evidence: a rare part that was pending beside a deadly one is not quarantined with it")
+{
+    crash_history history;
+    history.crash({ deadly, rare }, at(0));
+    history.crash({ deadly, rare }, at(500));
+    history.crash({ deadly }, at(1000));
+    history.crash({ deadly, rare }, at(1400));
+    history.pass(at(1400), at(9000));
+    CHECK(history.tested.isQuarantined(deadly));
+    CHECK_FALSE(history.tested.isQuarantined(rare));
+    // What the deadly part explains is no evidence against the other one.
+    history.crash({ deadly, rare }, at(9000));
+    history.pass(at(9000), at(20000));
+    CHECK_FALSE(history.tested.isQuarantined(rare));
+}
+
+TEST_CASE("crash evidence: two deadly parts at once are told from each other and from the sound ones")
+{
+    crash_history history;
+    for (int crash = 0; crash < 8; ++crash) {
+        history.crash({ crash % 2 == 0 ? deadly : otherDeadly, common }, at(crash * 400));
+        history.pass(at(crash * 400), at(crash * 400 + 400), common, 1);
+    }
+    history.pass(at(3200), at(6000), common, 1);
+    CHECK(history.tested.isQuarantined(deadly));
+    CHECK(history.tested.isQuarantined(otherDeadly));
+    CHECK(history.tested.quarantined().size() == 2);
+}
+
+TEST_CASE("crash evidence: crashes at the same moment have one cause")
+{
+    crash_history history;
+    for (int upstream = 0; upstream < 12; ++upstream)
+        history.crash({ rare }, at(upstream * 10));
+    history.pass(at(200), at(9000));
+    CHECK(history.tested.quarantined().empty());
+}
+
+TEST_CASE("crash evidence: one crash that several gateways report counts once")
+{
+    crash_evidence tested;
+    for (int gateway = 0; gateway < 5; ++gateway)
+        tested.onCrash({ { "u1", 1 }, at(gateway * 400), { rare } }, at(gateway * 400));
+    for (int step = 0; step < 90; ++step)
+        tested.update(at(2000 + step * 100));
+    CHECK(tested.quarantined().empty());
+    CHECK(tested.watched().empty());
+}
+
+TEST_CASE("crash evidence: crashes long ago are no evidence")
+{
+    crash_history history;
+    for (int crash = 0; crash < 6; ++crash) {
+        history.crash({ rare }, at(crash * 45000));
+        history.pass(at(crash * 45000), at(crash * 45000 + 5000));
+    }
+    CHECK(history.tested.quarantined().empty());
+}
+
+TEST_CASE("crash evidence: a quarantine ends after a time, and a single further crash renews it for longer")
+{
+    crash_history history;
+    for (int crash = 0; crash < 3; ++crash)
+        history.crash({ deadly }, at(crash * 500));
+    history.pass(at(1500), at(4000));
+    REQUIRE(history.decided.size() == 1);
+    const monotonic_time until = history.decided.front().part.until;
+    history.update(until - milliseconds(1));
+    CHECK(history.tested.isQuarantined(deadly));
+    history.update(until);
+    CHECK_FALSE(history.tested.isQuarantined(deadly));
+    const monotonic_time again = until + milliseconds(800);
+    history.crash({ deadly }, again);
+    CHECK(history.tested.isQuarantined(deadly));
+    REQUIRE(history.decided.size() == 2);
+    CHECK(history.decided.back().part.until - again > history.decided.front().part.until - at(4000));
+}
+
+TEST_CASE("crash evidence: a quarantine that was decided elsewhere is taken over until its end")
+{
+    crash_history history;
+    history.tested.adopt({ deadly, at(60000) }, at(0));
+    CHECK(history.tested.isQuarantined(deadly));
+    history.tested.adopt({ deadly, at(50000) }, at(0));
+    CHECK(history.tested.quarantined() == std::vector<quarantined_part> { { deadly, at(60000) } });
+    history.update(at(60000));
+    CHECK(history.tested.quarantined().empty());
+}
+
+TEST_CASE("crash evidence: the revision grows with each change that gateways must know, and only then")
+{
+    crash_history history;
+    const auto initial = history.tested.revision();
+    history.crash({ deadly }, at(0));
+    CHECK(history.tested.revision() == initial);
+    history.crash({ deadly }, at(500));
+    const auto watched = history.tested.revision();
+    CHECK(watched > initial);
+    CHECK(history.tested.watched() == std::vector<std::uint64_t> { deadly });
+    history.pass(at(500), at(900));
+    CHECK(history.tested.revision() == watched);
+}
+
+TEST_CASE("crash evidence: memory is bounded in a storm of crashes with many parts")
+{
+    crash_history history;
+    std::uint64_t next = 1;
+    for (int crash = 0; crash < 1000; ++crash) {
+        std::vector<std::uint64_t> parts { deadly };
+        for (int part = 0; part < 600; ++part)
+            parts.push_back(0x10000 + next++ % 5000);
+        history.crash(parts, at(crash * 20));
+    }
+    CHECK(history.tested.watched().size() <= 256);
+    CHECK(history.tested.quarantined().size() <= 1024);
+}
