Gateway: Blame a prompt part only for crashes without an answer in between

A part now needs crashes at four moments since its last answer, up to six the fewer of the recent crashes it explains, and answers to other requests in that time; a gateway by itself needs five. Gateways tell a new coordinator for how long they have counted. A connection that an upstream accepts proves that it lives, however soon: an upstream that cut one answer short counted as crashed.

--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -30,8 +30,8 @@
 
 // Shortest time between two decisions on quarantines. In a large fleet reports arrive more often.
 constexpr milliseconds quarantineDecisionInterval { 20 };
-// Shortest time between two messages about quarantines to all gateways.
-constexpr milliseconds quarantineBroadcastInterval { 50 };
+// Shortest time between two messages to all gateways about watched prompt parts, for each gateway.
+constexpr milliseconds watchBroadcastIntervalPerGateway { 1 };
 
 // Differences of load that are too small to change the choice of an upstream.
 constexpr int inFlightTolerance = 1;
@@ -375,17 +375,19 @@
 void coordinator::addQuarantine(
     gateway_state& to, const quarantine_report& report, fleet_update& update, monotonic_time now)
 {
-    for (const auto& crash : report.crashes)
-        m_crashEvidence.onCrash({ crash.process, now - crash.age, crash.parts }, now);
-    for (const auto& answers : report.answers)
-        m_crashEvidence.onAnswers(answers);
     for (const auto& notice : report.quarantined)
         m_crashEvidence.adopt({ notice.part, now + notice.left }, now);
-    if (now - m_quarantineDecidedAt >= quarantineDecisionInterval) {
+    for (const auto& crash : report.crashes)
+        m_crashEvidence.onCrash({ crash.process, now - crash.age, crash.parts }, now);
+    // The answers may be of parts that are watched only because of these crashes.
+    if (!report.crashes.empty() || now - m_quarantineDecidedAt >= quarantineDecisionInterval) {
         m_quarantineDecidedAt = now;
         const auto decisions = m_crashEvidence.update(now);
         m_quarantineDecisions.insert(m_quarantineDecisions.end(), decisions.begin(), decisions.end());
     }
+    m_crashEvidence.onAllAnswers(report.allAnswers);
+    for (const auto& answers : report.answers)
+        m_crashEvidence.onAnswers(answers, now);
     if (std::exchange(to.sentQuarantineRevision, m_crashEvidence.revision()) == m_crashEvidence.revision())
         return;
     update.quarantine = describeQuarantine(now);
@@ -401,10 +403,12 @@
 
 std::optional<quarantine_update> coordinator::takeQuarantineBroadcast(monotonic_time now)
 {
-    if (m_broadcastRevision == m_crashEvidence.revision()
-        || now - m_broadcastAt < quarantineBroadcastInterval)
+    const bool isUrgent = m_broadcastQuarantineRevision != m_crashEvidence.quarantineRevision();
+    const auto interval = watchBroadcastIntervalPerGateway * std::ssize(m_gateways);
+    if (m_broadcastRevision == m_crashEvidence.revision() || (!isUrgent && now - m_broadcastAt < interval))
         return std::nullopt;
     m_broadcastAt = now;
+    m_broadcastQuarantineRevision = m_crashEvidence.quarantineRevision();
     m_broadcastRevision = m_crashEvidence.revision();
     // A gateway whose connection breaks meanwhile asks for a full update.
     for (auto& [name, state] : m_gateways)
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -92,6 +92,9 @@
     std::uint32_t knownGatewayCount(monotonic_time now) const;
 
 private:
+    /// Crashes without an answer that a prompt part needs to be quarantined.
+    static constexpr unsigned minCrashesOfPart = 4;
+
     struct gateway_state {
         /// Work of this gateway, by the upstream's number.
         std::map<std::uint16_t, upstream_work> work;
@@ -168,10 +171,11 @@
     std::string m_successor;
     token_buckets m_buckets;
     upstream_limits m_upstreamLimits;
-    crash_evidence m_crashEvidence;
+    crash_evidence m_crashEvidence { minCrashesOfPart };
     monotonic_time m_quarantineDecidedAt {};
     std::vector<quarantine_decision> m_quarantineDecisions;
-    std::uint64_t m_broadcastRevision { 0 };
+    std::uint64_t m_broadcastRevision { 1 };
+    std::uint64_t m_broadcastQuarantineRevision { 1 };
     monotonic_time m_broadcastAt {};
     demand_meter m_demand;
     std::vector<rate_limit> m_teamLimits;
--- a/Source/Quarantine/crash_detector.h
+++ b/Source/Quarantine/crash_detector.h
@@ -19,8 +19,10 @@
     /// \param parts ids of the request's shared prompt parts; empty if its answer began long before
     void onConnectionBroken(
         const upstream_process& process, const std::vector<std::uint64_t>& parts, monotonic_time now);
-    /// Notes that an upstream sent something or accepted a connection.
+    /// Notes that an upstream sent something.
     void onActivity(const std::string& upstream, monotonic_time now);
+    /// Notes that an upstream accepted a connection, which was opened after one broke.
+    void onConnectionAccepted(const std::string& upstream) { m_suspected.erase(upstream); }
 
     /// \return the crashes that are certain by now, each once.
     std::vector<upstream_crash> takeCrashes(monotonic_time now);
--- a/Source/Quarantine/crash_evidence.cpp
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -6,18 +6,18 @@
 
 namespace {
 
-// Crashes at which a part must have been pending.
-constexpr unsigned minCrashes = 3;
-// The same for a part whose last quarantine has ended.
+// The most crashes that a part needs, however few of the recent ones it explains.
+constexpr unsigned maxNeededCrashes = 6;
+// Crashes needed by a part whose last quarantine has ended.
 constexpr unsigned minCrashesOnProbation = 1;
-// Crashes after which the answers of a part are counted.
-constexpr unsigned minCrashesToWatch = 2;
-// A part is sound if it has an answer for each such number of crashes.
-constexpr unsigned crashesPerAnswer = 4;
+// Answers to requests without the part that show that the upstreams answer at all.
+constexpr std::uint64_t minOtherAnswers = 8;
 // Crashes within this time of each other have one cause, such as the loss of a link or of power.
 constexpr milliseconds sameCauseWindow { 250 };
 // Time in which a sound part that is requested at all gets an answer that is reported.
 constexpr milliseconds answerWindow { 1200 };
+// Time in which all gateways have told a new coordinator what they know.
+constexpr milliseconds introductionTime { 300 };
 // Age at which a crash is no evidence any more.
 constexpr milliseconds crashLifetime { 60000 };
 constexpr milliseconds firstQuarantine { 300000 };
@@ -27,11 +27,16 @@
 constexpr milliseconds probation { 3600000 };
 constexpr std::size_t maxCrashes = 128;
 constexpr std::size_t maxPartsPerCrash = 256;
-constexpr std::size_t maxWatched = 256;
+constexpr std::size_t maxWatched = 128;
 constexpr std::size_t maxQuarantines = 1024;
 
 } // namespace
 
+crash_evidence::crash_evidence(unsigned minCrashes)
+    : m_minCrashes(minCrashes)
+{
+}
+
 void crash_evidence::onCrash(const upstream_crash& crash, monotonic_time now)
 {
     if (now - crash.at > crashLifetime)
@@ -50,11 +55,16 @@
     }
 }
 
-void crash_evidence::onAnswers(const part_answers& answers)
+void crash_evidence::onAnswers(const part_answers& answers, monotonic_time now)
 {
     const auto found = m_watched.find(answers.part);
-    if (found != m_watched.end())
-        found->second.answers += answers.answers;
+    if (found == m_watched.end())
+        return;
+    watched_part& watched = found->second;
+    watched.since = std::min(watched.since, now - answers.watchedFor);
+    watched.answers += answers.answers;
+    if (answers.answers > 0)
+        watched.lastAnswerAt = now;
 }
 
 void crash_evidence::adopt(const quarantined_part& part, monotonic_time now)
@@ -70,7 +80,7 @@
     entry.duration = std::max({ entry.duration, firstQuarantine, std::min(left, longestQuarantine) });
     entry.until = until;
     entry.isOnProbation = false;
-    ++m_revision;
+    onQuarantinesChanged();
     explainCrashes();
 }
 
@@ -81,7 +91,7 @@
         if (entry.isOnProbation || now < entry.until)
             continue;
         entry.isOnProbation = true;
-        ++m_revision;
+        onQuarantinesChanged();
         // The crashes so far led to the quarantine that ends now.
         for (auto& [process, record] : m_crashes)
             record.isExplained = record.isExplained || record.parts.contains(part);
@@ -90,7 +100,7 @@
         [&](const auto& item) { return item.second.isOnProbation && now >= item.second.until + probation; });
 }
 
-std::map<std::uint64_t, unsigned> crash_evidence::countCrashes() const
+crash_evidence::crash_counts crash_evidence::countCrashes() const
 {
     std::vector<const crash_record*> unexplained;
     for (const auto& [process, record] : m_crashes) {
@@ -99,24 +109,23 @@
     }
     std::sort(unexplained.begin(), unexplained.end(),
         [](const crash_record* left, const crash_record* right) { return left->at < right->at; });
-    struct count {
-        unsigned crashes { 0 };
-        monotonic_time lastAt {};
-    };
-    std::map<std::uint64_t, count> counts;
-    for (const crash_record* record : unexplained) {
-        for (const std::uint64_t part : record->parts) {
-            count& counted = counts[part];
-            if (counted.crashes > 0 && record->at - counted.lastAt < sameCauseWindow)
+    crash_counts counts;
+    for (std::size_t index = 0; index < unexplained.size(); ++index) {
+        const crash_record& record = *unexplained[index];
+        for (const std::uint64_t part : record.parts) {
+            crash_count& count = counts[part];
+            const auto watched = m_watched.find(part);
+            if (watched != m_watched.end() && record.at <= watched->second.lastAnswerAt)
+                continue;
+            if (++count.crashes == 1)
+                count.crashesSince = static_cast<unsigned>(unexplained.size() - index);
+            if (count.moments > 0 && record.at - count.lastAt < sameCauseWindow)
                 continue;
-            ++counted.crashes;
-            counted.lastAt = record->at;
+            ++count.moments;
+            count.lastAt = record.at;
         }
     }
-    std::map<std::uint64_t, unsigned> crashes;
-    for (const auto& [part, counted] : counts)
-        crashes.emplace(part, counted.crashes);
-    return crashes;
+    return counts;
 }
 
 bool crash_evidence::isOnProbation(std::uint64_t part) const
@@ -125,41 +134,46 @@
     return found != m_quarantines.end() && found->second.isOnProbation;
 }
 
-void crash_evidence::updateWatched(const std::map<std::uint64_t, unsigned>& crashes, monotonic_time now)
+void crash_evidence::updateWatched(const crash_counts& counts, monotonic_time now)
 {
-    const auto isWanted = [&](std::uint64_t part) {
-        const auto found = crashes.find(part);
-        return found != crashes.end() && found->second >= minCrashesToWatch && !isQuarantined(part);
-    };
     const std::size_t before = m_watched.size();
-    std::erase_if(m_watched, [&](const auto& item) { return !isWanted(item.first); });
+    std::erase_if(m_watched,
+        [&](const auto& item) { return !counts.contains(item.first) || isQuarantined(item.first); });
     bool hasChanged = m_watched.size() != before;
     std::vector<std::pair<unsigned, std::uint64_t>> wanted;
-    for (const auto& [part, count] : crashes) {
-        if (isWanted(part) && !m_watched.contains(part))
-            wanted.emplace_back(count, part);
+    for (const auto& [part, count] : counts) {
+        if (!isQuarantined(part) && !m_watched.contains(part))
+            wanted.emplace_back(count.moments, part);
     }
     // Where not all can be watched, those with the most crashes are.
     std::sort(wanted.begin(), wanted.end(), std::greater<>());
-    for (const auto& [count, part] : wanted) {
+    for (const auto& [crashes, part] : wanted) {
         if (m_watched.size() >= maxWatched)
             break;
-        m_watched.emplace(part, watched_part { now, 0 });
+        m_watched.emplace(part, watched_part { now, now, 0, {}, m_allAnswers });
         hasChanged = true;
     }
     m_revision += hasChanged ? 1 : 0;
 }
 
-bool crash_evidence::isGuilty(std::uint64_t part, unsigned crashes, monotonic_time now) const
+bool crash_evidence::isGuilty(std::uint64_t part, const crash_count& count, monotonic_time now) const
 {
     if (isOnProbation(part))
-        return crashes >= minCrashesOnProbation;
-    const auto watched = m_watched.find(part);
-    return crashes >= minCrashes && watched != m_watched.end() && now - watched->second.since >= answerWindow
-        && watched->second.answers * crashesPerAnswer < crashes;
+        return count.moments >= minCrashesOnProbation;
+    const auto found = m_watched.find(part);
+    if (found == m_watched.end() || count.crashes == 0)
+        return false;
+    const watched_part& watched = found->second;
+    if (now - watched.since < answerWindow || now - watched.addedAt < introductionTime)
+        return false;
+    const unsigned perExplained = (count.crashesSince + count.crashes - 1) / count.crashes;
+    const unsigned needed
+        = std::max(m_minCrashes, std::min(m_minCrashes + perExplained - 1, maxNeededCrashes));
+    return count.moments >= needed
+        && m_allAnswers >= watched.earlierAnswers + watched.answers + minOtherAnswers;
 }
 
-quarantine_decision crash_evidence::decide(std::uint64_t part, unsigned crashes, monotonic_time now)
+quarantine_decision crash_evidence::decide(std::uint64_t part, const crash_count& count, monotonic_time now)
 {
     const auto watched = m_watched.find(part);
     const unsigned answers = watched == m_watched.end() ? 0 : watched->second.answers;
@@ -168,8 +182,8 @@
                                                        : std::min(entry.duration * 2, longestQuarantine);
     entry.until = now + entry.duration;
     entry.isOnProbation = false;
-    ++m_revision;
-    return { { part, entry.until }, crashes, answers };
+    onQuarantinesChanged();
+    return { { part, entry.until }, count.crashes, count.crashesSince, answers };
 }
 
 void crash_evidence::explainCrashes()
@@ -186,30 +200,28 @@
     std::vector<quarantine_decision> decisions;
     expire(now);
     while (true) {
-        const auto crashes = countCrashes();
-        updateWatched(crashes, now);
+        const auto counts = countCrashes();
+        updateWatched(counts, now);
         // The part with the most crashes explains them best; parts that cannot be told apart share its fate.
         unsigned most = 0;
-        for (const auto& [part, count] : crashes) {
+        for (const auto& [part, count] : counts) {
             if (isGuilty(part, count, now))
-                most = std::max(most, count);
+                most = std::max(most, count.moments);
         }
         if (most == 0 || m_quarantines.size() >= maxQuarantines)
             return decisions;
-        for (const auto& [part, count] : crashes) {
-            if (count == most && isGuilty(part, count, now))
+        for (const auto& [part, count] : counts) {
+            if (count.moments == most && isGuilty(part, count, now))
                 decisions.push_back(decide(part, count, now));
         }
         explainCrashes();
     }
 }
 
-void crash_evidence::clear()
+void crash_evidence::onQuarantinesChanged()
 {
-    m_crashes.clear();
-    m_watched.clear();
-    m_quarantines.clear();
     ++m_revision;
+    ++m_quarantineRevision;
 }
 
 bool crash_evidence::isQuarantined(std::uint64_t part) const
--- a/Source/Quarantine/prompt_quarantine.cpp
+++ b/Source/Quarantine/prompt_quarantine.cpp
@@ -10,6 +10,10 @@
 // Crashes that are kept for the next coordinator.
 constexpr std::size_t maxKnownCrashes = 64;
 constexpr milliseconds crashLifetime { 30000 };
+// Crashes without an answer that a gateway by itself needs, which sees few of the fleet's answers.
+constexpr unsigned minOwnCrashes = 5;
+// Time for which the answers of a part that is not watched any more are kept for a new coordinator.
+constexpr milliseconds unwatchedLifetime { 5000 };
 // Parts that a coordinator may have watched or quarantined; further ones are ignored.
 constexpr std::size_t maxParts = 2048;
 
@@ -20,6 +24,11 @@
 
 } // namespace
 
+prompt_quarantine::prompt_quarantine()
+    : m_ownEvidence(minOwnCrashes)
+{
+}
+
 void prompt_quarantine::onCrash(const upstream_crash& crash)
 {
     if (crash.parts.empty())
@@ -30,10 +39,13 @@
         m_crashes.pop_front();
 }
 
-void prompt_quarantine::onAnswerUnderWay(const std::vector<std::uint64_t>& parts)
+void prompt_quarantine::onAnswerUnderWay(const std::vector<std::uint64_t>& parts, monotonic_time now)
 {
+    m_ownEvidence.onAllAnswers(1);
+    if (!m_answers.empty())
+        ++m_allAnswers.total;
     for (const std::uint64_t part : parts) {
-        m_ownEvidence.onAnswers({ part, 1 });
+        m_ownEvidence.onAnswers({ part, 1, {} }, now);
         const auto found = m_answers.find(part);
         if (found != m_answers.end())
             ++found->second.total;
@@ -42,13 +54,22 @@
 
 std::vector<quarantined_part> prompt_quarantine::onTold(const quarantine_update& told, monotonic_time now)
 {
-    std::map<std::uint64_t, answer_count> answers;
+    for (auto& [part, count] : m_answers) {
+        if (!count.droppedAt)
+            count.droppedAt = now;
+    }
     for (const std::uint64_t part : told.watched) {
-        const auto known = m_answers.find(part);
-        if (answers.size() < maxParts)
-            answers.emplace(part, known == m_answers.end() ? answer_count {} : known->second);
+        if (m_answers.size() < maxParts)
+            m_answers.try_emplace(part, answer_count { 0, 0, now, true, {} });
+        const auto found = m_answers.find(part);
+        if (found != m_answers.end())
+            found->second.droppedAt.reset();
     }
-    m_answers = std::move(answers);
+    std::erase_if(m_answers, [&](const auto& item) {
+        return item.second.droppedAt && now - *item.second.droppedAt >= unwatchedLifetime;
+    });
+    if (m_answers.empty())
+        m_allAnswers = {};
     std::vector<quarantined_part> added;
     std::map<std::uint64_t, quarantine> quarantined;
     for (const auto& notice : told.quarantined) {
@@ -111,9 +132,11 @@
             report.crashes.push_back({ item.crash.process,
                 std::max(timeUntil(now, item.crash.at), milliseconds(0)), item.crash.parts });
     }
+    report.allAnswers = m_allAnswers.total - std::exchange(m_allAnswers.reported, m_allAnswers.total);
     for (auto& [part, count] : m_answers) {
-        if (count.total > count.reported)
-            report.answers.push_back({ part, count.total - std::exchange(count.reported, count.total) });
+        if (count.total > count.reported || !std::exchange(count.isKnown, true))
+            report.answers.push_back({ part, count.total - std::exchange(count.reported, count.total),
+                timeUntil(now, count.since) });
     }
     for (auto& [part, entry] : m_quarantined) {
         if (!std::exchange(entry.isReported, true) && entry.until > now)
@@ -126,8 +149,11 @@
 {
     for (auto& item : m_crashes)
         item.isReported = false;
-    for (auto& [part, count] : m_answers)
+    m_allAnswers.reported = 0;
+    for (auto& [part, count] : m_answers) {
         count.reported = 0;
+        count.isKnown = false;
+    }
     for (auto& [part, entry] : m_quarantined)
         entry.isReported = false;
 }
--- a/Source/Quarantine/prompt_quarantine.h
+++ b/Source/Quarantine/prompt_quarantine.h
@@ -16,11 +16,13 @@
 /// reported anew to each coordinator, so that a new one knows what the last one did.
 class prompt_quarantine {
 public:
+    prompt_quarantine();
+
     /// Adds a crash that requests of this gateway met.
     void onCrash(const upstream_crash& crash);
     /// Counts an answer that went on after its beginning.
-    /// \param parts ids of the request's shared prompt parts
-    void onAnswerUnderWay(const std::vector<std::uint64_t>& parts);
+    /// \param parts ids of the request's shared prompt parts; empty if its prompt has none
+    void onAnswerUnderWay(const std::vector<std::uint64_t>& parts, monotonic_time now);
     /// Applies what the coordinator says.
     /// \return the parts that were not in quarantine before
     std::vector<quarantined_part> onTold(const quarantine_update& told, monotonic_time now);
@@ -56,13 +58,22 @@
     struct answer_count {
         std::uint32_t total { 0 };
         std::uint32_t reported { 0 };
+        monotonic_time since {};
+        /// Whether the coordinator knows for how long they are counted.
+        bool isKnown { false };
+        /// Since when the coordinator does not watch the part any more.
+        std::optional<monotonic_time> droppedAt;
     };
 
     /// Newest last.
     std::deque<known_crash> m_crashes;
     /// Evidence of this gateway's own requests.
     crash_evidence m_ownEvidence;
+    /// Of the watched parts, and of those that were until a short time ago: a new coordinator does not know
+    /// at once all that the last one watched.
     std::map<std::uint64_t, answer_count> m_answers;
+    /// Of all requests, while any part is watched.
+    answer_count m_allAnswers;
     std::map<std::uint64_t, quarantine> m_quarantined;
 };
 
--- a/Source/Quarantine/quarantine_messages.h
+++ b/Source/Quarantine/quarantine_messages.h
@@ -29,12 +29,14 @@
     std::vector<reported_crash> crashes;
     /// Answers to requests with watched parts since the last report.
     std::vector<part_answers> answers;
+    /// Answers to all requests with prompts since the last report; 0 while no part is watched.
+    std::uint32_t allAnswers { 0 };
     /// Quarantines that the coordinator may not know.
     std::vector<quarantine_notice> quarantined;
 
     auto operator<=>(const quarantine_report&) const = default;
 
-    bool isEmpty() const { return crashes.empty() && answers.empty() && quarantined.empty(); }
+    bool isEmpty() const { return *this == quarantine_report {}; }
 };
 
 /// \brief What the coordinator tells the gateways: both lists are complete.
--- a/Source/Quarantine/upstream_crash.h
+++ b/Source/Quarantine/upstream_crash.h
@@ -32,6 +32,8 @@
 struct part_answers {
     std::uint64_t part { 0 };
     std::uint32_t answers { 0 };
+    /// Time for which they were counted.
+    milliseconds watchedFor { 0 };
 
     auto operator<=>(const part_answers&) const = default;
 };
--- a/Source/Relay/crash_watch.h
+++ b/Source/Relay/crash_watch.h
@@ -18,8 +18,10 @@
     /// \brief Notes that a connection broke before the answer to a request was complete.
     /// \param isUnderWay whether the answer began long enough before that its beginning was no cause
     void onConnectionBroken(const upstream_entry& upstream, const relay_request& request, bool isUnderWay);
-    /// \brief Notes that an upstream sent something or accepted a connection.
+    /// \brief Notes that an upstream sent something.
     void onActivity(const std::string& upstream);
+    /// \brief Notes that an upstream accepted a connection that was opened to find out whether it lives.
+    void onConnectionAccepted(const std::string& upstream) { m_detector.onConnectionAccepted(upstream); }
 
 private:
     void reportCrashes();
--- a/Source/Relay/quarantine_log.cpp
+++ b/Source/Relay/quarantine_log.cpp
@@ -16,7 +16,8 @@
 {
     lines.write(log_level::Warning, "quarantine_decided",
         { { "part", formatPartId(decision.part.part) }, { "crashes", decision.crashes },
-            { "answers", decision.answers }, { "seconds", secondsLeft(decision.part, now) }, { "by", by } },
+            { "all_crashes", decision.allCrashes }, { "answers", decision.answers },
+            { "seconds", secondsLeft(decision.part, now) }, { "by", by } },
         now);
 }
 
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -320,7 +320,8 @@
 
 void relay::onAnswerUnderWay(const relay_exchange& request)
 {
-    m_quarantine.onAnswerUnderWay(request.request().sharedPartIds());
+    if (!request.request().parts.empty())
+        m_quarantine.onAnswerUnderWay(request.request().sharedPartIds(), monotonicNow());
 }
 
 void relay::onPeerLoad(const std::string& id, const peer_load& load)
@@ -915,6 +916,7 @@
                                  if (const auto alive = probed.lock()) {
                                      const auto connection = std::exchange(alive->probe, nullptr);
                                      recordActivity(*alive);
+                                     m_crashWatch.onConnectionAccepted(alive->entry.id);
                                      alive->pool.release(connection, maxIdleConnections(*alive));
                                  }
                              },
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -160,21 +160,19 @@
  private:
   uint64_t part_;
   uint32_t answers_;
-  int32_t padding0__;
+  uint32_t watched_for_ms_;
 
  public:
   struct Traits;
   PartAnswers()
       : part_(0),
         answers_(0),
-        padding0__(0) {
-    (void)padding0__;
+        watched_for_ms_(0) {
   }
-  PartAnswers(uint64_t _part, uint32_t _answers)
+  PartAnswers(uint64_t _part, uint32_t _answers, uint32_t _watched_for_ms)
       : part_(flatbuffers::EndianScalar(_part)),
         answers_(flatbuffers::EndianScalar(_answers)),
-        padding0__(0) {
-    (void)padding0__;
+        watched_for_ms_(flatbuffers::EndianScalar(_watched_for_ms)) {
   }
   uint64_t part() const {
     return flatbuffers::EndianScalar(part_);
@@ -182,6 +180,9 @@
   uint32_t answers() const {
     return flatbuffers::EndianScalar(answers_);
   }
+  uint32_t watched_for_ms() const {
+    return flatbuffers::EndianScalar(watched_for_ms_);
+  }
 };
 FLATBUFFERS_STRUCT_END(PartAnswers, 16);
 
@@ -776,7 +777,8 @@
     VT_UPSTREAM_CREDIT = 22,
     VT_CRASHES = 24,
     VT_PART_ANSWERS = 26,
-    VT_QUARANTINED = 28
+    VT_ALL_ANSWERS = 28,
+    VT_QUARANTINED = 30
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -814,6 +816,9 @@
   const flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *> *part_answers() const {
     return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *> *>(VT_PART_ANSWERS);
   }
+  uint32_t all_answers() const {
+    return GetField<uint32_t>(VT_ALL_ANSWERS, 0);
+  }
   const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *>(VT_QUARANTINED);
   }
@@ -844,6 +849,7 @@
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyOffset(verifier, VT_PART_ANSWERS) &&
            verifier.VerifyVector(part_answers()) &&
+           VerifyField<uint32_t>(verifier, VT_ALL_ANSWERS, 4) &&
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
            verifier.EndTable();
@@ -890,6 +896,9 @@
   void add_part_answers(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *>> part_answers) {
     fbb_.AddOffset(Report::VT_PART_ANSWERS, part_answers);
   }
+  void add_all_answers(uint32_t all_answers) {
+    fbb_.AddElement<uint32_t>(Report::VT_ALL_ANSWERS, all_answers, 0);
+  }
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined) {
     fbb_.AddOffset(Report::VT_QUARANTINED, quarantined);
   }
@@ -919,10 +928,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>>> upstream_credit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *>> part_answers = 0,
+    uint32_t all_answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_quarantined(quarantined);
+  builder_.add_all_answers(all_answers);
   builder_.add_part_answers(part_answers);
   builder_.add_crashes(crashes);
   builder_.add_upstream_credit(upstream_credit);
@@ -956,6 +967,7 @@
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamCreditAsk>> *upstream_credit = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>> *crashes = nullptr,
     const std::vector<sagesaddle::fleet_wire::PartAnswers> *part_answers = nullptr,
+    uint32_t all_answers = 0,
     const std::vector<sagesaddle::fleet_wire::Quarantine> *quarantined = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>(*credit) : 0;
@@ -980,6 +992,7 @@
       upstream_credit__,
       crashes__,
       part_answers__,
+      all_answers,
       quarantined__);
 }
 
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -85,12 +85,13 @@
     std::vector<fleet_wire::PartAnswers> answered;
     answered.reserve(value.quarantine.answers.size());
     for (const auto& item : value.quarantine.answers)
-        answered.emplace_back(item.part, item.answers);
+        answered.emplace_back(item.part, item.answers, static_cast<std::uint32_t>(item.watchedFor.count()));
     const auto answers = builder.CreateVectorOfStructs(answered);
     const auto quarantined = builder.CreateVectorOfStructs(encodeNotices(value.quarantine.quarantined));
     return fleet_wire::CreateReport(builder, builder.CreateString(value.gateway), value.number,
         value.isStoreUnreachable, value.wantsFullUpdate, credit, work, demand, value.isOnlyCredit,
-        builder.CreateString(value.member), sendCredit, crashes, answers, quarantined)
+        builder.CreateString(value.member), sendCredit, crashes, answers, value.quarantine.allAnswers,
+        quarantined)
         .Union();
 }
 
@@ -215,8 +216,9 @@
     }
     if (table.part_answers() != nullptr) {
         for (const auto* item : *table.part_answers())
-            value.answers.push_back({ item->part(), item->answers() });
+            value.answers.push_back({ item->part(), item->answers(), milliseconds(item->watched_for_ms()) });
     }
+    value.allAnswers = table.all_answers();
     value.quarantined = decodeNotices(table.quarantined());
     return value;
 }
--- a/Tests/Gateway/crashing_part_tests.cpp
+++ b/Tests/Gateway/crashing_part_tests.cpp
@@ -124,3 +124,30 @@
     CHECK(run.soundShare(recovered) >= 0.9);
     checkNoViolations(run.fixture);
 }
+
+TEST_CASE(
+    "gateway: two crashing prompt parts are stopped while the coordinator is killed and the store is away")
+{
+    crashing_part_run run(4, 6);
+    run.sendFor(milliseconds(1000));
+    run.setCrashingParts({ "bad", "dead" });
+    run.sendFor(milliseconds(700));
+    const auto coordinator
+        = std::find_if(run.fixture.gateways.begin(), run.fixture.gateways.end(), [&](const auto& gateway) {
+              return run.fixture.outputOf(gateway).find("duty_taken") != std::string::npos;
+          });
+    REQUIRE(coordinator != run.fixture.gateways.end());
+    coordinator->process->kill();
+    run.fixture.store.mode = store_stand_in::behaviour::Silent;
+    run.sendFor(milliseconds(1500));
+    run.fixture.store.mode = store_stand_in::behaviour::Sound;
+    run.sendFor(milliseconds(9000));
+    CHECK(run.crashCount() > 0);
+    // Each of the two parts is allowed so many.
+    CHECK(run.lateArrivals() <= 2 * allowedArrivals);
+    const monotonic_time recovered = monotonicNow();
+    run.sendFor(milliseconds(3000));
+    loopFor(run.fixture.loop, milliseconds(1500));
+    CHECK(run.soundShare(recovered) >= 0.9);
+    checkNoViolations(run.fixture);
+}
--- a/Tests/Quarantine/crash_detector_tests.cpp
+++ b/Tests/Quarantine/crash_detector_tests.cpp
@@ -34,6 +34,14 @@
     CHECK(tested.takeCrashes(at(5000)).empty());
 }
 
+TEST_CASE("crash detector: an upstream that accepts a new connection has only lost one")
+{
+    crash_detector tested;
+    tested.onConnectionBroken(process, { 5 }, at(0));
+    tested.onConnectionAccepted("u1");
+    CHECK(tested.takeCrashes(at(5000)).empty());
+}
+
 TEST_CASE("crash detector: bytes that were sent before the crash and are read right after it prove no life")
 {
     crash_detector tested;
--- a/Tests/Quarantine/crash_evidence_tests.cpp
+++ b/Tests/Quarantine/crash_evidence_tests.cpp
@@ -20,6 +20,7 @@
     void crash(std::vector<std::uint64_t> parts, monotonic_time now)
     {
         std::sort(parts.begin(), parts.end());
+        tested.onAllAnswers(otherAnswers * 3);
         tested.onCrash({ { "u" + std::to_string(++m_crashes), 1 }, now, std::move(parts) }, now);
         update(now);
     }
@@ -30,17 +31,19 @@
             decided.push_back(decision);
     }
 
-    /// Lets time pass, in which some answers come for requests with a part.
+    /// Lets time pass, in which answers come for requests with a part, and for others.
     void pass(monotonic_time from, monotonic_time to, std::uint64_t part = 0, unsigned answers = 0)
     {
         for (auto now = from; now < to; now += milliseconds(100)) {
+            tested.onAllAnswers(answers + otherAnswers);
             if (answers > 0 && part != 0)
-                tested.onAnswers({ part, answers });
+                tested.onAnswers({ part, answers, {} }, now);
             update(now);
         }
     }
 
-    crash_evidence tested;
+    unsigned otherAnswers { 2 };
+    crash_evidence tested { 3 };
     std::vector<quarantine_decision> decided;
 
 private:
@@ -90,6 +93,45 @@
     CHECK_FALSE(history.tested.isQuarantined(rare));
 }
 
+TEST_CASE("crash evidence: answers between the crashes count, so a rare part is not blamed for the last ones")
+{
+    crash_history history;
+    history.crash({ rare }, at(0));
+    history.pass(at(0), at(8000), rare, 1);
+    history.crash({ rare }, at(8000));
+    history.pass(at(8000), at(8500), rare, 1);
+    history.crash({ rare }, at(8500));
+    history.crash({ rare }, at(9000));
+    history.pass(at(9000), at(20000));
+    CHECK(history.tested.quarantined().empty());
+}
+
+TEST_CASE("crash evidence: a part that all requests have is not blamed while no upstream answers anything")
+{
+    crash_history history;
+    history.otherAnswers = 0;
+    for (int crash = 0; crash < 20; ++crash)
+        history.crash({ common }, at(crash * 500));
+    history.pass(at(10000), at(20000));
+    CHECK(history.tested.quarantined().empty());
+}
+
+TEST_CASE("crash evidence: a part that was pending at few of many crashes must be pending at more")
+{
+    crash_history history;
+    // The first crash of each eight, so that its share falls below the bound before its third.
+    const auto crashUntil = [&](int first, int last) {
+        for (int crash = first; crash < last; ++crash)
+            history.crash(
+                crash % 8 == 0 ? std::vector<std::uint64_t> { rare } : std::vector<std::uint64_t> {},
+                at(crash * 500));
+    };
+    crashUntil(0, 40);
+    CHECK(history.tested.quarantined().empty());
+    crashUntil(40, 42);
+    CHECK(history.tested.isQuarantined(rare));
+}
+
 TEST_CASE("crash evidence: two deadly parts at once are told from each other and from the sound ones")
 {
     crash_history history;
@@ -114,13 +156,13 @@
 
 TEST_CASE("crash evidence: one crash that several gateways report counts once")
 {
-    crash_evidence tested;
+    crash_evidence tested { 3 };
     for (int gateway = 0; gateway < 5; ++gateway)
         tested.onCrash({ { "u1", 1 }, at(gateway * 400), { rare } }, at(gateway * 400));
     for (int step = 0; step < 90; ++step)
         tested.update(at(2000 + step * 100));
     CHECK(tested.quarantined().empty());
-    CHECK(tested.watched().empty());
+    CHECK(tested.watched() == std::vector<std::uint64_t> { rare });
 }
 
 TEST_CASE("crash evidence: crashes long ago are no evidence")
@@ -168,13 +210,15 @@
     crash_history history;
     const auto initial = history.tested.revision();
     history.crash({ deadly }, at(0));
-    CHECK(history.tested.revision() == initial);
-    history.crash({ deadly }, at(500));
     const auto watched = history.tested.revision();
     CHECK(watched > initial);
     CHECK(history.tested.watched() == std::vector<std::uint64_t> { deadly });
+    history.crash({ deadly }, at(500));
     history.pass(at(500), at(900));
     CHECK(history.tested.revision() == watched);
+    history.crash({ deadly }, at(1300));
+    CHECK(history.tested.isQuarantined(deadly));
+    CHECK(history.tested.revision() > watched);
 }
 
 TEST_CASE("crash evidence: memory is bounded in a storm of crashes with many parts")
@@ -187,6 +231,6 @@
             parts.push_back(0x10000 + next++ % 5000);
         history.crash(parts, at(crash * 20));
     }
-    CHECK(history.tested.watched().size() <= 256);
+    CHECK(history.tested.watched().size() <= 128);
     CHECK(history.tested.quarantined().size() <= 1024);
 }
--- a/Tests/Quarantine/prompt_quarantine_tests.cpp
+++ b/Tests/Quarantine/prompt_quarantine_tests.cpp
@@ -53,33 +53,35 @@
 TEST_CASE("prompt quarantine: answers for watched parts are counted, the first one is reported at once")
 {
     prompt_quarantine tested;
-    tested.onAnswerUnderWay({ common });
+    tested.onAnswerUnderWay({ common }, at(5));
     tested.onTold(told({ common, deadly }, {}), at(0));
     CHECK_FALSE(tested.hasUrgentReport());
-    tested.onAnswerUnderWay({ common });
+    tested.onAnswerUnderWay({ common }, at(5));
     CHECK(tested.hasUrgentReport());
-    CHECK(tested.takeReport(at(10)).answers == std::vector<part_answers> { { common, 1 } });
-    tested.onAnswerUnderWay({ common });
-    tested.onAnswerUnderWay({ common });
+    const auto first = tested.takeReport(at(10));
+    CHECK(first.answers == std::vector<part_answers> { { common, 1, milliseconds(10) } });
+    CHECK(first.allAnswers == 1);
+    tested.onAnswerUnderWay({ common }, at(5));
+    tested.onAnswerUnderWay({ common }, at(5));
     CHECK_FALSE(tested.hasUrgentReport());
-    CHECK(tested.takeReport(at(10)).answers == std::vector<part_answers> { { common, 2 } });
+    CHECK(tested.takeReport(at(10)).answers == std::vector<part_answers> { { common, 2, milliseconds(10) } });
     tested.onReportsLost();
-    CHECK(tested.takeReport(at(20)).answers == std::vector<part_answers> { { common, 3 } });
+    CHECK(tested.takeReport(at(20)).answers
+        == std::vector<part_answers> { { common, 3, milliseconds(20) }, { deadly, 0, milliseconds(20) } });
 }
 
 TEST_CASE(
     "prompt quarantine: a gateway that nobody coordinates decides on its own evidence and tells it later")
 {
     prompt_quarantine tested;
-    for (int crash = 0; crash < 4; ++crash) {
-        const monotonic_time now = at(crash * 500);
-        tested.onCrash(crashOf(crash, now));
-        tested.update(false, now);
-        tested.onAnswerUnderWay({ common });
-    }
     std::vector<quarantine_decision> decided;
-    for (int step = 0; step < 30 && decided.empty(); ++step)
-        decided = tested.update(false, at(2000 + step * 100));
+    for (int step = 0; step < 40 && decided.empty(); ++step) {
+        const monotonic_time now = at(step * 100);
+        if (step % 5 == 0)
+            tested.onCrash(crashOf(step, now));
+        tested.onAnswerUnderWay({ common }, now);
+        decided = tested.update(false, now);
+    }
     REQUIRE(decided.size() == 1);
     CHECK(decided.front().part.part == deadly);
     CHECK(tested.timeToEnd({ deadly }, at(5000)));
