Relay: Keep the verdict may_have_run when a later upstream declines

Callers were told not_run, with 503 and a refund, for requests that an upstream had run: the first upstream ran the request and lost the answer, the request was sent again, and the refusal of the second upstream cleared the verdict of both.

The exchange now keeps what the current upstream did apart from what earlier ones did. A connection that a second upstream refuses no longer counts as a broken answer, so that upstream is not tried again. That an error of the resuming upstream does not reach the caller's stream, and that an answer without a length is complete with its connection, held before and have a test now.

--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -209,6 +209,9 @@
     m_answerBegun = false;
     m_firstByteCame = false;
     m_isCountedUnderWay = false;
+    m_mayHaveRunBefore = mayHaveRun();
+    m_isSent = false;
+    m_isDeclined = false;
     m_isMismatched = false;
     m_nonSuccessBytes = 0;
     m_buffered.clear();
@@ -257,7 +260,7 @@
         metadata.urgency = m_urgency;
     if (m_isDelivering)
         metadata.lastEventId = m_events.lastEventId();
-    m_mayHaveRun = true;
+    m_isSent = true;
     ++m_sends;
     m_transmittedAt = monotonicNow();
     m_sentAt = bootTimeNow();
@@ -318,8 +321,7 @@
     m_answer = std::move(head);
     m_isSigned = metadata.isSigned;
     m_answerBegun = true;
-    if (isDeclined)
-        m_mayHaveRun = false;
+    m_isDeclined = isDeclined;
 }
 
 std::vector<http_field> relay_exchange::answerFields() const
@@ -391,9 +393,8 @@
     }
     const auto self = shared_from_this();
     onFirstByte();
-    const bool isDeclined = !m_mayHaveRun;
     const int status = m_answer.status;
-    if (isDeclined) {
+    if (m_isDeclined) {
         if (status == statusMisdirected)
             m_owner.onMisdirected(m_upstream);
         leaveUpstream(true);
@@ -445,9 +446,9 @@
     const auto self = shared_from_this();
     m_connectTimer.stop();
     m_owner.recordFailure(*m_upstream, !m_firstByteCame);
-    if (m_mayHaveRun)
+    if (mayHaveRunHere())
         m_owner.onConnectionBroken(*this, m_upstream, isAnswerUnderWay());
-    if (!m_mayHaveRun) {
+    else {
         // Nothing was sent, or the upstream declined the request: it is placed again without using up a
         // retry.
         m_tried.insert(m_upstream->entry.id);
@@ -474,7 +475,7 @@
 void relay_exchange::onUpstreamSilent()
 {
     const bool canResume = !m_isDelivering || !m_events.lastEventId().empty();
-    if (m_over || !m_connection || !m_mayHaveRun || !m_route->mayRunTwice() || !canResume || !mayRetry()
+    if (m_over || !m_connection || !mayHaveRunHere() || !m_route->mayRunTwice() || !canResume || !mayRetry()
         || !m_owner.tryRetry(m_service))
         return;
     const auto self = shared_from_this();
@@ -490,9 +491,9 @@
 
 bool relay_exchange::mayRetry() const
 {
-    if (m_sends >= std::max(m_route->maxAttempts, m_mayHaveRun ? 1 : 2))
+    if (m_sends >= std::max(m_route->maxAttempts, mayHaveRun() ? 1 : 2))
         return false;
-    return (!m_mayHaveRun || m_route->mayRunTwice()) && timeLeft() > minTimeToSend * 2;
+    return (!mayHaveRun() || m_route->mayRunTwice()) && timeLeft() > minTimeToSend * 2;
 }
 
 void relay_exchange::retryOrRefuse(refusal_reason reason)
@@ -533,7 +534,7 @@
     if (m_over)
         return;
     const auto self = shared_from_this();
-    refuse(m_mayHaveRun ? refusal_reason::NoAnswerInTime : refusal_reason::NotSentInTime);
+    refuse(mayHaveRun() ? refusal_reason::NoAnswerInTime : refusal_reason::NotSentInTime);
 }
 
 void relay_exchange::refuse(refusal_reason reason, std::optional<milliseconds> retryAfter)
@@ -542,7 +543,7 @@
         return;
     const auto self = shared_from_this();
     refusal_response response = refusalOf(reason);
-    if (response.isNotRun && m_mayHaveRun)
+    if (response.isNotRun && mayHaveRun())
         response = refusalOf(refusal_reason::UpstreamBroke);
     if (response.isNotRun && m_isCharged)
         m_owner.refund(m_team, m_tokens);
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -106,6 +106,10 @@
     /// \return header fields of the upstream's answer that are forwarded to the caller.
     std::vector<http_field> answerFields() const;
     void beginDelivery();
+    /// \return whether the current upstream may have run the request.
+    bool mayHaveRunHere() const { return m_isSent && !m_isDeclined; }
+    /// \return whether any upstream may have run the request.
+    bool mayHaveRun() const { return m_mayHaveRunBefore || mayHaveRunHere(); }
     bool mayRetry() const;
     void retryOrRefuse(refusal_reason reason);
     /// Takes the request off its upstream's load.
@@ -176,8 +180,12 @@
     bool m_isCountedUnderWay { false };
     /// Whether the request is counted in the upstream's load.
     bool m_isCounted { false };
-    /// Whether bytes were sent to an upstream that did not decline the request.
-    bool m_mayHaveRun { false };
+    /// Whether bytes were sent to the current upstream.
+    bool m_isSent { false };
+    /// Whether the current upstream declined the request.
+    bool m_isDeclined { false };
+    /// Whether bytes were sent to an earlier upstream that did not decline the request.
+    bool m_mayHaveRunBefore { false };
     bool m_hasCredit { false };
     bool m_isCreditRequested { false };
     /// Whether the team was charged for the request.
--- /dev/null
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -0,0 +1,137 @@
+#include "Relay/relay_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace sagesaddle;
+
+namespace {
+
+using request = scripted_upstream::request;
+
+/// \return a refusal of a request that has not run; without an id if that is empty.
+std::string refusal(const std::string& id)
+{
+    return "HTTP/1.1 503 X\r\n" + (id.empty() ? std::string() : "Request-Id: " + id + "\r\n")
+        + "Server-Stamp: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// \return the head of a signed answer that ends with its connection.
+std::string headWithoutLength(const request& asked, const std::string& type)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + asked.get("Request-Id")
+        + "\r\nServer-Stamp: s\r\nContent-Type: " + type + "\r\nConnection: close\r\n\r\n";
+}
+
+/// Sends a request that the upstream declines, which leaves a connection in the relay's pool.
+[[maybe_unused]]
+void leaveKeptConnection(relay_fixture& fixture, scripted_upstream& upstream)
+{
+    upstream.onRequest = [](const request& asked) { asked.stream->write(refusal(asked.get("Request-Id"))); };
+    auto& caller = fixture.addCaller();
+    caller.request("POST", "/unsafe/first");
+    REQUIRE(fixture.ended(caller));
+    REQUIRE(upstream.openStreams == 1);
+}
+
+/// Breaks off a resumable stream after its first event and lets the next upstream answer.
+void resumeWith(relay_fixture& fixture, const std::function<void(const request&)>& answer)
+{
+    for (const char* id : { "u1", "u2" }) {
+        fixture.addUpstream(id).onRequest = [answer](const request& asked) {
+            if (asked.head.find("Last-Event-Id") != nullptr)
+                answer(asked);
+            else
+                asked.stream->write(
+                    scripted_upstream::streamHead(asked) + scripted_upstream::event(1, "one"));
+        };
+    }
+    auto& caller = fixture.addCaller();
+    caller.request("GET", "/resume/a");
+    REQUIRE(loopUntil(fixture.loop, [&] { return caller.has("one"); }));
+    for (auto& upstream : fixture.upstreams)
+        upstream.cutAll();
+    REQUIRE(loopUntil(fixture.loop, [&] { return caller.isClosed() || caller.text().ends_with(lastChunk); }));
+}
+
+} // namespace
+
+TEST_CASE("relay: a request that ran before an upstream declined it is not refused as not_run")
+{
+    for (const std::string path : { "/safe/a", "/resume/a" }) {
+        CAPTURE(path);
+        relay_fixture fixture;
+        bool hasRun = false;
+        for (const char* id : { "u1", "u2" }) {
+            auto& upstream = fixture.addUpstream(id);
+            upstream.onRequest = [&](const request& asked) {
+                if (std::exchange(hasRun, true))
+                    asked.stream->write(refusal(asked.get("Request-Id")));
+                else
+                    upstream.cut(asked.stream);
+            };
+        }
+        auto& caller = fixture.addCaller();
+        caller.request("GET", path);
+        REQUIRE(fixture.ended(caller));
+        CHECK(caller.status() == 502);
+        CHECK(caller.has("may_have_run"));
+        CHECK(fixture.refunded == 0);
+    }
+}
+
+TEST_CASE("relay: an error of the upstream that is to resume a stream does not reach the caller's stream")
+{
+    const auto checkAborted = [](const std::function<void(const request&)>& answer) {
+        relay_fixture fixture;
+        resumeWith(fixture, answer);
+        const auto& caller = fixture.callers.back();
+        CHECK(caller.has("one"));
+        CHECK_FALSE(caller.has("boom"));
+        CHECK_FALSE(caller.has("500"));
+        CHECK_FALSE(caller.text().ends_with(lastChunk));
+    };
+    SUBCASE("with a length")
+    {
+        checkAborted(
+            [](const request& asked) { asked.stream->write(scripted_upstream::answer(asked, 500, "boom")); });
+    }
+    SUBCASE("without a signature")
+    {
+        checkAborted([](const request& asked) {
+            asked.stream->write(scripted_upstream::answer(asked, 200, "boom", false));
+        });
+    }
+    SUBCASE("in chunks")
+    {
+        checkAborted([](const request& asked) {
+            std::string text = "HTTP/1.1 500 X\r\nRequest-Id: " + asked.get("Request-Id")
+                + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+            appendChunk(text, "boom\n\n");
+            asked.stream->write(text + std::string(lastChunk));
+        });
+    }
+    SUBCASE("as a refusal")
+    {
+        checkAborted([](const request& asked) { asked.stream->write(refusal(asked.get("Request-Id"))); });
+    }
+}
+
+TEST_CASE("relay: an answer without a length is complete when its connection is closed")
+{
+    relay_fixture fixture;
+    auto& upstream = fixture.addUpstream("u1");
+    upstream.onRequest = [&](const request& asked) {
+        asked.stream->write(headWithoutLength(asked, "text/plain") + "stock: 7");
+    };
+    auto& caller = fixture.addCaller();
+    caller.request("GET", "/safe/a");
+    REQUIRE(loopUntil(fixture.loop, [&] { return upstream.requests.size() == 1; }));
+    loopFor(fixture.loop, milliseconds(50));
+    CHECK(caller.status() == 0);
+    upstream.cut(upstream.requests.front().stream);
+    REQUIRE(fixture.ended(caller));
+    CHECK(caller.status() == 200);
+    CHECK(caller.has("Content-Length: 8\r\n"));
+    CHECK(caller.text().ends_with("stock: 7"));
+}
+
