Relay: Take a refusal without a request id for an answer only on a new connection

A faulty upstream that writes an earlier refusal once more on a kept connection had its next request refused as not run, while it ran it. A refusal that names another request was discarded; one that names none was taken for the answer.

--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -310,7 +310,9 @@
     const upstream_answer_metadata metadata = platform::parseAnswerHead(head);
     m_owner.applyAnswerMetadata(m_upstream, metadata);
     const bool isDeclined = metadata.isNotRun || head.status == statusMisdirected;
-    const bool isMatch = metadata.requestId == m_request.id || (metadata.requestId.empty() && isDeclined);
+    // A refusal without an id may repeat an earlier one, unless the connection had no earlier request.
+    const bool isMatch = metadata.requestId == m_request.id
+        || (metadata.requestId.empty() && isDeclined && !m_isConnectionReused);
     m_isMismatched = !isMatch;
     if (m_isMismatched) {
         m_owner.logMismatchedAnswer(*this, *m_upstream);
--- a/Tests/Relay/relay_broken_answer_tests.cpp
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -23,7 +23,6 @@
 }
 
 /// Sends a request that the upstream declines, which leaves a connection in the relay's pool.
-[[maybe_unused]]
 void leaveKeptConnection(relay_fixture& fixture, scripted_upstream& upstream)
 {
     upstream.onRequest = [](const request& asked) { asked.stream->write(refusal(asked.get("Request-Id"))); };
@@ -55,6 +54,50 @@
 
 } // namespace
 
+TEST_CASE("relay: an earlier refusal that an upstream repeats is no answer to the next request")
+{
+    for (const std::string& id : { std::string("r/unsafe/first"), std::string() }) {
+        CAPTURE(id);
+        relay_fixture fixture;
+        auto& upstream = fixture.addUpstream("u1");
+        leaveKeptConnection(fixture, upstream);
+        upstream.onRequest = [id](const request& asked) {
+            asked.stream->write(refusal(id));
+            asked.stream->write(scripted_upstream::answer(asked, 200, "deposited"));
+        };
+        auto& caller = fixture.addCaller();
+        caller.request("POST", "/unsafe/second");
+        REQUIRE(fixture.ended(caller));
+        CHECK_FALSE(caller.has("not_run"));
+        CHECK(caller.status() == 200);
+        CHECK(upstream.requests.size() == 2);
+    }
+}
+
+TEST_CASE("relay: a call that may not run twice is not sent on after a refusal that names no request")
+{
+    relay_fixture fixture;
+    auto& first = fixture.addUpstream("u1");
+    leaveKeptConnection(fixture, first);
+    first.onRequest = [](const request& asked) { asked.stream->write(refusal({})); };
+    auto& second = fixture.addUpstream("u2");
+    second.onRequest = first.onRequest;
+    for (int call = 0; call < 4; ++call) {
+        auto& caller = fixture.addCaller();
+        caller.request("POST", "/unsafe/" + std::to_string(call));
+    }
+    loopFor(fixture.loop, milliseconds(300));
+    std::map<std::string, int> sends;
+    for (const auto* upstream : { &first, &second }) {
+        for (const auto& asked : upstream->requests)
+            ++sends[asked.get("Request-Id")];
+    }
+    // Only on a connection without an earlier request can the refusal be of no other one.
+    CHECK(first.requests.size() + second.requests.size() >= 5);
+    for (const auto& caller : fixture.callers)
+        CHECK((caller.status() == 0 || caller.has("not_run")));
+}
+
 TEST_CASE("relay: a request that ran before an upstream declined it is not refused as not_run")
 {
     for (const std::string path : { "/safe/a", "/resume/a" }) {
