Relay: Break off a stream that ends within an event, whatever ends it

A stream without a length that was closed within an event, or whose chunks ended there, looked complete to the caller unless its route was resumable: only those streams were split into events. All event streams are now followed to their event boundaries, without keeping their bytes. The tests of streams without a length and in chunks failed before.

--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -212,6 +212,7 @@
     m_mayHaveRunBefore = mayHaveRun();
     m_isSent = false;
     m_isDeclined = false;
+    m_boundary.reset();
     m_isMismatched = false;
     m_nonSuccessBytes = 0;
     m_buffered.clear();
@@ -344,6 +345,12 @@
     m_caller->beginChunkedAnswer(m_answer.status, answerFields(), first);
 }
 
+bool relay_exchange::isEventStream() const
+{
+    const std::string* type = m_answer.find("Content-Type");
+    return m_route->isStream() && (type == nullptr || type->starts_with("text/event-stream"));
+}
+
 void relay_exchange::onBody(std::string_view bytes)
 {
     const bool isSignedSuccess = !m_isMismatched && isSuccess(m_answer.status) && m_isSigned;
@@ -356,6 +363,8 @@
     }
     if (m_isMismatched)
         return;
+    if (isSignedSuccess && isEventStream())
+        m_boundary.feed(bytes);
     recordBodyTimes();
     m_owner.recordActivity(*m_upstream);
     if (m_isDelivering) {
@@ -424,7 +433,7 @@
         place();
         return;
     }
-    if (m_isDelivering && m_events.hasPartial()) {
+    if (m_isDelivering && (m_boundary.isInside() || m_events.hasPartial())) {
         leaveUpstream(true);
         retryOrRefuse(refusal_reason::UpstreamGarbled);
         return;
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/route_table.h"
 #include "Loop/timer.h"
+#include "Relay/event_boundary.h"
 #include "Relay/event_splitter.h"
 #include "Relay/refusal_reason.h"
 #include "Relay/relay_request.h"
@@ -97,6 +98,8 @@
     void transmit();
     void onHead(http_head head);
     void onBody(std::string_view bytes);
+    /// \return whether the current answer consists of server-sent events.
+    bool isEventStream() const;
     void onAnswerEnd();
     void onBroken();
     void onConnectTimeout();
@@ -169,6 +172,7 @@
     /// Body bytes of answers that are not signed successes for this request; bounded.
     std::size_t m_nonSuccessBytes { 0 };
     event_splitter m_events;
+    event_boundary m_boundary;
     /// Whether the current answer bears the id of another request.
     bool m_isMismatched { false };
     bool m_answerBegun { false };
--- a/Tests/Gateway/quarantine_tests.cpp
+++ b/Tests/Gateway/quarantine_tests.cpp
@@ -20,20 +20,25 @@
     return count == nullptr ? 2 : static_cast<unsigned>(std::stoul(count));
 }
 
+void checkRun(const quarantine_simulation::settings& value, double minSoundShare)
+{
+    CAPTURE(value.gateways);
+    CAPTURE(value.seed);
+    quarantine_simulation simulation(value);
+    simulation.run();
+    CHECK(simulation.mostLateArrivals() <= allowedLateArrivals);
+    CHECK(simulation.quarantinedSoundParts() == 0);
+    CHECK(simulation.soundShare() >= minSoundShare);
+    CHECK((value.crashingParts == 0 || simulation.crashes() > 0));
+}
+
 void checkQuarantine(quarantine_simulation::settings value, double minSoundShare)
 {
     for (const int gateways : { 1, 4, 29, 103, 350 }) {
         for (unsigned seed = 1; seed <= seedCount(); ++seed) {
             value.gateways = gateways;
             value.seed = seed;
-            CAPTURE(gateways);
-            CAPTURE(seed);
-            quarantine_simulation simulation(value);
-            simulation.run();
-            CHECK(simulation.mostLateArrivals() <= allowedLateArrivals);
-            CHECK(simulation.quarantinedSoundParts() == 0);
-            CHECK(simulation.soundShare() >= minSoundShare);
-            CHECK((value.crashingParts == 0 || simulation.crashes() > 0));
+            checkRun(value, minSoundShare);
         }
     }
 }
--- a/Tests/Relay/relay_broken_answer_tests.cpp
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -178,3 +178,42 @@
     CHECK(caller.text().ends_with("stock: 7"));
 }
 
+TEST_CASE(
+    "relay: a stream without a length is complete if its connection is closed after an event, not within one")
+{
+    for (const std::string path : { "/stream/a", "/resume/a" }) {
+        for (const bool endsInside : { false, true }) {
+            CAPTURE(path);
+            CAPTURE(endsInside);
+            relay_fixture fixture;
+            auto& upstream = fixture.addUpstream("u1");
+            upstream.onRequest = [&](const request& asked) {
+                asked.stream->write(headWithoutLength(asked, "text/event-stream") + "id: 1\ndata: one\n\n"
+                    + (endsInside ? "id: 2\ndata: tw" : "id: 2\ndata: two\n\n"));
+            };
+            auto& caller = fixture.addCaller();
+            caller.request("GET", path);
+            REQUIRE(loopUntil(fixture.loop, [&] { return caller.has("one"); }));
+            loopFor(fixture.loop, milliseconds(50));
+            upstream.cut(upstream.requests.front().stream);
+            REQUIRE(loopUntil(
+                fixture.loop, [&] { return caller.isClosed() || caller.text().ends_with(lastChunk); }));
+            CHECK(caller.text().ends_with(lastChunk) == !endsInside);
+        }
+    }
+}
+
+TEST_CASE("relay: a stream in chunks that ends within an event never looks complete")
+{
+    relay_fixture fixture;
+    auto& upstream = fixture.addUpstream("u1");
+    upstream.onRequest = [&](const request& asked) {
+        std::string text = scripted_upstream::streamHead(asked) + scripted_upstream::event(1, "one");
+        appendChunk(text, "id: 2\ndata: tw");
+        asked.stream->write(text + std::string(lastChunk));
+    };
+    auto& caller = fixture.addCaller();
+    caller.request("GET", "/stream/a");
+    REQUIRE(loopUntil(fixture.loop, [&] { return caller.isClosed() || caller.text().ends_with(lastChunk); }));
+    CHECK_FALSE(caller.text().ends_with(lastChunk));
+}
