Platform: Read on past a record of the store that cannot be read

One record without a key, with a truncated key or with a value of another type made the whole answer of the store unreadable: a gateway that started then read no list of upstreams at all, and one that followed it read everything anew. Such records are left out and logged, one by one.

--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -195,8 +195,15 @@
         });
 }
 
+void store_follower::logUnreadable(const std::vector<std::string>& errors)
+{
+    for (const auto& error : errors)
+        m_lines.write(log_level::Warning, "record_unreadable", { { "error", error } }, monotonicNow());
+}
+
 void store_follower::onPage(table_reader& reader, const platform::table_page& page, monotonic_time sentAt)
 {
+    logUnreadable(page.unreadable);
     // The pages are no snapshot: they are complete only up to the table's end when the first page was made.
     if (reader.pageRecords.empty())
         reader.listingEnd = page.end;
@@ -255,6 +262,7 @@
             onCallAnswered();
             try {
                 const auto tail = platform::parseTableTail(answer->body, from);
+                logUnreadable(tail.unreadable);
                 // An end before the records already read is an outdated answer.
                 if (tail.end < from) {
                     scheduleRead(reader, delayAfterFailure());
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -89,6 +89,7 @@
     void startRead(table_reader& reader);
     void readPage(table_reader& reader, const std::string& after);
     void readTail(table_reader& reader);
+    void logUnreadable(const std::vector<std::string>& errors);
     void onPage(table_reader& reader, const platform::table_page& page, monotonic_time sentAt);
     void applyRecords(
         table_reader& reader, const std::vector<platform::table_record>& records, monotonic_time sentAt);
--- a/Tests/Gateway/gateway_process_tests.cpp
+++ b/Tests/Gateway/gateway_process_tests.cpp
@@ -281,3 +281,33 @@
     }
     checkNoViolations(fixture);
 }
+
+TEST_CASE("gateway: odd entries among those of the upstreams stop neither the process nor the list")
+{
+    platform_fixture fixture;
+    const std::string deep(100000, '[');
+    const auto addOdd = [&](const std::string& suffix) {
+        fixture.store.put("keyed.servers", "odd1" + suffix, deep);
+        fixture.store.put(
+            "keyed.servers", "odd2" + suffix, R"({"extra":)" + deep + std::string(deep.size(), ']') + "}");
+        fixture.store.put("keyed.servers", "odd3" + suffix,
+            R"({"service":"desk","address":"127.0.0.1:70000","zone":"z","slots":8,"state":"ready","born":1})");
+        fixture.store.put("keyed.servers", "odd4" + suffix,
+            R"({"service":"desk","address":"127.0.0.1:9","zone":"z","slots":1e300,"state":"ready","born":1e300})");
+        fixture.store.put("keyed.servers", "odd5\r\n" + suffix, "\xff\xfe");
+        fixture.store.put("keyed.servers", "odd6" + suffix, R"({"service":7,"state":"\ud800"})");
+    };
+    addOdd("");
+    startPlatform(fixture, 2);
+    addOdd("x");
+    auto& late = fixture.addEngine({ "l2", "ledger" });
+    REQUIRE(loopUntil(fixture.loop, [&] {
+        fixture.waitEnd(fixture.send(fixture.gateways.front(), "/safe/"));
+        fixture.waitEnd(fixture.send(fixture.gateways.back(), "/safe/"));
+        return !late.arrivals.empty();
+    }));
+    for (const auto& gateway : fixture.gateways)
+        CHECK(gateway.process->isRunning());
+    CHECK(fixture.attempts.back().caller->status() == 200);
+    checkNoViolations(fixture);
+}
