--- a/Source/Command/request_explanation.cpp
+++ b/Source/Command/request_explanation.cpp
@@ -129,8 +129,8 @@
 {
     const std::string upstream = fieldText(request.endLine(), "upstream");
     return request.nearEnd([&](const decision_line& line) {
-        static const auto isUpstreamFailure = isOneOf(
-            { "upstream_failed", "upstream_gone", "upstream_draining", "upstream_silent", "foreign_answer" });
+        static const auto isUpstreamFailure = isOneOf({ "upstream_failed", "upstream_crashed",
+            "upstream_gone", "upstream_draining", "upstream_silent", "foreign_answer" });
         return isUpstreamFailure(line) && hasFieldValue(line, "upstream", upstream);
     });
 }
@@ -188,6 +188,11 @@
             [](const ended_request& request) {
                 return findNewest(request, { "store_away", "started" });
             } },
+        { "prompt_quarantined",
+            "refused, not run: a part of its prompt crashed the upstreams that answered it",
+            [](const ended_request& request) {
+                return findNewest(request, { "quarantine_in_force", "quarantine_decided" });
+            } },
         { "unknown_key", "refused, not run: the configuration in force does not have its key",
             [](const ended_request& request) { return findNewest(request, { "config_in_force" }); } },
         { "unknown_route", "refused, not run: the configuration in force has no route for it",
--- a/Tests/Command/request_explanation_tests.cpp
+++ b/Tests/Command/request_explanation_tests.cpp
@@ -84,14 +84,17 @@
         + formatLine("00.500", "config_in_force", R"("version":9)") + "a "
         + formatLine("00.600", "limit_in_force", R"("team":"gold","rate_per_s":5)") + "a "
         + formatLine("00.700", "store_away", R"("seconds":4.4)") + "a "
+        + formatLine("00.800", "quarantine_in_force", R"("part":"dead")") + "a "
         + endedLine("01.000", "route", "unknown_route") + "a " + endedLine("01.100", "limit", "over_limit")
         + "a " + endedLine("01.200", "key", "keys_not_proven") + "a "
+        + endedLine("01.250", "prompt", "prompt_quarantined") + "a "
         + endedLine("01.300", "drain", "draining");
     const gateway_log log = parseLog(lines);
     CHECK(log.unreadable == 1);
     CHECK(explainFromLogs(log, "route").evidence.back().fields.at("version") == 7);
     CHECK(lastEvidenceKind(explainFromLogs(log, "limit")) == "limit_in_force");
     CHECK(lastEvidenceKind(explainFromLogs(log, "key")) == "store_away");
+    CHECK(lastEvidenceKind(explainFromLogs(log, "prompt")) == "quarantine_in_force");
     const auto drained = explainFromLogs(log, "drain");
     CHECK_FALSE(drained.isExplained);
     CHECK_FALSE(drained.cause.empty());
--- a/Tests/Gateway/gateway_soak.cpp
+++ b/Tests/Gateway/gateway_soak.cpp
@@ -26,8 +26,10 @@
         m_fixture.addEngine({ "e2" }, { "m1", "m3" });
         m_fixture.addEngine({ "l1", "ledger" });
         m_fixture.addEngine({ "l2", "ledger" });
-        for (auto& engine : m_fixture.engines)
+        for (auto& engine : m_fixture.engines) {
             engine.teamOf = [this](const std::string& id) { return m_teams[id]; };
+            engine.onRestarted = [this, &engine] { m_fixture.publishListing(engine); };
+        }
         for (int gateway = 0; gateway < gateways; ++gateway)
             m_fixture.addGateway();
     }
@@ -80,7 +82,7 @@
     {
         auto& gateway = m_fixture.gateways.at(pick(gateways));
         auto& engine = m_fixture.engines.at(pick(m_fixture.engines.size()));
-        switch (pick(11)) {
+        switch (pick(12)) {
         case 0:
             gateway.process->kill();
             scheduleFaultEnd(milliseconds(50), milliseconds(800), [&] { m_fixture.start(gateway); });
@@ -125,6 +127,9 @@
             engine.cutAnswers = 5;
             break;
         case 9:
+            engine.crash();
+            break;
+        case 10:
             engine.isDraining = !engine.isDraining;
             m_fixture.publishListing(engine);
             scheduleFaultEnd(milliseconds(300), milliseconds(1500), [&] {
