--- a/Source/Quarantine/crash_evidence.cpp
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -26,7 +26,7 @@
 // Time after a quarantine in which a single crash renews it.
 constexpr milliseconds probation { 3600000 };
 constexpr std::size_t maxCrashes = 128;
-constexpr std::size_t maxPartsPerCrash = 256;
+constexpr std::size_t maxPartsOfRecord = 256;
 constexpr std::size_t maxWatched = 128;
 constexpr std::size_t maxQuarantines = 1024;
 
@@ -49,7 +49,7 @@
     crash_record& record = place->second;
     record.at = isNew ? crash.at : std::min(record.at, crash.at);
     for (const std::uint64_t part : crash.parts) {
-        if (record.parts.size() < maxPartsPerCrash)
+        if (record.parts.size() < maxPartsOfRecord)
             record.parts.insert(part);
         record.isExplained = record.isExplained || isQuarantined(part);
     }
--- a/Source/Quarantine/prompt_quarantine.cpp
+++ b/Source/Quarantine/prompt_quarantine.cpp
@@ -9,7 +9,7 @@
 
 // Crashes that are kept for the next coordinator.
 constexpr std::size_t maxKnownCrashes = 64;
-constexpr milliseconds crashLifetime { 30000 };
+constexpr milliseconds knownCrashLifetime { 30000 };
 // Crashes without an answer that a gateway by itself needs, which sees few of the fleet's answers.
 constexpr unsigned minOwnCrashes = 5;
 // Time for which the answers of a part that is not watched any more are kept for a new coordinator.
@@ -90,7 +90,7 @@
 
 std::vector<quarantine_decision> prompt_quarantine::update(bool isCoordinated, monotonic_time now)
 {
-    std::erase_if(m_crashes, [&](const auto& item) { return now - item.crash.at > crashLifetime; });
+    std::erase_if(m_crashes, [&](const auto& item) { return now - item.crash.at > knownCrashLifetime; });
     std::erase_if(m_quarantined, [&](const auto& item) { return now >= item.second.until; });
     if (isCoordinated)
         return {};
