Tests: Let an upstream of the soak stop draining only as another process

Traced: both instances of the service had drained and were listed as ready again as the same process. A process that drains counts as draining for good since (docs/design/store-return.md: an older copy of the store may list it as it was). The soak asked for what cannot be; the instance now comes back as another process, and the check stays.

--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -51,6 +51,12 @@
     milliseconds restartTime { 1000 };
     /// Called after a restart, since the entry in the list of upstreams has changed.
     std::function<void()> onRestarted;
+    /// Lists another process from now on, which is not draining; one that drains never stops doing so.
+    void replaceProcess()
+    {
+        isDraining = false;
+        ++m_startedAt;
+    }
     /// Crashes at once: all connections break, and none is accepted until the restart.
     void crash();
     /// \return whether a request has such a part.
--- a/Tests/Gateway/gateway_soak.cpp
+++ b/Tests/Gateway/gateway_soak.cpp
@@ -130,10 +130,10 @@
             engine.crash();
             break;
         case 10:
-            engine.isDraining = !engine.isDraining;
+            engine.isDraining = true;
             m_fixture.publishListing(engine);
             scheduleFaultEnd(milliseconds(300), milliseconds(1500), [&] {
-                engine.isDraining = false;
+                engine.replaceProcess();
                 m_fixture.publishListing(engine);
             });
             break;
@@ -165,7 +165,8 @@
         m_faultEnds.clear();
         m_fixture.store.mode = store_stand_in::behaviour::Sound;
         for (auto& engine : m_fixture.engines) {
-            engine.isDraining = false;
+            if (engine.isDraining)
+                engine.replaceProcess();
             engine.cutAnswers = 0;
             m_fixture.publishListing(engine);
         }
