--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -20,9 +20,16 @@
     report.demand = { { "desk", "m1", "a2", 5, 2, 700 } };
     report.sendCredit = { { { "u1", 1.6 }, milliseconds(250), true, 1, 2, 0 },
         { { "u2", std::nullopt }, milliseconds(0), true, 0, 0, 3 } };
+    report.quarantine = { { { { "u1", 1234567890123 }, milliseconds(40), { 1, 0xffffffffffffffff } } },
+        { { 5, 2, milliseconds(900) }, { 6, 0, milliseconds(1) } }, 17, { { 9, milliseconds(299000) } } };
     return report;
 }
 
+quarantine_update sampleQuarantine()
+{
+    return { { 1, 2, 0xdead }, { { 9, milliseconds(300000) } } };
+}
+
 fleet_update sampleUpdate()
 {
     fleet_update update;
@@ -36,6 +43,7 @@
     update.sendCredit = { { "u1", 1, 700 } };
     update.loadedModels = { { "u1", { { "m1", "m1/a2" }, {}, false } }, { "u2", {} },
         { "u3", { { "m1/a3" }, { "m1/a1", "m1/a2" }, true } } };
+    update.quarantine = sampleQuarantine();
     return update;
 }
 
@@ -53,6 +61,20 @@
     CHECK(first.size + second.size == bytes.size());
 }
 
+TEST_CASE("fleet messages: quarantines are told by themselves, also that there are none")
+{
+    for (const auto& told : { sampleQuarantine(), quarantine_update {} }) {
+        const auto frame = decodeFleetMessage(encodeFleetMessage(told));
+        REQUIRE(frame.message.has_value());
+        CHECK(std::get<quarantine_update>(*frame.message) == told);
+    }
+    fleet_update update = sampleUpdate();
+    update.quarantine.reset();
+    const auto frame = decodeFleetMessage(encodeFleetMessage(update));
+    REQUIRE(frame.message.has_value());
+    CHECK(std::get<fleet_update>(*frame.message) == update);
+}
+
 TEST_CASE("fleet messages: strings that many upstreams have in common are encoded once")
 {
     fleet_update update;
