Quarantine: Tell crashes in bursts apart, and the parts of one prompt

Seven engines crashed in two bursts within 1 s, and crashes within 250 ms counted as one moment, so that the fourth moment came 6 s later, when the engines were back. Three parts that were pending at all nine crashes were then quarantined together, also the first part, which sound requests share.

A moment is 50 ms now, which is well above the time in which gateways see one loss of power. Of parts with equally many moments, the one that the fewest reports of gateways name is blamed: the others were pending in sound requests, too.

--- a/Source/Quarantine/crash_evidence.cpp
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "Quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace sagesaddle {
 
@@ -13,7 +14,7 @@
 // Answers to requests without the part that show that the upstreams answer at all.
 constexpr std::uint64_t minOtherAnswers = 8;
 // Crashes within this time of each other have one cause, such as the loss of a link or of power.
-constexpr milliseconds sameCauseWindow { 250 };
+constexpr milliseconds sameCauseWindow { 50 };
 // Time in which a sound part that is requested at all gets an answer that is reported.
 constexpr milliseconds answerWindow { 1200 };
 // Time in which all gateways have told a new coordinator what they know.
@@ -49,8 +50,8 @@
     crash_record& record = place->second;
     record.at = isNew ? crash.at : std::min(record.at, crash.at);
     for (const std::uint64_t part : crash.parts) {
-        if (record.parts.size() < maxPartsOfRecord)
-            record.parts.insert(part);
+        if (record.parts.size() < maxPartsOfRecord || record.parts.contains(part))
+            ++record.parts[part];
         record.isExplained = record.isExplained || isQuarantined(part);
     }
 }
@@ -112,11 +113,12 @@
     crash_counts counts;
     for (std::size_t index = 0; index < unexplained.size(); ++index) {
         const crash_record& record = *unexplained[index];
-        for (const std::uint64_t part : record.parts) {
+        for (const auto& [part, reports] : record.parts) {
             crash_count& count = counts[part];
             const auto watched = m_watched.find(part);
             if (watched != m_watched.end() && record.at <= watched->second.lastAnswerAt)
                 continue;
+            count.reports += reports;
             if (++count.crashes == 1)
                 count.crashesSince = static_cast<unsigned>(unexplained.size() - index);
             if (count.moments > 0 && record.at - count.lastAt < sameCauseWindow)
@@ -191,7 +193,7 @@
     for (auto& [process, record] : m_crashes) {
         record.isExplained = record.isExplained
             || std::any_of(record.parts.begin(), record.parts.end(),
-                [this](std::uint64_t part) { return isQuarantined(part); });
+                [this](const auto& item) { return isQuarantined(item.first); });
     }
 }
 
@@ -202,16 +204,21 @@
     while (true) {
         const auto counts = countCrashes();
         updateWatched(counts, now);
-        // The part with the most crashes explains them best; parts that cannot be told apart share its fate.
-        unsigned most = 0;
+        // The part with the most crashes explains them best. Of several, the one that the fewest reports name
+        // does: the others were pending in sound requests, too.
+        using strength = std::pair<unsigned, int>;
+        const auto strengthOf = [](const crash_count& count) {
+            return strength(count.moments, -static_cast<int>(count.reports));
+        };
+        std::optional<strength> best;
         for (const auto& [part, count] : counts) {
-            if (isGuilty(part, count, now))
-                most = std::max(most, count.moments);
+            if (isGuilty(part, count, now) && (!best || strengthOf(count) > *best))
+                best = strengthOf(count);
         }
-        if (most == 0 || m_quarantines.size() >= maxQuarantines)
+        if (!best || m_quarantines.size() >= maxQuarantines)
             return decisions;
         for (const auto& [part, count] : counts) {
-            if (count.moments == most && isGuilty(part, count, now))
+            if (strengthOf(count) == *best && isGuilty(part, count, now))
                 decisions.push_back(decide(part, count, now));
         }
         explainCrashes();
--- a/Source/Quarantine/crash_evidence.h
+++ b/Source/Quarantine/crash_evidence.h
@@ -3,7 +3,6 @@
 #include "Quarantine/upstream_crash.h"
 
 #include <map>
-#include <set>
 
 namespace sagesaddle {
 
@@ -62,7 +61,8 @@
 private:
     struct crash_record {
         monotonic_time at {};
-        std::set<std::uint64_t> parts;
+        /// Gateways' reports that name each part.
+        std::map<std::uint64_t, unsigned> parts;
         /// Whether a quarantined part was pending.
         bool isExplained { false };
     };
@@ -83,6 +83,8 @@
         unsigned crashes { 0 };
         /// Moments of these crashes; those within a short time are one.
         unsigned moments { 0 };
+        /// Reports of gateways that name the part.
+        unsigned reports { 0 };
         /// Begin of the last moment.
         monotonic_time lastAt {};
         /// All unexplained crashes since the first one.
