--- a/Tests/Gateway/quarantine_tests.cpp
+++ b/Tests/Gateway/quarantine_tests.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <string>
+#include <vector>
 
 using namespace sagesaddle;
 
@@ -10,6 +11,10 @@
 
 using coordinator_loss = quarantine_simulation::coordinator_loss;
 
+const std::vector<int> sizes { 1, 4, 29, 103 };
+// The size that the fleet is built towards takes as long as the others together, so that it is a test of its
+// own.
+const std::vector<int> largest { 350 };
 // Requests with a crashing part that may reach engines once its crashes show it.
 constexpr int allowedLateArrivals = 3;
 
@@ -32,9 +37,10 @@
     CHECK((value.crashingParts == 0 || simulation.crashes() > 0));
 }
 
-void checkQuarantine(quarantine_simulation::settings value, double minSoundShare)
+void checkQuarantine(quarantine_simulation::settings value, double minSoundShare,
+    const std::vector<int>& gatewayCounts = sizes)
 {
-    for (const int gateways : { 1, 4, 29, 103, 350 }) {
+    for (const int gateways : gatewayCounts) {
         for (unsigned seed = 1; seed <= seedCount(); ++seed) {
             value.gateways = gateways;
             value.seed = seed;
@@ -50,33 +56,73 @@
     checkQuarantine({ .crashingParts = 1 }, 0.95);
 }
 
+TEST_CASE("quarantine: a part that crashes engines is stopped at any number of gateways, and no sound one "
+          "is, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 1 }, 0.95, largest);
+}
+
 TEST_CASE("quarantine: two parts that crash engines at once are both stopped")
 {
     checkQuarantine({ .crashingParts = 2 }, 0.95);
 }
 
+TEST_CASE("quarantine: two parts that crash engines at once are both stopped, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 2 }, 0.95, largest);
+}
+
 TEST_CASE("quarantine: crashes with other causes blame no part")
 {
     checkQuarantine({ .crashingParts = 0, .otherCrashes = 2 }, 0.5);
 }
 
+TEST_CASE("quarantine: crashes with other causes blame no part, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 0, .otherCrashes = 2 }, 0.5, largest);
+}
+
 TEST_CASE("quarantine: a part that crashes engines is stopped beside crashes with other causes")
 {
     checkQuarantine({ .crashingParts = 2, .otherCrashes = 1 }, 0.5);
 }
 
+TEST_CASE(
+    "quarantine: a part that crashes engines is stopped beside crashes with other causes, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 2, .otherCrashes = 1 }, 0.5, largest);
+}
+
 TEST_CASE("quarantine: a part that crashes engines is stopped while gateways freeze and are replaced")
 {
     checkQuarantine({ .crashingParts = 1, .disturbsGateways = true }, 0.5);
 }
 
+TEST_CASE("quarantine: a part that crashes engines is stopped while gateways freeze and are replaced, with "
+          "350 gateways")
+{
+    checkQuarantine({ .crashingParts = 1, .disturbsGateways = true }, 0.5, largest);
+}
+
 TEST_CASE(
     "quarantine: a part that crashes engines is stopped while coordinators fail and successors take over")
 {
     checkQuarantine({ .crashingParts = 2, .loss = coordinator_loss::Successor }, 0.95);
 }
 
+TEST_CASE("quarantine: a part that crashes engines is stopped while coordinators fail and successors take "
+          "over, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 2, .loss = coordinator_loss::Successor }, 0.95, largest);
+}
+
 TEST_CASE("quarantine: a part that crashes engines is stopped once somebody coordinates again")
 {
     checkQuarantine({ .crashingParts = 1, .loss = coordinator_loss::Total }, 0.95);
 }
+
+TEST_CASE(
+    "quarantine: a part that crashes engines is stopped once somebody coordinates again, with 350 gateways")
+{
+    checkQuarantine({ .crashingParts = 1, .loss = coordinator_loss::Total }, 0.95, largest);
+}
