Tests: Make the test of a refusal that names no request fail without its fix

It counted sends and compared nothing, so that it passed without the fix. Now a call waits on a kept connection, the refusal comes, and another upstream must not get the call.

--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -45,7 +45,7 @@
     std::vector<std::pair<monotonic_time, std::string>> arrivals;
     /// Shared prompt parts, as the header names them, that crash the engine when it begins an answer.
     std::set<std::string> crashingParts;
-    /// Number of crashes, and when each happened.
+    /// When each crash happened.
     std::vector<monotonic_time> crashes;
     /// Time from a crash to the restart.
     milliseconds restartTime { 1000 };
--- a/Tests/Relay/relay_broken_answer_tests.cpp
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -79,23 +79,16 @@
     relay_fixture fixture;
     auto& first = fixture.addUpstream("u1");
     leaveKeptConnection(fixture, first);
-    first.onRequest = [](const request& asked) { asked.stream->write(refusal({})); };
+    first.onRequest = {};
+    auto& caller = fixture.addCaller();
+    caller.request("POST", "/unsafe/second");
+    REQUIRE(loopUntil(fixture.loop, [&] { return first.requests.size() == 2; }));
     auto& second = fixture.addUpstream("u2");
-    second.onRequest = first.onRequest;
-    for (int call = 0; call < 4; ++call) {
-        auto& caller = fixture.addCaller();
-        caller.request("POST", "/unsafe/" + std::to_string(call));
-    }
-    loopFor(fixture.loop, milliseconds(300));
-    std::map<std::string, int> sends;
-    for (const auto* upstream : { &first, &second }) {
-        for (const auto& asked : upstream->requests)
-            ++sends[asked.get("Request-Id")];
-    }
-    // Only on a connection without an earlier request can the refusal be of no other one.
-    CHECK(first.requests.size() + second.requests.size() >= 5);
-    for (const auto& caller : fixture.callers)
-        CHECK((caller.status() == 0 || caller.has("not_run")));
+    answerAll(second);
+    first.requests.back().stream->write(refusal({}));
+    loopFor(fixture.loop, milliseconds(100));
+    CHECK(second.requests.empty());
+    CHECK_FALSE(caller.has("not_run"));
 }
 
 TEST_CASE("relay: a request that ran before an upstream declined it is not refused as not_run")
