Review case 1: two gateways, so that the former holder always acquires the lease

With three gateways the third acquisition sometimes fell to one that never held the lease, which shows the fault of case 2 instead.

--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int gatewayCount = 3;
+constexpr int gatewayCount = 2;
 constexpr std::int64_t cutMs = 4500;
 // Time in which the next holder gives orders.
 constexpr std::int64_t pauseMs = 5000;
