Review case 4: after the store's return a restarted gateway serves a withdrawn key

A gateway that starts between the return and the operator's rewrite takes the older configuration for confirmed, though its coordinator knows the newer one.

--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -66,11 +66,6 @@
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string storeAnswer(int status, const std::string& body)
-{
-    return answerText(status, body, "Store-Era: 0\r\n");
-}
-
 int openListener(int& port)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -286,10 +281,16 @@
     m_changed.notify_all();
 }
 
+std::string store::answerOf(int status, const std::string& body) const
+{
+    return answerText(status, body, "Store-Era: " + std::to_string(m_era) + "\r\n");
+}
+
 void store::put(const std::string& topic, const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(m_mutex);
-    append(m_topics[topic], key, value);
+    if (!m_isAway)
+        append(m_topics[topic], key, value);
 }
 
 void store::setCutOff(int gateway, bool isCutOff)
@@ -300,6 +301,28 @@
         + (isCutOff ? " is cut off from the store" : " reaches the store again"));
 }
 
+void store::setAway(bool isAway)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isAway = isAway;
+    m_record.write(isAway ? "the store is away" : "the store is back");
+}
+
+void store::saveCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copy = m_topics;
+}
+
+void store::returnToCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics = m_copy;
+    ++m_era;
+    m_record.write("the store has returned from its older copy, era " + std::to_string(m_era));
+    m_changed.notify_all();
+}
+
 std::string store::newestLease()
 {
     const std::lock_guard lock(m_mutex);
@@ -330,7 +353,7 @@
 {
     {
         std::unique_lock lock(m_mutex);
-        if (m_isCutOff[static_cast<std::size_t>(gateway)]) {
+        if (isCutOffLocked(gateway)) {
             lock.unlock();
             holdSilent(from);
             return;
@@ -354,7 +377,7 @@
             items += (items.empty() ? "" : ",") + std::string(R"({"key":")") + key + R"(","value":")"
                 + base64(log.records[offset].value) + R"(","offset":)" + std::to_string(offset) + "}";
     }
-    from.write(storeAnswer(
+    from.write(answerOf(
         200, R"({"items":[)" + items + R"(],"more-pages":false,"end":)" + std::to_string(end) + "}"));
 }
 
@@ -368,12 +391,12 @@
         auto& log = m_topics[call.parameter("topic")];
         const std::string at = call.parameter("at");
         if (!at.empty() && std::stoul(at) != log.records.size()) {
-            reply = storeAnswer(412, R"({"end":)" + std::to_string(log.records.size()) + "}");
+            reply = answerOf(412, R"({"end":)" + std::to_string(log.records.size()) + "}");
             m_record.write(name + " appends to the lease at " + at + ": 412");
         } else {
             const auto keySize = static_cast<unsigned char>(call.body.at(4));
             append(log, call.body.substr(5, keySize), call.body.substr(5U + keySize));
-            reply = storeAnswer(200,
+            reply = answerOf(200,
                 R"({"offset":)" + std::to_string(log.records.size() - 1) + R"(,"end":)"
                     + std::to_string(log.records.size()) + "}");
             m_lastAppender = gateway;
@@ -400,12 +423,18 @@
         std::unique_lock lock(m_mutex);
         auto& log = m_topics[call.parameter("topic")];
         m_changed.wait_for(lock, std::chrono::milliseconds(wait.empty() ? 0 : std::stol(wait)),
-            [&] { return m_isStopping || log.records.size() > first; });
-        if (m_isCutOff[static_cast<std::size_t>(gateway)]) {
+            [&] { return m_isStopping || m_isAway || log.records.size() != first; });
+        if (isCutOffLocked(gateway)) {
             lock.unlock();
             holdSilent(from);
             return;
         }
+        if (first > log.records.size()) {
+            const std::string reply = answerOf(410, R"({"first":0})");
+            lock.unlock();
+            from.write(reply);
+            return;
+        }
         body = bigEndian(log.records.size(), 8) + bigEndian(0, 8);
         for (std::size_t offset = first; offset < log.records.size(); ++offset) {
             const auto& item = log.records[offset];
@@ -413,7 +442,7 @@
                 + item.key + item.value;
         }
     }
-    from.write(storeAnswer(200, body));
+    from.write(answerOf(200, body));
 }
 
 engine::engine(recorder& record, settings value)
@@ -711,23 +740,26 @@
     }
 }
 
-void small_deployment::configure()
+void small_deployment::configure(int version, bool hasSecondKey)
 {
     platformStore.put("keyed.op", "config",
-        R"({"version":7,"routes":[{"name":"r1","hostname":"h","path-prefix":"/s/","route-type":"streaming",)"
-        R"("service":"desk","timeout-ms":15000,"target-latency-ms":600,"gap-aim-ms":300,"priority":1,)"
-        R"("max-attempts":1}],"services":[{"name":"desk","max-connections":360,"engine":{"slots":64,)"
-        R"("kv-capacity":147444,"weights-mb":230000,"adapter-slots":8,"loads-per-s":1.4,"models":[{"name":"m1",)"
-        R"("weights-mb":65100,"load-time-s":9,"adapters":)"
+        R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"r1","hostname":"h","path-prefix":"/s/","route-type":"streaming",)"
+              R"("service":"desk","timeout-ms":15000,"target-latency-ms":600,"gap-aim-ms":300,"priority":1,)"
+              R"("max-attempts":1}],"services":[{"name":"desk","max-connections":360,"engine":{"slots":64,)"
+              R"("kv-capacity":147444,"weights-mb":230000,"adapter-slots":8,"loads-per-s":1.4,"models":[{"name":"m1",)"
+              R"("weights-mb":65100,"load-time-s":9,"adapters":)"
             + std::to_string(adapterCount)
             + R"(,"adapter-mb":66}]}}],"tenants":[{"name":"t1","api-keys":["key-1"],"unit":"tokens",)"
-              R"("plain-tokens":200,"rate-per-s":100000,"burst":100000}]})");
+              R"("plain-tokens":200,"rate-per-s":100000,"burst":100000},{"name":"t2","unit":"tokens","plain-tokens":200,)"
+              R"("api-keys":[)"
+            + (hasSecondKey ? R"("key-2")" : "") + "]}]}");
 }
 
 bool small_deployment::start()
 {
     signal(SIGPIPE, SIG_IGN);
-    configure();
+    configure(7, true);
     for (const auto& item : engines)
         platformStore.put(serverTopic, item->id(), item->listing());
     m_threads.emplace_back([this] {
@@ -781,7 +813,7 @@
         "request " + id + " for m1/" + adapter + " to " + target.name() + ": " + std::to_string(status));
 }
 
-int small_deployment::finish()
+int small_deployment::finish(std::size_t brokenElsewhere)
 {
     m_isStopping = true;
     for (auto& thread : m_threads)
@@ -789,7 +821,7 @@
     m_threads.clear();
     for (const auto& item : gateways)
         item->kill();
-    std::size_t violations = 0;
+    std::size_t violations = brokenElsewhere;
     std::map<std::string, int> holders;
     std::map<std::string, int> runs;
     for (const auto& item : engines) {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -117,6 +117,13 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// Cuts a gateway off from the store, or ends that.
     void setCutOff(int gateway, bool isCutOff);
+    /// Makes the store silent for everybody, or ends that; what the operator or a server writes meanwhile is
+    /// lost.
+    void setAway(bool isAway);
+    /// Keeps a copy of all topics.
+    void saveCopy();
+    /// Loses everything since the copy was saved, and begins a new era.
+    void returnToCopy();
 
     /// Decides about each append of a record that names `gateway` as the caller; set before traffic.
     std::function<call_fate(int gateway)> appendFate;
@@ -137,7 +144,12 @@
         std::map<std::string, std::size_t> newest;
     };
 
+    bool isCutOffLocked(int gateway) const
+    {
+        return m_isAway || m_isCutOff[static_cast<std::size_t>(gateway)];
+    }
     void append(topic_log& log, const std::string& key, const std::string& value);
+    std::string answerOf(int status, const std::string& body) const;
     void onCall(int gateway, connection& from, const http_request& call);
     void onAppend(int gateway, connection& from, const http_request& call);
     void onTail(int gateway, connection& from, const http_request& call);
@@ -148,6 +160,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, topic_log> m_topics;
+    std::map<std::string, topic_log> m_copy;
+    int m_era { 0 };
+    bool m_isAway { false };
     std::vector<bool> m_isCutOff;
     int m_lastAppender { -1 };
     std::int64_t m_lastAppendAt { 0 };
@@ -245,9 +260,13 @@
     /// Starts the gateways one after another, so that the first one holds the lease, and then the callers.
     /// \return whether all are ready
     bool start();
+    /// Writes a configuration.
+    /// \param hasSecondKey whether `key-2` is a key of the team `t2`, which has no limit
+    void configure(int version, bool hasSecondKey);
     /// Ends callers and gateways, and writes what was found.
+    /// \param brokenElsewhere number of broken rules that the case itself found
     /// \return the exit code of the case
-    int finish();
+    int finish(std::size_t brokenElsewhere = 0);
 
     recorder record;
     std::string folder;
@@ -256,7 +275,6 @@
     std::vector<std::unique_ptr<gateway>> gateways;
 
 private:
-    void configure();
     void callOnce(std::int64_t number);
 
     std::atomic<bool> m_isStopping { false };
