--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -231,6 +231,15 @@
         worker.join();
 }
 
+void server::cutAll()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& item : m_connections) {
+        if (const auto open = item.lock())
+            open->shutDown();
+    }
+}
+
 std::string server::where() const
 {
     return "127.0.0.1:" + std::to_string(m_port);
@@ -498,6 +507,19 @@
     return m_runs;
 }
 
+std::map<std::string, std::int64_t> engine::runTimes()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runTimes;
+}
+
+void engine::exit()
+{
+    m_hasExited = true;
+    m_record.write(m_settings.id + " exits");
+    m_server.cutAll();
+}
+
 int engine::acceptOrder(const http_request& call)
 {
     const std::string expected = jsonValue(call.body, "expected");
@@ -520,6 +542,10 @@
 
 void engine::onCall(connection& from, const http_request& call)
 {
+    if (m_hasExited) {
+        from.shutDown();
+        return;
+    }
     if (call.target.find("/sagesaddle/report") != std::string::npos) {
         from.write(answerText(200, listing()));
         return;
@@ -565,19 +591,30 @@
         const std::lock_guard lock(m_mutex);
         const std::string wanted = call.get("model");
         isLoaded = m_adapters.contains(wanted) || m_settings.models.contains(wanted);
-        if (isLoaded)
+        if (isLoaded) {
             ++m_runs[id];
+            m_runTimes.emplace(id, nowMs());
+        }
     }
     if (!isLoaded) {
         from.write(answerText(421, "", "Request-Id: " + id + "\r\nNot-Run: 1\r\n"));
         return;
     }
-    const std::string event = "id: 1\ndata: answer to " + id + "\n\n";
-    std::ostringstream size;
-    size << std::hex << event.size();
-    from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id
-        + "\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        + size.str() + "\r\n" + event + "\r\n0\r\n\r\n");
+    from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n"
+        + (m_isLeaving ? "Server-Leaving: 1\r\n" : "")
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int number = 1; number <= m_settings.streamEvents; ++number) {
+        if (number > 1)
+            sleepMs(m_settings.eventPauseMs);
+        const std::string event = "id: " + std::to_string(number) + "\ndata: answer to " + id + "\n\n";
+        std::ostringstream size;
+        size << std::hex << event.size();
+        if (m_hasExited || !from.write(size.str() + "\r\n" + event + "\r\n")) {
+            m_record.write("the run of " + id + " at " + m_settings.id + " is broken off");
+            return;
+        }
+    }
+    from.write("0\r\n\r\n");
 }
 
 std::string jsonValue(const std::string& text, const std::string& key)
@@ -699,7 +736,7 @@
         == 200;
 }
 
-small_deployment::small_deployment(int gatewayCount)
+small_deployment::small_deployment(int gatewayCount, int streamEvents, std::int64_t eventPauseMs)
     : record([] {
         const char* file = std::getenv("RECORD");
         return std::string(file == nullptr ? "record.txt" : file);
@@ -718,6 +755,8 @@
         value.service = "desk";
         value.models = { "m1" };
         value.adapterSlots = 8;
+        value.streamEvents = streamEvents;
+        value.eventPauseMs = eventPauseMs;
         engines.push_back(std::make_unique<engine>(record, value));
     }
     for (int number = 0; number < gatewayCount; ++number)
@@ -767,8 +806,10 @@
             if (nowMs() < next)
                 continue;
             next += heartbeatMs;
-            for (const auto& item : engines)
-                platformStore.put(serverTopic, item->id(), item->listing());
+            for (const auto& item : engines) {
+                if (!item->hasLeft())
+                    platformStore.put(serverTopic, item->id(), item->listing());
+            }
         }
     });
     for (const auto& item : gateways) {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -78,6 +78,8 @@
     server& operator=(const server&) = delete;
 
     std::string where() const;
+    /// Breaks all open connections.
+    void cutAll();
 
 private:
     void serve();
@@ -187,9 +189,19 @@
         std::set<std::string> models;
         std::size_t adapterSlots { 24 };
         std::int64_t leaseMs { 3000 };
+        int streamEvents { 1 };
+        std::int64_t eventPauseMs { 0 };
     };
     engine(recorder& record, settings value);
 
+    /// Says in all answers from now on that the server is leaving.
+    void leave() { m_isLeaving = true; }
+    /// Ends as a process does: all connections break.
+    void exit();
+    bool hasLeft() const { return m_isLeaving; }
+    /// \return when each request began to run, by its id.
+    std::map<std::string, std::int64_t> runTimes();
+
     std::string listing();
     const std::string& id() const { return m_settings.id; }
     std::vector<received_order> orders();
@@ -212,6 +224,9 @@
     std::vector<received_order> m_orders;
     std::vector<std::string> m_violations;
     std::map<std::string, int> m_runs;
+    std::map<std::string, std::int64_t> m_runTimes;
+    std::atomic<bool> m_isLeaving { false };
+    std::atomic<bool> m_hasExited { false };
     server m_server;
 };
 
@@ -254,7 +269,7 @@
 /// \brief The configuration, an engine and gateways, with callers that ask for one adapter after another.
 class small_deployment {
 public:
-    explicit small_deployment(int gatewayCount);
+    explicit small_deployment(int gatewayCount, int streamEvents = 1, std::int64_t eventPauseMs = 0);
     ~small_deployment();
 
     /// Starts the gateways one after another, so that the first one holds the lease, and then the callers.
