--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -600,8 +600,12 @@
         from.write(answerText(421, "", "Request-Id: " + id + "\r\nNot-Run: 1\r\n"));
         return;
     }
-    from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n"
-        + (m_isLeaving ? "Server-Leaving: 1\r\n" : "")
+    const int interval = m_spoilInterval;
+    const bool isSpoiled = interval > 0 && m_answers++ % interval == 0;
+    if (isSpoiled)
+        m_record.write(m_settings.id + " spoils its answer to " + id + ": it begins with 'HTTP/1.1 2 0 OK'");
+    from.write(std::string(isSpoiled ? "HTTP/1.1 2 0 OK" : "HTTP/1.1 200 OK") + "\r\nRequest-Id: " + id
+        + "\r\nServer-Stamp: s\r\n" + (m_isLeaving ? "Server-Leaving: 1\r\n" : "")
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int number = 1; number <= m_settings.streamEvents; ++number) {
         if (number > 1)
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -194,6 +194,8 @@
     };
     engine(recorder& record, settings value);
 
+    /// Spoils one answer of so many from now on: a digit of its status is overwritten. 0 ends that.
+    void spoilAnswers(int interval) { m_spoilInterval = interval; }
     /// Says in all answers from now on that the server is leaving.
     void leave() { m_isLeaving = true; }
     /// Ends as a process does: all connections break.
@@ -226,6 +228,8 @@
     std::map<std::string, int> m_runs;
     std::map<std::string, std::int64_t> m_runTimes;
     std::atomic<bool> m_isLeaving { false };
+    std::atomic<int> m_spoilInterval { 0 };
+    std::atomic<int> m_answers { 0 };
     std::atomic<bool> m_hasExited { false };
     server m_server;
 };
