--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -172,6 +172,11 @@
     std::vector<std::unique_ptr<server>> m_doors;
 };
 
+/// Notes that a link of a gateway has healed.
+void noteHealed(const std::string& gateway);
+/// \return whether a link of the gateway healed within thaw-slack-ms, so that its orders don't count yet.
+bool isWithinThawSlack(const std::string& gateway);
+
 /// \brief An order as an engine received it.
 struct received_order {
     std::int64_t at { 0 };
