HTTP reader: Reject answers whose status is not of three digits

The parser takes any number up to 999 as a status, and the relay passed it on.

The reader now checks the beginning of the status line itself, in whatever pieces it comes: version 1.x and a status from 100 to 599. Such an answer is refused like other bytes that are no answer.

Related paths: endless interim answers were skipped without a bound (now 16).

--- a/Source/Loop/http_reader.cpp
+++ b/Source/Loop/http_reader.cpp
@@ -28,6 +28,11 @@
     });
 }
 
+// "HTTP/1.x ddd" and the byte after it.
+constexpr std::size_t statusLineBytes = 13;
+constexpr std::size_t statusOffset = 9;
+// Interim answers that are skipped before an answer.
+constexpr int maxInterimAnswers = 16;
 constexpr int firstInterimStatus = 100;
 constexpr int lastInterimStatus = 199;
 
@@ -47,6 +52,23 @@
     m_parser.data = this;
 }
 
+bool http_reader::checkStatusLine(std::string_view bytes)
+{
+    if (m_parser.type == HTTP_REQUEST || m_statusLine.size() == statusLineBytes)
+        return true;
+    // The parser skips empty lines before a message.
+    if (m_statusLine.empty())
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    m_statusLine.append(bytes.substr(0, statusLineBytes - m_statusLine.size()));
+    if (m_statusLine.size() < statusLineBytes)
+        return m_statusLine.find('\n') == std::string::npos;
+    const auto isDigit = [](char value) { return value >= '0' && value <= '9'; };
+    const char* const status = m_statusLine.data() + statusOffset;
+    return m_statusLine.starts_with("HTTP/1.") && isDigit(m_statusLine[statusOffset - 2])
+        && m_statusLine[statusOffset - 1] == ' ' && *status >= '1' && *status <= '5' && isDigit(status[1])
+        && isDigit(status[2]) && (status[3] == ' ' || status[3] == '\r' || status[3] == '\n');
+}
+
 bool http_reader::countHeadBytes(std::size_t bytes)
 {
     m_headBytes += bytes;
@@ -133,9 +155,9 @@
 {
     m_isInMessage = false;
     const int status = static_cast<int>(m_parser.status_code);
-    if (m_parser.type == HTTP_RESPONSE && status >= firstInterimStatus && status <= lastInterimStatus)
-        return 0;
-    m_isComplete = true;
+    m_isInterim
+        = m_parser.type == HTTP_RESPONSE && status >= firstInterimStatus && status <= lastInterimStatus;
+    m_isComplete = !m_isInterim;
     // Stops the parser at the end of the message.
     http_parser_pause(&m_parser, 1);
     return 0;
@@ -145,16 +167,34 @@
 {
     if (m_failed || bytes.empty())
         return 0;
-    m_isComplete = false;
-    const std::size_t readBytes = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
-    const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
-    if (error == HPE_PAUSED && m_isComplete) {
-        http_parser_pause(&m_parser, 0);
-        m_handlers.onEnd();
-        return readBytes;
+    std::size_t readBytes = 0;
+    while (readBytes < bytes.size()) {
+        const std::string_view rest = bytes.substr(readBytes);
+        if (!m_isInMessage)
+            m_statusLine.clear();
+        if (!checkStatusLine(rest)) {
+            m_failed = true;
+            return readBytes;
+        }
+        m_isComplete = false;
+        m_isInterim = false;
+        readBytes += http_parser_execute(&m_parser, &callbacks(), rest.data(), rest.size());
+        const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+        if (error == HPE_PAUSED && m_isComplete) {
+            http_parser_pause(&m_parser, 0);
+            m_interimAnswers = 0;
+            m_handlers.onEnd();
+            return readBytes;
+        }
+        if (error == HPE_PAUSED && m_isInterim && ++m_interimAnswers <= maxInterimAnswers) {
+            http_parser_pause(&m_parser, 0);
+            continue;
+        }
+        m_isHeadTooLarge = m_isHeadTooLarge || error == HPE_HEADER_OVERFLOW;
+        m_failed = error != HPE_OK;
+        if (m_failed)
+            return readBytes;
     }
-    m_isHeadTooLarge = m_isHeadTooLarge || error == HPE_HEADER_OVERFLOW;
-    m_failed = error != HPE_OK;
     return readBytes;
 }
 
--- a/Source/Loop/http_reader.h
+++ b/Source/Loop/http_reader.h
@@ -11,8 +11,8 @@
 /// \brief Strict reader of HTTP/1.1 messages, one at a time.
 ///
 /// Rejects repeated or contradicting lengths, transfer codings other than `chunked`, folded fields, field
-/// names that are no tokens, and heads over the size limit. Reading stops at the end of a message; the bytes
-/// after it belong to the next one.
+/// names that are no tokens, status lines without a status of three digits from 100 to 599, and heads over
+/// the size limit. Reading stops at the end of a message; the bytes after it belong to the next one.
 class http_reader {
 public:
     /// \brief The kind of messages that a reader reads.
@@ -63,16 +63,23 @@
     int onMessageComplete();
     bool countHeadBytes(std::size_t bytes);
     bool isHeadValid() const;
+    /// Collects the beginning of an answer's status line, which the parser reads too leniently.
+    /// \return false once that is no valid status line
+    bool checkStatusLine(std::string_view bytes);
 
     handlers m_handlers;
     std::size_t m_maxHeadBytes;
     http_parser m_parser {};
     http_head m_head;
+    /// The first bytes of the answer that is being read.
+    std::string m_statusLine;
+    int m_interimAnswers { 0 };
     std::size_t m_headBytes { 0 };
     // Whether the parser last reported a part of a field value, so that a field name begins a new field.
     bool m_lastWasValue { true };
     bool m_expectsNoBody { false };
     bool m_isInMessage { false };
+    bool m_isInterim { false };
     bool m_isComplete { false };
     bool m_failed { false };
     bool m_isHeadTooLarge { false };
--- a/Tests/Loop/http_reader_tests.cpp
+++ b/Tests/Loop/http_reader_tests.cpp
@@ -111,6 +111,48 @@
     }
 }
 
+// Guards against an answer with a damaged status that reaches the caller as "HTTP/1.1 2".
+TEST_CASE("http reader: an answer without a status of three digits from 100 to 599 is rejected")
+{
+    const auto isAnswer = [](const std::string& text, std::size_t pieceSize) {
+        recording_reader it(http_reader::message::Answers);
+        for (std::size_t at = 0; at < text.size() && !it.reader.failed(); at += pieceSize) {
+            std::string_view piece = std::string_view(text).substr(at, pieceSize);
+            while (!piece.empty() && !it.reader.failed())
+                piece.remove_prefix(it.reader.feed(piece));
+        }
+        return it.ends == 1 && !it.reader.failed();
+    };
+    const std::string fields = "Content-Length: 1\r\n\r\nx";
+    for (const std::size_t pieceSize : { 1U, 5U, 1000U }) {
+        CAPTURE(pieceSize);
+        for (const char* line : { "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 599 Odd",
+                 "\r\nHTTP/1.1 404 Not Found", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" }) {
+            CAPTURE(line);
+            CHECK(isAnswer(std::string(line) + "\r\n" + fields, pieceSize));
+        }
+        for (const char* line : { "HTTP/1.1 2 0 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2", "HTTP/1.1 0200 OK",
+                 "HTTP/1.1 020 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+                 "HTTP/1.1 200OK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 -20 OK",
+                 "HTTP/1.1 100\r\n\r\nHTTP/1.1 2 0" }) {
+            CAPTURE(line);
+            CHECK_FALSE(isAnswer(std::string(line) + "\r\n" + fields, pieceSize));
+        }
+    }
+}
+
+TEST_CASE("http reader: interim answers without end are rejected")
+{
+    recording_reader it(http_reader::message::Answers);
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    int fed = 0;
+    while (fed < 1000 && !it.reader.failed()) {
+        it.reader.feed(interim);
+        ++fed;
+    }
+    CHECK(fed < 100);
+}
+
 TEST_CASE("http reader: an interim answer is skipped")
 {
     recording_reader it(http_reader::message::Answers);
--- a/Tests/Relay/relay_broken_answer_tests.cpp
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -210,3 +210,54 @@
     REQUIRE(loopUntil(fixture.loop, [&] { return caller.isClosed() || caller.text().ends_with(lastChunk); }));
     CHECK_FALSE(caller.text().ends_with(lastChunk));
 }
+
+// Guards against bytes that are no answer, which a lenient parser takes for one.
+TEST_CASE("relay: an answer with a damaged status is refused with 502 and not passed on")
+{
+    for (const char* status : { "2 0", "20", "2", "0200", "700" }) {
+        for (const char* path : { "/unsafe/a", "/stream/a" }) {
+            CAPTURE(status);
+            CAPTURE(path);
+            relay_fixture fixture;
+            auto& upstream = fixture.addUpstream("u1");
+            upstream.onRequest = [status](const request& asked) {
+                std::string text = scripted_upstream::answer(asked, 200, "body");
+                text.replace(text.find("200"), 3, status);
+                asked.stream->write(text);
+            };
+            auto& caller = fixture.addCaller();
+            caller.request("POST", path);
+            REQUIRE(fixture.ended(caller));
+            CHECK(caller.status() == 502);
+            CHECK(caller.has("may_have_run"));
+            CHECK(caller.text().starts_with("HTTP/1.1 502 "));
+        }
+    }
+}
+
+// Guards against a success with an empty or short body where an upstream stopped within its answer's head.
+TEST_CASE("relay: an answer that ends within its head is refused with 502, wherever it ends")
+{
+    const std::string head = "Server-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: 120\r\n";
+    for (std::size_t size = 1; size <= head.size(); size += 6) {
+        for (const char* path : { "/unsafe/a", "/stream/a", "/resume/a" }) {
+            CAPTURE(size);
+            CAPTURE(path);
+            relay_fixture fixture;
+            auto& upstream = fixture.addUpstream("u1");
+            upstream.onRequest = [&](const request& asked) {
+                asked.stream->write("HTTP/1.1 200 OK\r\nRequest-Id: " + asked.get("Request-Id") + "\r\n"
+                    + head.substr(0, size));
+            };
+            auto& caller = fixture.addCaller();
+            caller.request("POST", path);
+            REQUIRE(loopUntil(fixture.loop, [&] { return !upstream.requests.empty(); }));
+            loopFor(fixture.loop, milliseconds(5));
+            upstream.onRequest = {};
+            upstream.cutAll();
+            REQUIRE(fixture.ended(caller));
+            CHECK(caller.status() == 502);
+            CHECK_FALSE(caller.has("200 OK"));
+        }
+    }
+}
