Loop: Close the connection of an answer that is given up at once

Endless bytes in answer to an order took a gateway to 430 to 500 MB in 10 s (reported): the client gave the answer up at its bounds, but kept the connection until the next call, and removing the handlers of a stream enabled reading, so that the loop went on buffering. The servers for reports and for status kept dropped connections in the same way.

tcp_stream::close() closes the socket where the object cannot be destroyed yet. Each client names the largest body that it takes: 256 KB from an engine, 4 MB from the store as before. Callers' connections stay as they are: they are destroyed in the next turn of the loop, and their last bytes are sent until then.

Evidence: the new test fails with the old call for an endless field, body, chunk and for bytes that are no answer, and passes now.

--- a/Source/Gateway/engine_order_sender.cpp
+++ b/Source/Gateway/engine_order_sender.cpp
@@ -12,6 +12,8 @@
 
 // Timeout of a request for a report and of an order; an engine answers both without a free slot.
 constexpr milliseconds engineTimeout { 800 };
+// Reports list the models and the requests of one engine and have some kilobytes.
+constexpr std::size_t maxEngineAnswerBytes = 262144;
 // Reports requested at the same time; after a start those of all engines are due.
 constexpr std::size_t maxPendingReports = 64;
 // Number of engines that lengthens the shortest time between two passes by 1 ms. A pass costs about 10 us of
@@ -50,7 +52,7 @@
         auto& peer = m_peers[id];
         peer.entry = entry;
         if (!peer.client)
-            peer.client = std::make_unique<loop_http_client>(m_loop, entry.endpoint);
+            peer.client = std::make_unique<loop_http_client>(m_loop, entry.endpoint, maxEngineAnswerBytes);
     }
 }
 
--- a/Source/Gateway/fleet_connections.cpp
+++ b/Source/Gateway/fleet_connections.cpp
@@ -91,7 +91,7 @@
     const auto found = m_connections.find(&which);
     if (found == m_connections.end())
         return;
-    found->second->stream->setHandlers({});
+    found->second->stream->close();
     // Kept until the next connection is dropped, since a handler of this one may be running.
     m_lastDropped = std::move(found->second);
     m_connections.erase(found);
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -40,13 +40,15 @@
 
 // Timeout of a call for the lease; a lost renewal must leave time for another one.
 constexpr milliseconds leaseCallTimeout { 600 };
+// The largest answers are pages: at most 1 MB, and a third more when written as text.
+constexpr std::size_t maxStoreAnswerBytes = std::size_t { 4 } << 20U;
 
 } // namespace
 
 store_follower::store_follower(event_loop& loop, const address& store, std::string member,
     std::string memberPrefix, lease_times times, decision_logger& lines, follower_hooks hooks)
     : m_loop(loop)
-    , m_store(loop, store)
+    , m_store(loop, store, maxStoreAnswerBytes)
     , m_member(std::move(member))
     , m_lease(m_member, std::move(memberPrefix), times)
     , m_hasAcquireDelay(times.acquireDelay > monotonic_duration::zero())
--- a/Source/Loop/loop_http_client.cpp
+++ b/Source/Loop/loop_http_client.cpp
@@ -8,8 +8,6 @@
 constexpr std::size_t maxAnswerHeadBytes = 16384;
 // Shorter than the usual timeouts of calls, so that a lost network path is noticed within them.
 constexpr milliseconds ackTimeout { 1000 };
-// The largest answers are pages of the store: at most 1 MB, and a third more when written as text.
-constexpr std::size_t maxAnswerBytes = std::size_t { 4 } << 20U;
 // Time beyond the timeout within which an answer must be complete: 4 MB over the slowest link take about 4 s.
 constexpr milliseconds maxExtraAnswerTime { 10000 };
 // With more connections than this, a call closes its connection when it ends.
@@ -30,9 +28,10 @@
     bool isAnswered { false };
 };
 
-loop_http_client::loop_http_client(event_loop& loop, address peer)
+loop_http_client::loop_http_client(event_loop& loop, address peer, std::size_t maxAnswerBytes)
     : m_loop(loop)
     , m_peer(std::move(peer))
+    , m_maxAnswerBytes(maxAnswerBytes)
 {
 }
 
@@ -67,7 +66,8 @@
             const bool isExpected = raw->handler != nullptr;
             raw->stream->consume(raw->reader->feed(bytes));
             raw->deadline->start(raw->timeout);
-            const bool isOverBound = raw->answer.body.size() > maxAnswerBytes || monotonicNow() > raw->endsAt;
+            const bool isOverBound
+                = raw->answer.body.size() > m_maxAnswerBytes || monotonicNow() > raw->endsAt;
             if (!isExpected || isOverBound || raw->reader->failed()
                 || (raw->isAnswered && !raw->stream->readable().empty()))
                 finish(*raw, std::nullopt, false);
@@ -107,7 +107,7 @@
     if (!isReusable || m_connections.size() > maxKeptConnections) {
         const auto found = m_connections.find(&finished);
         if (found != m_connections.end()) {
-            found->second->stream->setHandlers({});
+            found->second->stream->close();
             m_closed.push_back(std::move(found->second));
             m_connections.erase(found);
         }
--- a/Source/Loop/loop_http_client.h
+++ b/Source/Loop/loop_http_client.h
@@ -28,7 +28,8 @@
     /// out the call.
     using on_answer = std::function<void(std::optional<http_answer>)>;
 
-    loop_http_client(event_loop& loop, address peer);
+    /// \param maxAnswerBytes size of an answer's body above which the call fails
+    loop_http_client(event_loop& loop, address peer, std::size_t maxAnswerBytes);
     ~loop_http_client();
 
     loop_http_client(const loop_http_client&) = delete;
@@ -51,6 +52,7 @@
 
     event_loop& m_loop;
     address m_peer;
+    std::size_t m_maxAnswerBytes;
     std::map<const connection*, std::shared_ptr<connection>> m_connections;
     // Closed connections. They are destroyed with the next call, since one of their own handlers may still be
     // running.
--- a/Source/Loop/status_server.cpp
+++ b/Source/Loop/status_server.cpp
@@ -33,7 +33,7 @@
     const auto found = m_connections.find(dropped);
     if (found == m_connections.end())
         return;
-    found->second->stream->setHandlers({});
+    found->second->stream->close();
     m_dropped = std::move(found->second);
     m_connections.erase(found);
 }
--- a/Source/Loop/tcp_stream.cpp
+++ b/Source/Loop/tcp_stream.cpp
@@ -77,6 +77,18 @@
     bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
 }
 
+void tcp_stream::close()
+{
+    m_handlers = {};
+    bufferevent_setcb(m_stream.get(), nullptr, nullptr, nullptr, nullptr);
+    const evutil_socket_t socket = bufferevent_getfd(m_stream.get());
+    if (socket < 0)
+        return;
+    // Removes the socket's events, too.
+    bufferevent_setfd(m_stream.get(), -1);
+    evutil_closesocket(socket);
+}
+
 std::string_view tcp_stream::readable()
 {
     evbuffer* input = bufferevent_get_input(m_stream.get());
--- a/Source/Loop/tcp_stream.h
+++ b/Source/Loop/tcp_stream.h
@@ -46,8 +46,12 @@
     tcp_stream(const tcp_stream&) = delete;
     tcp_stream& operator=(const tcp_stream&) = delete;
 
-    /// Sets the handlers and enables reading; {} removes them.
+    /// Sets the handlers and enables reading.
     void setHandlers(handlers value);
+    /// Closes the socket; no handler is called after that. For streams that cannot be destroyed yet, since
+    /// one of the handlers of their owner may be running: an open one would go on buffering what the peer
+    /// sends.
+    void close();
 
     /// \return the bytes that were received and not consumed, in one piece; valid until bytes are
     /// consumed or the loop reads more.
--- a/Tests/Loop/loop_http_client_tests.cpp
+++ b/Tests/Loop/loop_http_client_tests.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::size_t maxAnswerBytes = std::size_t { 4 } << 20U;
 constexpr const char* request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Server that answers whatever it receives with the same text.
@@ -16,6 +17,7 @@
     std::vector<std::unique_ptr<tcp_stream>> streams;
     std::string answer;
     int accepted { 0 };
+    int closed { 0 };
     tcp_listener listener;
 
     fixed_answer_server(event_loop& serverLoop, std::string text)
@@ -30,7 +32,7 @@
                     stream->consume(stream->readable().size());
                     stream->write(answer);
                 },
-                {}, {} });
+                {}, [this](stream_end) { ++closed; } });
         })
     {
     }
@@ -44,7 +46,7 @@
 {
     event_loop loop;
     fixed_answer_server server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
-    loop_http_client client(loop, server.endpoint());
+    loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
     for (int call = 0; call < 3; ++call) {
         std::optional<http_answer> got;
         client.call(
@@ -59,7 +61,7 @@
 {
     event_loop loop;
     fixed_answer_server server(loop, "");
-    loop_http_client client(loop, server.endpoint());
+    loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
     bool ended = false;
     client.call(request, milliseconds(30), [&](const std::optional<http_answer>& answer) {
         ended = true;
@@ -78,7 +80,7 @@
 {
     event_loop loop;
     fixed_answer_server server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
-    loop_http_client client(loop, server.endpoint());
+    loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
     std::optional<http_answer> got;
     bool ended = false;
     client.call(request, milliseconds(400), [&](std::optional<http_answer> answer) {
@@ -108,7 +110,7 @@
         }
         writing.start({});
     });
-    loop_http_client client(loop, server.endpoint());
+    loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
     bool ended = false;
     bool hasAnswer = true;
     client.call(request, seconds(5), [&](const std::optional<http_answer>& answer) {
@@ -122,12 +124,35 @@
     CHECK(written < farOverLimit / 2);
 }
 
+// Guards against answers without end that fill the memory: the client stopped reading them, but kept their
+// connections open until the next call.
+TEST_CASE("loop http client: a connection with an unacceptable answer is closed without a further call")
+{
+    const std::string endlessField = "HTTP/1.1 200 OK\r\nField: " + std::string(65536, 'x');
+    const std::string endlessBody = "HTTP/1.1 200 OK\r\n\r\n" + std::string(65536, 'x');
+    const std::string endlessChunk
+        = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" + std::string(65536, 'x');
+    for (const std::string& answer : { endlessField, endlessBody, endlessChunk, std::string("no answer") }) {
+        CAPTURE(answer.substr(0, 60));
+        event_loop loop;
+        fixed_answer_server server(loop, answer);
+        loop_http_client client(loop, server.endpoint(), 4096);
+        int ends = 0;
+        client.call(request, seconds(5), [&](const std::optional<http_answer>& got) {
+            ++ends;
+            CHECK_FALSE(got.has_value());
+        });
+        REQUIRE(loopUntil(loop, [&] { return ends == 1; }));
+        CHECK(loopUntil(loop, [&] { return server.closed > 0; }));
+    }
+}
+
 TEST_CASE("loop http client: a second answer is not taken for the answer to the next call")
 {
     event_loop loop;
     const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     fixed_answer_server server(loop, one + one);
-    loop_http_client client(loop, server.endpoint());
+    loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
     int ends = 0;
     client.call(request, seconds(10), [&](const std::optional<http_answer>&) { ++ends; });
     REQUIRE(loopUntil(loop, [&] { return ends == 1; }));
@@ -144,7 +169,7 @@
         fixed_answer_server server(loop, "");
         unused = server.endpoint();
     }
-    loop_http_client client(loop, unused);
+    loop_http_client client(loop, unused, maxAnswerBytes);
     bool ended = false;
     client.call(
         request, seconds(10), [&](const std::optional<http_answer>& answer) { ended = !answer.has_value(); });
@@ -164,7 +189,7 @@
         [](const http_head& head) -> status_server::reply {
             return { 503, "text/plain", head.target };
         });
-    loop_http_client client(loop, { "127.0.0.1", static_cast<std::uint16_t>(port) });
+    loop_http_client client(loop, { "127.0.0.1", static_cast<std::uint16_t>(port) }, maxAnswerBytes);
     for (int call = 0; call < 2; ++call) {
         std::optional<http_answer> got;
         client.call(
