Relay: Count an answer that is overdue at the deadline as a failure of its upstream

An upstream whose answers never end kept all 40 of 40 requests beside a sound one in the new test, each of which waited for its deadline: an answer that had begun reset the upstream's failures, and the deadline told nothing about it. An answer to a call that is not complete at the deadline now counts as a failure, and one of a stream beyond 256 KB; not if the caller stopped reading a second before or longer.

Found beside, one line: a connection that was paused for a slow caller went back to the pool paused, and the next request on it ended with 504. Its test failed with an answer of 266,000 bytes.

--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds answerReserve { 20 };
 // By then another gateway accepts the caller's connection.
 constexpr milliseconds drainingRetryAfter { 100 };
+// Time without a byte read after which a caller counts as not reading its answer.
+constexpr milliseconds callerStallTime { 1000 };
 // Time from an answer's first byte from which on the upstream counts as having survived its beginning.
 constexpr milliseconds answerBeginning { 250 };
 constexpr int statusMisdirected = 421;
@@ -214,7 +216,8 @@
     m_isDeclined = false;
     m_boundary.reset();
     m_isMismatched = false;
-    m_nonSuccessBytes = 0;
+    m_answerBytes = 0;
+    m_pausedAt.reset();
     m_buffered.clear();
     m_owner.recordSend(*this, *target, forecastMilliseconds, m_sends);
     const auto self = weak_from_this();
@@ -354,12 +357,10 @@
 void relay_exchange::onBody(std::string_view bytes)
 {
     const bool isSignedSuccess = !m_isMismatched && isSuccess(m_answer.status) && m_isSigned;
-    if (!isSignedSuccess) {
-        m_nonSuccessBytes += bytes.size();
-        if (m_nonSuccessBytes > maxBufferedBytes) {
-            onEndlessAnswer();
-            return;
-        }
+    m_answerBytes += bytes.size();
+    if (!isSignedSuccess && m_answerBytes > maxBufferedBytes) {
+        onEndlessAnswer();
+        return;
     }
     if (m_isMismatched)
         return;
@@ -540,11 +541,22 @@
     m_owner.schedulePlacement();
 }
 
+bool relay_exchange::isAnswerOverdue() const
+{
+    if (!m_connection || !m_answerBegun)
+        return false;
+    const bool isCallerStalled = m_pausedAt && monotonicNow() - *m_pausedAt >= callerStallTime;
+    // An engine under load may need longer for a stream than the caller waits.
+    return !isCallerStalled && (!isEventStream() || m_answerBytes > maxBufferedBytes);
+}
+
 void relay_exchange::onDeadline()
 {
     if (m_over)
         return;
     const auto self = shared_from_this();
+    if (isAnswerOverdue())
+        m_owner.recordFailure(*m_upstream, false);
     refuse(mayHaveRun() ? refusal_reason::NoAnswerInTime : refusal_reason::NotSentInTime);
 }
 
@@ -594,6 +606,10 @@
 
 void relay_exchange::pauseUpstream(bool isPaused)
 {
+    if (!isPaused)
+        m_pausedAt.reset();
+    else if (!m_pausedAt)
+        m_pausedAt = monotonicNow();
     if (m_connection)
         m_connection->pauseReading(isPaused);
 }
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -106,6 +106,8 @@
     /// Gives up an answer that is no signed success and exceeds the bound for its bytes.
     void onEndlessAnswer();
     void onDeadline();
+    /// \return whether the answer should have ended by the deadline, as far as the caller was reading it.
+    bool isAnswerOverdue() const;
     /// \return header fields of the upstream's answer that are forwarded to the caller.
     std::vector<http_field> answerFields() const;
     void beginDelivery();
@@ -169,8 +171,10 @@
     bool m_isSigned { false };
     /// Bytes of the body that are not delivered yet.
     std::string m_buffered;
-    /// Body bytes of answers that are not signed successes for this request; bounded.
-    std::size_t m_nonSuccessBytes { 0 };
+    /// Body bytes that the current upstream sent; bounded for answers that are not signed successes.
+    std::size_t m_answerBytes { 0 };
+    /// Since when reading from the upstream is paused because the caller does not read.
+    std::optional<monotonic_time> m_pausedAt;
     event_splitter m_events;
     event_boundary m_boundary;
     /// Whether the current answer bears the id of another request.
--- a/Source/Relay/upstream_connection.cpp
+++ b/Source/Relay/upstream_connection.cpp
@@ -73,6 +73,8 @@
     m_handlers = {};
     m_inUse = false;
     m_idleSince = monotonicNow();
+    // The last answer may have ended while its caller was not reading.
+    pauseReading(false);
 }
 
 bool upstream_connection::isReusable()
@@ -85,7 +87,7 @@
 {
     m_closed = true;
     m_handlers = {};
-    m_stream->setHandlers({});
+    m_stream->close();
 }
 
 void upstream_connection::read()
--- a/Tests/Relay/relay_upstream_failure_tests.cpp
+++ b/Tests/Relay/relay_upstream_failure_tests.cpp
@@ -39,16 +39,23 @@
     return limited;
 }
 
-/// Answers each request with an endless repetition of one piece, until the connection is closed or the
-/// maximum is written.
+/// Answers each request, or the one whose stream is given, with an endless repetition of one piece, until the
+/// connection is closed or the maximum is written.
 class endless_writer {
 public:
-    endless_writer(scripted_upstream& upstream, std::string begin, std::string piece)
+    endless_writer(
+        scripted_upstream& upstream, std::string begin, std::string piece, tcp_stream* stream = nullptr)
         : m_upstream(upstream)
         , m_begin(std::move(begin))
         , m_piece(std::move(piece))
         , m_timer(upstream.loop(), [this] { write(); })
     {
+        if (stream != nullptr) {
+            m_stream = stream;
+            m_stream->write(m_begin);
+            write();
+            return;
+        }
         upstream.onRequest = [this](const request& asked) {
             m_stream = asked.stream;
             m_stream->write(m_begin);
@@ -291,6 +298,56 @@
     CHECK(writer.written() < maxWrittenBytes / 8);
 }
 
+// Guards against an upstream whose answers never end and that keeps its share of the requests, each of which
+// waits for its deadline.
+TEST_CASE("relay: an upstream whose answers never end gets few requests beside one whose answers do")
+{
+    relay_fixture fixture;
+    auto& endless = fixture.addUpstream("u1");
+    auto& healthy = fixture.addUpstream("u2");
+    answerAll(healthy);
+    std::deque<endless_writer> writers;
+    endless.onRequest = [&](const request& asked) {
+        writers.emplace_back(endless,
+            "HTTP/1.1 200 OK\r\nRequest-Id: " + asked.get("Request-Id")
+                + "\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+            chunkOf(8192), asked.stream);
+    };
+    for (int call = 0; call < 40; ++call) {
+        auto& caller = fixture.addCaller();
+        caller.send("POST /unsafe/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r" + std::to_string(call)
+            + "\r\nKey: key-1\r\nDeadline-Ms: 120\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(loopUntil(
+            fixture.loop, [&] { return caller.isClosed() || caller.text().ends_with("\r\n\r\nok"); }));
+    }
+    CHECK(healthy.requests.size() + endless.requests.size() == 40);
+    CHECK(endless.requests.size() < 8);
+}
+
+// Guards against a request that waits for its deadline on a connection whose reading was paused for the slow
+// caller of the one before.
+TEST_CASE("relay: a connection that was paused for a slow caller is read again for the next request")
+{
+    // Answers that end in the piece with which the relay's buffer for the caller becomes full.
+    for (const std::size_t size : { 262200U, 266000U, 270000U, 274000U }) {
+        CAPTURE(size);
+        relay_fixture fixture;
+        auto& upstream = fixture.addUpstream("u1");
+        upstream.onRequest = [size](const request& asked) {
+            asked.stream->write(scripted_upstream::answer(asked, 200, std::string(size, 'x')));
+        };
+        auto& slow = fixture.addCaller();
+        slow.request("POST", "/unsafe/a");
+        REQUIRE(fixture.ended(slow));
+        answerAll(upstream);
+        auto& caller = fixture.addCaller();
+        caller.send("POST /unsafe/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nKey: key-1\r\n"
+                    "Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(fixture.ended(caller));
+        CHECK(caller.status() == 200);
+    }
+}
+
 TEST_CASE("relay: an endless answer head is cut off at a bound")
 {
     relay_fixture fixture;
