Relay: Decide when a request is sent whether it can end before the process does

In a planned stop with 8 s of grace, requests that came in time but waited were passed on 3.4 to 4.3 s after SIGTERM and cut at 7.7 s without an answer (reported). Whether a request is taken was decided at its arrival, by time alone.

The drain schedule, a pure type, now decides at each try to place a request: until when any may be sent, and whether twice the usual duration of the model's requests fits before the exit. The others are refused at once as not run. rejectNewRequests() is gone; its test now gives a schedule whose time for requests is over, and checks the same.

--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -30,14 +30,10 @@
 constexpr milliseconds orderPassInterval { 50 };
 // Part of the fleet's bound on retries that is used; the rest covers gateways that come and go.
 constexpr double retryFraction = 0.6;
-// Shortest time from becoming not ready to the exit, in which the platform routes callers elsewhere.
-constexpr milliseconds minDrainTime { 2500 };
 constexpr milliseconds drainCheckInterval { 50 };
 // Consecutive checks that must find the relay idle before the exit, so that callers have read the last
 // answers.
 constexpr int idleChecksToStop = 4;
-// Time by which the process exits before the platform kills it.
-constexpr milliseconds exitReserve { 300 };
 // Descriptors reserved for files, peers and upstreams. Each caller may need one upstream connection as well.
 constexpr std::int64_t reservedDescriptors = 400;
 // A host below these coordinates only where no other does: each report costs about 0.1 ms of a core and 2
@@ -213,10 +209,9 @@
     if (m_relay.isDraining())
         return;
     const monotonic_time now = monotonicNow();
-    m_drainDeadline = now + m_settings.grace - exitReserve;
-    m_drainEarliestEnd = now + std::min(minDrainTime, m_settings.grace / 2);
+    m_drain = drain_schedule(now, m_settings.grace);
     m_lines.write(log_level::Info, "draining", { { "name", m_settings.name } }, now);
-    m_relay.drain();
+    m_relay.drain(*m_drain);
     m_storeFollower.resign();
     m_isCoordinating = false;
     m_coordinator.endTerm();
@@ -226,10 +221,8 @@
 void gateway::continueDrain()
 {
     const monotonic_time now = monotonicNow();
-    if (now >= m_drainEarliestEnd)
-        m_relay.rejectNewRequests();
     m_idleChecks = m_relay.isIdle() ? m_idleChecks + 1 : 0;
-    if (now < m_drainDeadline && (now < m_drainEarliestEnd || m_idleChecks < idleChecksToStop)) {
+    if (now < m_drain->exitAt() && (now < m_drain->admissionEnd() || m_idleChecks < idleChecksToStop)) {
         m_drainTimer.start(drainCheckInterval);
         return;
     }
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -57,8 +57,7 @@
     std::unique_ptr<status_server> m_metricsServer;
     timer m_orderTimer;
     timer m_drainTimer;
-    monotonic_time m_drainDeadline {};
-    monotonic_time m_drainEarliestEnd {};
+    std::optional<drain_schedule> m_drain;
     int m_idleChecks { 0 };
     tcp_listener m_callerListener;
 };
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -299,18 +299,11 @@
 
 bool relay::isReady() const
 {
-    if (m_draining || !m_table || !m_knowsUpstreams)
+    if (isDraining() || !m_table || !m_knowsUpstreams)
         return false;
     return m_table->config().teams.empty() || (m_knowsLimits && mayAcceptApiKeys());
 }
 
-bool relay::isIdle() const
-{
-    return m_running == 0 && std::all_of(m_callers.begin(), m_callers.end(), [](const auto& item) {
-        return item.second->unwritten() == 0;
-    });
-}
-
 double relay::randomFraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -808,6 +801,8 @@
 {
     const monotonic_time now = monotonicNow();
     upstream.faults.onOutcome(!isSound, now);
+    if (isSound)
+        recordDuration(request);
     // Streams keep the initial value: with a learned one, a full engine refused more of them.
     if (!isSound || !request.request().model.empty())
         return;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -9,6 +9,7 @@
 #include "Quarantine/prompt_quarantine.h"
 #include "Relay/caller_connection.h"
 #include "Relay/crash_watch.h"
+#include "Relay/drain_schedule.h"
 #include "Relay/relay_exchange.h"
 #include "Relay/relay_telemetry.h"
 #include "Route/retry_budget.h"
@@ -98,14 +99,11 @@
     /// \brief Notes that the known configuration was confirmed to be the newest.
     /// \param confirmedAt time on the clock that includes suspension
     void onConfigConfirmed(monotonic_time confirmedAt);
-    /// \brief Begins to drain: the relay is no longer ready, and each answer closes its connection. Requests
-    /// are still accepted until rejectNewRequests(). Idle connections stay open, since a request may be on
-    /// its way.
-    void drain() { m_draining = true; }
-    bool isDraining() const { return m_draining; }
-    /// \brief Rejects new requests from now on, since they might not end before the process does.
-    void rejectNewRequests() { m_rejectsNewRequests = true; }
-    bool isRejectingRequests() const { return m_rejectsNewRequests; }
+    /// \brief Begins to drain: the relay is no longer ready, and each answer closes its connection. Idle
+    /// connections stay open, since a request may be on its way.
+    /// \param schedule which requests are still sent to upstreams; the others are refused as not run
+    void drain(const drain_schedule& schedule) { m_drain = schedule; }
+    bool isDraining() const { return m_drain.has_value(); }
     /// \return whether no request is running and every answer is written to its socket.
     bool isIdle() const;
     /// \brief Notes that teams' rate limits can be enforced, because the number of gateways is known.
@@ -148,6 +146,10 @@
 
     // For exchanges.
 
+    /// \return whether a request that has not run may be sent to an upstream, as far as the end of the
+    /// process is concerned.
+    bool mayStart(const relay_exchange& request);
+
     /// \return a random number from 0 to below 1.
     double randomFraction();
     /// \return whether the configuration was confirmed recently enough to accept requests with API keys.
@@ -221,6 +223,8 @@
         double millisecondsPerToken { 0.05 };
         /// Mean time for which a request occupies a slot of its upstream.
         double meanRequestMilliseconds { 1500 };
+        /// Mean time from the send to the end of complete answers; zero before the first.
+        monotonic_duration usualDuration { 0 };
         /// Requests per second that this gateway placed recently, as of placedAt.
         double placedPerSecond { 0 };
         monotonic_time placedAt {};
@@ -257,6 +261,8 @@
     /// where no credit can be expected.
     relay_choice waitForSendCredit(
         const relay_exchange& request, const std::vector<upstream_state_ptr>& withoutCredit);
+    /// Learns how long the requests for a model take.
+    void recordDuration(const relay_exchange& request);
     void logRequestLimit(const upstream_limit& limit, std::string_view source);
     /// \param hasUpstreams whether the service has any upstream
     relay_choice decideWithoutCandidate(const relay_exchange& request, bool hasUpstreams);
@@ -315,8 +321,7 @@
     prompt_quarantine m_quarantine;
     std::minstd_rand m_random;
     std::size_t m_running { 0 };
-    bool m_draining { false };
-    bool m_rejectsNewRequests { false };
+    std::optional<drain_schedule> m_drain;
     bool m_knowsUpstreams { false };
     bool m_knowsLimits { false };
 };
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -62,10 +62,6 @@
         return;
     }
     m_request.body = std::move(body);
-    if (m_owner.isRejectingRequests()) {
-        refuse(refusal_reason::Draining, drainingRetryAfter);
-        return;
-    }
     if (!resolve())
         return;
     milliseconds limit = m_route->timeout.count() > 0 ? m_route->timeout : milliseconds(60000);
@@ -155,6 +151,10 @@
             return;
         m_hasCredit = m_hasCredit || hadCredit;
     }
+    if (!mayHaveRun() && !m_owner.mayStart(*this)) {
+        refuse(refusal_reason::Draining, drainingRetryAfter);
+        return;
+    }
     if (!isStillAllowed())
         return;
     if (timeLeft() < minTimeToSend) {
--- a/Tests/Relay/relay_caller_tests.cpp
+++ b/Tests/Relay/relay_caller_tests.cpp
@@ -1,8 +1,11 @@
 #include "Relay/relay_fixture.h"
+#include "Support/test_time.h"
 
+#include "Support/test_time.h"
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+
 #include <doctest/doctest.h>
 #include <netinet/in.h>
 #include <string_view>
@@ -257,7 +260,7 @@
     auto& running = fixture.addCaller();
     running.request("GET", "/safe/a");
     REQUIRE(loopUntil(fixture.loop, [&] { return upstream.requests.size() == 1; }));
-    fixture.tested.drain();
+    fixture.tested.drain(drain_schedule(monotonicNow(), seconds(8)));
     CHECK_FALSE(fixture.tested.isReady());
     CHECK_FALSE(fixture.tested.isIdle());
     // A request that is on its way on an idle connection is answered, and ends the connection.
@@ -269,7 +272,7 @@
     upstream.requests.at(0).stream->write(scripted_upstream::answer(upstream.requests.at(0), 200, "done"));
     REQUIRE(loopUntil(fixture.loop, [&] { return running.has("done") && running.isClosed(); }));
     CHECK(running.has("Connection: close"));
-    fixture.tested.rejectNewRequests();
+    fixture.tested.drain(drain_schedule(monotonicNow() - seconds(5), seconds(8)));
     auto& late = fixture.addCaller();
     late.request("GET", "/safe/b");
     REQUIRE(fixture.ended(late));
@@ -278,6 +281,71 @@
     CHECK(loopUntil(fixture.loop, [&] { return fixture.tested.isIdle(); }));
 }
 
+// Guards against requests that wait, are passed on late in the grace and are cut at its end.
+TEST_CASE(
+    "relay: while draining, a request that still waits when no more are taken is refused and never sent")
+{
+    relay_fixture fixture;
+    auto& upstream = fixture.addUpstream("u1", { { "m1", {} } });
+    auto& waiting = fixture.addCaller();
+    waiting.request("POST", "/resume/a", "Model: m1/a1\r\nToken-Counts: 50,20\r\n");
+    REQUIRE(loopUntil(fixture.loop, [&] { return fixture.tested.waiting() == 1; }));
+    fixture.tested.drain(drain_schedule(monotonicNow() - seconds(5), seconds(8)));
+    REQUIRE(fixture.ended(waiting));
+    CHECK(waiting.status() == 503);
+    CHECK(waiting.has("draining"));
+    CHECK(waiting.has("not_run"));
+    fixture.tested.onLoadedModels("u1", { { "m1", "m1/a1" }, {}, false });
+    loopFor(fixture.loop, milliseconds(50));
+    CHECK(upstream.requests.empty());
+}
+
+// Guards against requests that are taken in time and last longer than the process.
+TEST_CASE("relay: while draining, a request that usually takes longer than what is left is refused at once")
+{
+    relay_fixture fixture;
+    auto& upstream = fixture.addUpstream("u1", { { "m1", {} } });
+    auto& first = fixture.addCaller();
+    const std::string model = "Model: m1\r\nToken-Counts: 50,20\r\n";
+    first.request("POST", "/stream/a", model);
+    REQUIRE(loopUntil(fixture.loop, [&] { return upstream.requests.size() == 1; }));
+    upstream.requests.at(0).stream->write(
+        scripted_upstream::streamHead(upstream.requests.at(0)) + scripted_upstream::event(1, "one"));
+    loopFor(fixture.loop, milliseconds(400));
+    upstream.requests.at(0).stream->write(std::string(lastChunk));
+    REQUIRE(loopUntil(fixture.loop, [&] { return first.text().ends_with(lastChunk); }));
+    // 700 ms are left, of which a request may take half.
+    fixture.tested.drain(drain_schedule(monotonicNow(), milliseconds(1000)));
+    auto& tooLong = fixture.addCaller();
+    tooLong.request("POST", "/stream/b", model);
+    REQUIRE(fixture.ended(tooLong));
+    CHECK(tooLong.status() == 503);
+    CHECK(tooLong.has("not_run"));
+    answerAll(upstream);
+    auto& brief = fixture.addCaller();
+    brief.request("POST", "/unsafe/c");
+    REQUIRE(fixture.ended(brief));
+    CHECK(brief.status() == 200);
+    CHECK(upstream.requests.size() == 2);
+}
+
+TEST_CASE("drain schedule: requests are taken until their usual duration no longer fits before the exit")
+{
+    using testing::start;
+    const drain_schedule drain(start, seconds(8));
+    CHECK(drain.exitAt() < start + seconds(8));
+    CHECK(drain.admits(start, {}));
+    CHECK(drain.admits(start + milliseconds(2499), seconds(1)));
+    CHECK_FALSE(drain.admits(start + milliseconds(2500), {}));
+    CHECK(drain.admits(start, milliseconds(3800)));
+    CHECK_FALSE(drain.admits(start, milliseconds(3900)));
+    CHECK_FALSE(drain.admits(start + seconds(2), milliseconds(2900)));
+    // With a short grace the first half of it is for callers that are not routed elsewhere yet.
+    const drain_schedule brief(start, milliseconds(1000));
+    CHECK(brief.admits(start + milliseconds(499), {}));
+    CHECK_FALSE(brief.admits(start + milliseconds(500), {}));
+}
+
 TEST_CASE("relay: while a caller does not read, its upstream is paused, so that memory stays bounded")
 {
     relay_fixture fixture;
@@ -358,6 +426,6 @@
     callers.send(openRequest);
     REQUIRE(loopUntil(fixture.loop, [&] { return callers.answered() == manyCallers; }));
     callers.send(openRequest);
-    fixture.tested.drain();
+    fixture.tested.drain(drain_schedule(monotonicNow(), seconds(8)));
     CHECK(loopUntil(fixture.loop, [&] { return callers.answered() == manyCallers; }));
 }
