Quarantine: Refuse a repeated request that crashes its upstreams

Gateways sent each attempt once; other requests with the same shared prompt parts were answered. The quarantine left out the last part of a prompt, which belongs to its request alone, so that nothing knew a repeat.

A prompt now has an id as a whole, reported and counted like a part. Three crashes at different moments without an answer quarantine it; answers are counted from its second crash on, so that prompts that come once do not fill the table of watched parts. Its crashes then count against no shared part.

The test of a reported crash now names the two whole prompts besides the parts.

--- a/Source/Quarantine/crash_detector.h
+++ b/Source/Quarantine/crash_detector.h
@@ -16,7 +16,8 @@
 class crash_detector {
 public:
     /// Notes that a connection broke before the answer to a request was complete.
-    /// \param parts ids of the request's shared prompt parts; empty if its answer began long before
+    /// \param parts ids for the quarantine of the request's prompt, see prompt_id.h; empty if its answer
+    /// began long before
     void onConnectionBroken(
         const upstream_process& process, const std::vector<std::uint64_t>& parts, monotonic_time now);
     /// Notes that an upstream sent something.
--- a/Source/Quarantine/crash_evidence.cpp
+++ b/Source/Quarantine/crash_evidence.cpp
@@ -1,5 +1,7 @@
 #include "Quarantine/crash_evidence.h"
 
+#include "Quarantine/prompt_id.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -9,6 +11,10 @@
 
 // The most crashes that a part needs, however few of the recent ones it explains.
 constexpr unsigned maxNeededCrashes = 6;
+// Crashes that a whole prompt needs.
+constexpr unsigned wholePromptCrashes = 3;
+// Crashes from which on the answers to a whole prompt are counted. Most prompts never come again.
+constexpr unsigned watchedPromptCrashes = 2;
 // Crashes needed by a part whose last quarantine has ended.
 constexpr unsigned minCrashesOnProbation = 1;
 // Answers to requests without the part that show that the upstreams answer at all.
@@ -144,7 +150,8 @@
     bool hasChanged = m_watched.size() != before;
     std::vector<std::pair<unsigned, std::uint64_t>> wanted;
     for (const auto& [part, count] : counts) {
-        if (!isQuarantined(part) && !m_watched.contains(part))
+        if (!isQuarantined(part) && !m_watched.contains(part)
+            && (!isWholePrompt(part) || count.moments >= watchedPromptCrashes))
             wanted.emplace_back(count.moments, part);
     }
     // Where not all can be watched, those with the most crashes are.
@@ -158,6 +165,14 @@
     m_revision += hasChanged ? 1 : 0;
 }
 
+unsigned crash_evidence::neededMoments(std::uint64_t part, const crash_count& count) const
+{
+    if (isWholePrompt(part))
+        return wholePromptCrashes;
+    const unsigned perExplained = (count.crashesSince + count.crashes - 1) / count.crashes;
+    return std::max(m_minCrashes, std::min(m_minCrashes + perExplained - 1, maxNeededCrashes));
+}
+
 bool crash_evidence::isGuilty(std::uint64_t part, const crash_count& count, monotonic_time now) const
 {
     if (isOnProbation(part))
@@ -166,12 +181,10 @@
     if (found == m_watched.end() || count.crashes == 0)
         return false;
     const watched_part& watched = found->second;
-    if (now - watched.since < answerWindow || now - watched.addedAt < introductionTime)
+    const milliseconds window = isWholePrompt(part) ? milliseconds(0) : answerWindow;
+    if (now - watched.since < window || now - watched.addedAt < introductionTime)
         return false;
-    const unsigned perExplained = (count.crashesSince + count.crashes - 1) / count.crashes;
-    const unsigned needed
-        = std::max(m_minCrashes, std::min(m_minCrashes + perExplained - 1, maxNeededCrashes));
-    return count.moments >= needed
+    return count.moments >= neededMoments(part, count)
         && m_allAnswers >= watched.earlierAnswers + watched.answers + minOtherAnswers;
 }
 
--- a/Source/Quarantine/crash_evidence.h
+++ b/Source/Quarantine/crash_evidence.h
@@ -29,6 +29,9 @@
 /// part explains does not count against the other parts that were pending. The fewer of the recent crashes a
 /// part explains, the more of them are needed.
 ///
+/// A whole prompt needs fewer crashes than a part that requests share: it comes again only if its request is
+/// repeated, and sound requests seldom are often enough to meet that many crashes.
+///
 /// A quarantine ends after a time, in case the upstreams have been repaired or the part was sound. From then
 /// on a single crash renews it, for longer.
 class crash_evidence {
@@ -103,6 +106,8 @@
     crash_counts countCrashes() const;
     void updateWatched(const crash_counts& counts, monotonic_time now);
     bool isOnProbation(std::uint64_t part) const;
+    /// \return the moments of crashes that a part needs to be quarantined.
+    unsigned neededMoments(std::uint64_t part, const crash_count& count) const;
     bool isGuilty(std::uint64_t part, const crash_count& count, monotonic_time now) const;
     quarantine_decision decide(std::uint64_t part, const crash_count& count, monotonic_time now);
     void explainCrashes();
--- a/Source/Quarantine/prompt_quarantine.h
+++ b/Source/Quarantine/prompt_quarantine.h
@@ -21,7 +21,7 @@
     /// Adds a crash that requests of this gateway met.
     void onCrash(const upstream_crash& crash);
     /// Counts an answer that went on after its beginning.
-    /// \param parts ids of the request's shared prompt parts; empty if its prompt has none
+    /// \param parts ids of the request's prompt, see prompt_id.h; empty if its prompt has none
     void onAnswerUnderWay(const std::vector<std::uint64_t>& parts, monotonic_time now);
     /// Applies what the coordinator says.
     /// \return the parts that were not in quarantine before
@@ -30,7 +30,7 @@
     /// \return the new quarantines
     std::vector<quarantine_decision> update(bool isCoordinated, monotonic_time now);
 
-    /// \param parts ids of a request's shared prompt parts
+    /// \param parts ids of a request's prompt, see prompt_id.h
     /// \return the time until the request may be sent; nothing if it may be sent now
     std::optional<milliseconds> timeToEnd(const std::vector<std::uint64_t>& parts, monotonic_time now) const;
     /// \return whether any part is in quarantine.
--- a/Source/Quarantine/upstream_crash.h
+++ b/Source/Quarantine/upstream_crash.h
@@ -21,8 +21,8 @@
 struct upstream_crash {
     upstream_process process;
     monotonic_time at {};
-    /// Ids of the shared prompt parts of the requests whose answers had not begun, or had just begun. Sorted
-    /// and without duplicates.
+    /// Ids of the shared prompt parts and of the whole prompts of the requests whose answers had not begun,
+    /// or had just begun; see prompt_id.h. Sorted and without duplicates.
     std::vector<std::uint64_t> parts;
 
     auto operator<=>(const upstream_crash&) const = default;
@@ -38,7 +38,7 @@
     auto operator<=>(const part_answers&) const = default;
 };
 
-/// \brief A prompt part whose requests are refused until a time.
+/// \brief A prompt part, or a whole prompt, whose requests are refused until a time.
 struct quarantined_part {
     std::uint64_t part { 0 };
     monotonic_time until {};
--- a/Source/Relay/crash_watch.cpp
+++ b/Source/Relay/crash_watch.cpp
@@ -28,7 +28,7 @@
     const upstream_entry& upstream, const relay_request& request, bool isUnderWay)
 {
     m_detector.onConnectionBroken({ upstream.id, upstream.startedAt },
-        isUnderWay ? std::vector<std::uint64_t>() : request.sharedPartIds(), monotonicNow());
+        isUnderWay ? std::vector<std::uint64_t>() : request.quarantineIds(), monotonicNow());
     startTimer();
 }
 
--- a/Source/Relay/relay_quarantine.cpp
+++ b/Source/Relay/relay_quarantine.cpp
@@ -43,13 +43,13 @@
 {
     if (!m_quarantine.isActive())
         return std::nullopt;
-    return m_quarantine.timeToEnd(request.request().sharedPartIds(), monotonicNow());
+    return m_quarantine.timeToEnd(request.request().quarantineIds(), monotonicNow());
 }
 
 void relay::onAnswerUnderWay(const relay_exchange& request)
 {
     if (!request.request().parts.empty())
-        m_quarantine.onAnswerUnderWay(request.request().sharedPartIds(), monotonicNow());
+        m_quarantine.onAnswerUnderWay(request.request().quarantineIds(), monotonicNow());
 }
 
 void relay::onConnectionBroken(
--- a/Source/Relay/relay_request.h
+++ b/Source/Relay/relay_request.h
@@ -46,14 +46,8 @@
 
     auto operator<=>(const relay_request&) const = default;
 
-    /// \return the ids of the prompt parts that other requests may share: all but the last one.
-    std::vector<std::uint64_t> sharedPartIds() const
-    {
-        std::vector<std::uint64_t> ids;
-        for (std::size_t index = 0; index + 1 < parts.size(); ++index)
-            ids.push_back(parts[index].id);
-        return ids;
-    }
+    /// \return the ids under which the prompt may be in quarantine; see prompt_id.h.
+    std::vector<std::uint64_t> quarantineIds() const;
 
     /// \return what the upstream must have loaded, as `model` or `model/adapter`; empty if the request names
     /// no model.
--- a/Tests/Gateway/crashing_part_tests.cpp
+++ b/Tests/Gateway/crashing_part_tests.cpp
@@ -61,6 +61,30 @@
         }
     }
 
+    /// Sends the same request to one gateway after the other, beside sound ones, as its caller repeats it.
+    void repeatFor(milliseconds duration, milliseconds interval)
+    {
+        const std::string prompt = "a1:100,c1:50,e1:50";
+        for (auto& engine : fixture.engines)
+            engine.crashingPrompts = { prompt };
+        const monotonic_time end = monotonicNow() + duration;
+        while (monotonicNow() < end) {
+            auto& gateway = fixture.gateways.at(++m_repeated % fixture.gateways.size());
+            fixture.send(gateway, "/stream/", "key-1",
+                "Model: m1\r\nToken-Counts: 200,60\r\nPrompt-Prefix: " + prompt + "\r\n");
+            sendFor(interval);
+        }
+    }
+
+    /// \return requests that crash their engines and reached one later than a number of crashes.
+    int arrivalsAfter(std::size_t crashes) const
+    {
+        int arrivals = 0;
+        for (const auto& engine : fixture.engines)
+            arrivals += static_cast<int>(engine.crashingArrivals.size());
+        return std::max(arrivals - static_cast<int>(crashes), 0);
+    }
+
     /// \return requests with a crashing part that reached engines after the part was to be known.
     int lateArrivals() const
     {
@@ -105,6 +129,7 @@
 
 private:
     std::size_t m_sent { 0 };
+    std::size_t m_repeated { 0 };
 };
 
 } // namespace
@@ -125,6 +150,21 @@
     checkNoViolations(run.fixture);
 }
 
+// Guards against one request that its caller repeats and that ends one engine after the other.
+TEST_CASE("gateway: a request that crashes its engine and is repeated soon reaches no engine any more")
+{
+    crashing_part_run run(4, 6);
+    run.sendFor(milliseconds(1000));
+    run.repeatFor(milliseconds(9000), milliseconds(600));
+    CHECK(run.crashCount() >= 3);
+    CHECK(run.arrivalsAfter(3) <= allowedArrivals);
+    const monotonic_time recovered = monotonicNow();
+    run.sendFor(milliseconds(3000));
+    loopFor(run.fixture.loop, milliseconds(1500));
+    CHECK(run.soundShare(recovered) >= 0.9);
+    checkNoViolations(run.fixture);
+}
+
 TEST_CASE(
     "gateway: two crashing prompt parts are stopped while the coordinator is killed and the store is away")
 {
--- a/Tests/Gateway/engine_stand_in.cpp
+++ b/Tests/Gateway/engine_stand_in.cpp
@@ -94,6 +94,8 @@
     const std::string* value = head.find("Prompt-Prefix");
     if (value == nullptr)
         return false;
+    if (crashingPrompts.contains(*value))
+        return true;
     std::string rest = *value;
     // The last part is the request's own.
     for (std::size_t comma = rest.find(','); comma != std::string::npos; comma = rest.find(',')) {
--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -45,6 +45,8 @@
     std::vector<std::pair<monotonic_time, std::string>> arrivals;
     /// Shared prompt parts, as the header names them, that crash the engine when it begins an answer.
     std::set<std::string> crashingParts;
+    /// Whole prompts, as the header holds them, that do so.
+    std::set<std::string> crashingPrompts;
     /// When each crash happened.
     std::vector<monotonic_time> crashes;
     /// Time from a crash to the restart.
@@ -59,9 +61,9 @@
     }
     /// Crashes at once: all connections break, and none is accepted until the restart.
     void crash();
-    /// \return whether a request has such a part.
+    /// \return whether a request has such a part or prompt.
     bool isCrashing(const http_head& head) const;
-    /// When each request with such a part arrived.
+    /// When each such request arrived.
     std::vector<monotonic_time> crashingArrivals;
     /// Number of next requests that run and whose connections are then cut without an answer.
     int cutAnswers { 0 };
--- a/Tests/Quarantine/crash_evidence_tests.cpp
+++ b/Tests/Quarantine/crash_evidence_tests.cpp
@@ -1,4 +1,5 @@
 #include "Quarantine/crash_evidence.h"
+#include "Quarantine/prompt_id.h"
 #include "Support/test_time.h"
 
 #include <algorithm>
@@ -66,6 +67,62 @@
     CHECK(history.decided.front().answers == 0);
 }
 
+// Guards against one request that its caller repeats and that ends one engine after the other.
+TEST_CASE("crash evidence: a prompt that comes again is quarantined as a whole after three crashes")
+{
+    const auto prompt = quarantineIdsOf({ common, rare, 0x0e });
+    const std::uint64_t whole = prompt.back();
+    crash_history history;
+    for (int crash = 0; crash < 3; ++crash) {
+        CHECK(history.decided.empty());
+        // Other prompts are pending once each, and their shared part is answered.
+        auto pending = prompt;
+        for (std::uint64_t other = 0; other < 20; ++other)
+            pending.push_back(
+                quarantineIdsOf({ common, 0x100 + 100 * static_cast<std::uint64_t>(crash) + other }).back());
+        history.crash(pending, at(500 * crash));
+        history.pass(at(500 * crash + 100), at(500 * crash + 500), common, 1);
+    }
+    REQUIRE(history.decided.size() == 1);
+    CHECK(history.decided.front().part.part == whole);
+    CHECK(history.decided.front().crashes == 3);
+    CHECK(history.tested.watched().size() < 10);
+    // What it was pending at counts against no shared part.
+    history.crash({ rare, whole }, at(2000));
+    history.crash({ rare, whole }, at(2500));
+    history.pass(at(2600), at(6000), common, 1);
+    CHECK_FALSE(history.tested.isQuarantined(rare));
+}
+
+TEST_CASE("crash evidence: a prompt that is answered between two crashes, or comes twice, is not quarantined")
+{
+    const std::uint64_t answered = quarantineIdsOf({ common, 0x0e }).back();
+    const std::uint64_t twice = quarantineIdsOf({ common, 0x0f }).back();
+    crash_history history;
+    history.crash({ answered, twice }, at(0));
+    history.crash({ answered, twice }, at(1000));
+    history.pass(at(1000), at(2000), answered, 1);
+    history.crash({ answered }, at(3000));
+    history.crash({ answered }, at(4000));
+    history.pass(at(4000), at(8000), common, 1);
+    CHECK(history.decided.empty());
+}
+
+TEST_CASE("prompt id: a prompt has the ids of its parts but the last, and one as a whole")
+{
+    const auto ids = quarantineIdsOf({ 0xa, 0xb, 0xc });
+    REQUIRE(ids.size() == 3);
+    CHECK(ids.at(0) == 0xa);
+    CHECK(ids.at(1) == 0xb);
+    CHECK(isWholePrompt(ids.at(2)));
+    CHECK_FALSE(isWholePrompt(ids.at(0)));
+    CHECK(quarantineIdsOf({ 0xa, 0xb, 0xc }) == ids);
+    CHECK(quarantineIdsOf({ 0xa, 0xb, 0xd }).back() != ids.back());
+    CHECK(quarantineIdsOf({ 0xb, 0xa, 0xc }).back() != ids.back());
+    CHECK_FALSE(isWholePrompt(quarantineIdsOf({ ~std::uint64_t { 0 }, 0xb }).front()));
+    CHECK(quarantineIdsOf({}).empty());
+}
+
 TEST_CASE("crash evidence: parts that are answered are not quarantined, though pending at each crash")
 {
     crash_history history;
--- a/Tests/Relay/relay_quarantine_tests.cpp
+++ b/Tests/Relay/relay_quarantine_tests.cpp
@@ -1,5 +1,8 @@
+#include "Quarantine/prompt_id.h"
 #include "Relay/relay_fixture.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 using namespace sagesaddle;
@@ -92,7 +95,11 @@
     const auto report = fixture.tested.quarantine().takeReport(monotonicNow());
     REQUIRE(report.crashes.size() == 1);
     CHECK(report.crashes.front().process.upstream == "u1");
-    CHECK(report.crashes.front().parts == std::vector<std::uint64_t> { 0xa1, quarantined });
+    std::vector<std::uint64_t> parts = report.crashes.front().parts;
+    const auto firstPrompt = std::find_if(parts.begin(), parts.end(), isWholePrompt);
+    CHECK(std::distance(firstPrompt, parts.end()) == 2);
+    parts.erase(firstPrompt, parts.end());
+    CHECK(parts == std::vector<std::uint64_t> { 0xa1, quarantined });
 }
 
 TEST_CASE("relay: an upstream that cuts one answer short and lives has not crashed")
