--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -231,6 +231,8 @@
 
         /// \return placedPerSecond as of now, which decays exponentially.
         double placedRate(monotonic_time now) const;
+        /// Counts a placed request.
+        void onPlaced(monotonic_time now);
     };
 
     std::vector<upstream_state_ptr> candidatesFor(
