Command: Check a configuration of the gateways before it is sent

Cause: an operator learned of a wrong configuration only from its effect: a route that another one hides, a service that is not listed or a model that fits no engine was accepted and had no effect.

Change: `sagesaddle check-config FILE [--in-force=FILE]` reports errors, entries that can never match, limits that contradict each other, and what differs from the configuration in force.

--- a/Source/Command/command_line.cpp
+++ b/Source/Command/command_line.cpp
@@ -85,6 +85,9 @@
     if (options.at("apply").asBool())
         return apply_request { optionText(options, "DIR"), addressOption(options, "--log"),
             nameOption(options, "--operator"), revisionOption(options), entriesOption(options) };
+    if (options.at("check-config").asBool())
+        return check_config_request { optionText(options, "FILE"),
+            options.at("--in-force") ? optionText(options, "--in-force") : std::string() };
     if (options.at("status").asBool())
         return status_request { entriesOption(options) };
     if (options.at("explain").asBool() && options.at("ID"))
@@ -108,6 +111,7 @@
   sagesaddle status (--entry=ADDR)... [--json]
   sagesaddle explain TRACE (--entry=ADDR)... [--json]
   sagesaddle explain ID (--lines=FILE)... [--json]
+  sagesaddle check-config FILE [--in-force=FILE] [--json]
   sagesaddle keys new --team=NAME [--id=ID] [--json]
   sagesaddle keys withdraw ID --log=ADDR --operator=NAME [--entry=ADDR]... [--json]
   sagesaddle keys list --log=ADDR [--json]
@@ -117,6 +121,7 @@
   --log=ADDR       Address of the log service, as ip:port.
   --entry=ADDR     Admin address of an entry, as ip:port; may be given more than once.
   --lines=FILE     Log lines of gateways, or - for standard input; may be given more than once.
+  --in-force=FILE  Configuration that FILE replaces, to show what differs.
   --operator=NAME  Who makes the change; shown to an operator who loses a race against it.
   --revision=N     Revision that DIR was prepared against; the newest where it is not given.
   --team=NAME      Team that the new key is for.
--- a/Source/Command/command_line.h
+++ b/Source/Command/command_line.h
@@ -52,6 +52,13 @@
     std::vector<std::string> files;
 };
 
+/// \brief Arguments of `check-config`.
+struct check_config_request {
+    std::string file;
+    /// File of the configuration in force; empty if nothing is to be compared.
+    std::string inForceFile;
+};
+
 /// \brief Arguments of `keys new`.
 struct keys_new_request {
     std::string team;
@@ -74,7 +81,8 @@
 };
 
 using command_request = std::variant<check_request, diff_request, apply_request, status_request,
-    explain_request, keys_new_request, keys_withdraw_request, keys_list_request, explain_logs_request>;
+    explain_request, keys_new_request, keys_withdraw_request, keys_list_request, explain_logs_request,
+    check_config_request>;
 
 /// \brief A parsed command line.
 struct command_line {
--- a/Source/Command/commands.h
+++ b/Source/Command/commands.h
@@ -26,6 +26,9 @@
 /// Explains from gateways' logs why a request ended as it did.
 command_report run(const explain_logs_request& request);
 
+/// Checks a configuration of the gateways, and compares it with the one in force.
+command_report run(const check_config_request& request);
+
 /// Makes a random secret and the record of its key.
 command_report run(const keys_new_request& request);
 
--- a/Tests/Command/command_line_tests.cpp
+++ b/Tests/Command/command_line_tests.cpp
@@ -32,6 +32,7 @@
     CHECK(indexOf({ "keys", "withdraw", "gold-1", log, "--operator=ann" }) == 6);
     CHECK(indexOf({ "keys", "list", log }) == 7);
     CHECK(indexOf({ "explain", "r1", "--lines=a", "--lines=-" }) == 8);
+    CHECK(indexOf({ "check-config", "f", "--in-force=g" }) == 9);
 }
 
 TEST_CASE("command line: the error names a wrong value and the allowed ones")
