--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -84,6 +84,7 @@
     m_buckets = {};
     m_buckets.setLimits(m_teamLimits, now);
     m_upstreamLimits.clear();
+    m_paces.clear();
     m_gateways.clear();
     for (auto& sum : m_totalWork)
         sum = { sum.upstream };
@@ -148,6 +149,7 @@
         // A removal without a record of its own gets an offset behind the entry's last record.
         upstream.offset = std::max(list.offsetOf(id), upstream.offset + 1);
         dropTracker(id, upstream.number);
+        m_paces.remove(id);
     }
     for (const auto& [id, entry] : list.entries()) {
         const auto [position, isNew] = m_upstreams.try_emplace(id);
@@ -158,6 +160,8 @@
             dropTracker(id, upstream.number);
         if (!isNew && !upstream.entry.isSameProcess(entry))
             m_upstreamLimits.onProcessReplaced(id, now);
+        if (!isNew && !upstream.entry.isSameProcess(entry))
+            m_paces.onProcessReplaced(id);
         upstream = { entry, list.offsetOf(id), m_listRevision, false, numberFor(id) };
     }
     createMissingTrackers();
@@ -336,15 +340,31 @@
         from.sentLoadedModelsStamp = 0;
         from.sentWork.clear();
         from.sentListRevision = 0;
+        from.sentPaceRevision = 0;
     }
     replaceWork(from, report.work);
     updateTrackerHistories(now);
     addWorkChanges(from, update);
     addLoadedModelsChanges(from, update);
     addListChanges(from, update);
+    addTimeFactors(from, report, update, now);
     return update;
 }
 
+void coordinator::addTimeFactors(
+    gateway_state& to, const fleet_report& report, fleet_update& update, monotonic_time now)
+{
+    for (const auto& item : report.times) {
+        const auto upstream = m_upstreams.find(item.upstream);
+        if (upstream != m_upstreams.end() && !upstream->second.isRemoved)
+            m_paces.onSamples(item.upstream, upstream->second.entry.service, item.sums, now);
+    }
+    m_paces.update(now);
+    for (const auto& item : m_paces.changesSince(to.sentPaceRevision))
+        update.timeFactors.push_back({ m_numbers.at(item.upstream), static_cast<float>(item.factor) });
+    to.sentPaceRevision = m_paces.revision();
+}
+
 void coordinator::addTeamCredit(const fleet_report& report, fleet_update& update, monotonic_time now)
 {
     for (const auto& request : report.credit) {
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -3,6 +3,7 @@
 #include "Fleet/fleet_config.h"
 #include "Fleet/fleet_timing.h"
 #include "Fleet/loaded_models_history.h"
+#include "Fleet/pace_table.h"
 #include "Fleet/upstream_list.h"
 #include "Limit/token_buckets.h"
 #include "Limit/upstream_limits.h"
@@ -112,6 +113,8 @@
         std::uint64_t sentListRevision { 0 };
         /// Revision of the crash evidence whose quarantines were sent to this gateway.
         std::uint64_t sentQuarantineRevision { 0 };
+        /// Revision of the upstreams' time factors that was sent to this gateway.
+        std::uint64_t sentPaceRevision { 0 };
     };
 
     /// A listed upstream with the list revision of its last change.
@@ -147,6 +150,8 @@
     void addWorkChanges(gateway_state& to, fleet_update& update) const;
     void addLoadedModelsChanges(gateway_state& to, fleet_update& update) const;
     void addListChanges(gateway_state& to, fleet_update& update) const;
+    void addTimeFactors(
+        gateway_state& to, const fleet_report& report, fleet_update& update, monotonic_time now);
     /// Sets the part of all limits that may be granted here.
     void updateGrantableShare(monotonic_time now);
     void addTeamCredit(const fleet_report& report, fleet_update& update, monotonic_time now);
@@ -171,6 +176,7 @@
     std::string m_successor;
     token_buckets m_buckets;
     upstream_limits m_upstreamLimits;
+    pace_table m_paces;
     crash_evidence m_crashEvidence { minCrashesOfPart };
     monotonic_time m_quarantineDecidedAt {};
     std::vector<quarantine_decision> m_quarantineDecisions;
--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -288,6 +288,8 @@
             value.work.push_back({ id, static_cast<std::uint32_t>(upstream->inFlight),
                 std::max(0.0, upstream->tokensAhead), std::max(0.0, upstream->kvCacheTokens) });
     }
+    for (auto& [id, sums] : m_relay.takeSpeedSamples())
+        value.times.push_back({ id, sums });
     return value;
 }
 
@@ -401,6 +403,7 @@
         setGatewayCount(update.gatewayCount);
         m_relay.onGatewayCount(update.gatewayCount);
         m_relay.onLimitsKnown();
+        m_relay.onCoordinatorHeard();
     }
     // Answers to reports that carry only credit name no lease holder.
     if (!update.leaseHolder.empty()) {
@@ -488,6 +491,10 @@
                 { work.inFlight, static_cast<double>(work.tokensAhead),
                     static_cast<double>(work.kvCacheTokens) });
     }
+    for (const auto& item : update.timeFactors) {
+        if (item.number < m_upstreamsByNumber.size())
+            m_relay.onSpeedTold(m_upstreamsByNumber[item.number], item.factor);
+    }
 }
 
 void coordinator_client::applyList(const fleet_update& update)
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -136,6 +136,7 @@
 {
     relay_options options;
     options.zone = m_settings.zone;
+    options.learnsUpstreamSpeed = m_settings.hasUnsteadyUpstreams;
     options.maxConfigAge = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(m_settings.revocationBound.count()) * maxConfigAgeFraction));
     options.retriesPerRequest = m_settings.retryRatio * retryFraction;
--- a/Source/Gateway/gateway_settings.cpp
+++ b/Source/Gateway/gateway_settings.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/gateway_settings.h"
 
 #include "Settings/settings_reader.h"
+#include "deployment_parts.h"
 
 #include <algorithm>
 
@@ -36,6 +37,7 @@
     compare("limits.descriptors", running.descriptors, next.descriptors);
     compare("limits.cores", running.cores, next.cores);
     compare("limits.link_mbps", running.linkMbps, next.linkMbps);
+    compare("deployment.parts", running.hasUnsteadyUpstreams, next.hasUnsteadyUpstreams);
     return names;
 }
 
@@ -61,6 +63,7 @@
     settings.descriptors = reader.integer("limits", "descriptors", defaults.descriptors, descriptorRange);
     settings.cores = reader.number("limits", "cores", defaults.cores, 0.001, maxCores);
     settings.linkMbps = reader.number("limits", "link_mbps", defaults.linkMbps, 0.001, maxLinkMbps);
+    settings.hasUnsteadyUpstreams = platform::hasUnsteadyUpstreams(reader.textList("deployment", "parts"));
     settings.level = parseLogLevel(reader.choice(
         "log", "level", std::string(nameOf(defaults.level)), { "debug", "info", "warning", "error" }));
     reader.finish();
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -47,6 +47,9 @@
     /// Processor cores of the host, and its link in Mbit/s; a weak host leaves the coordination to others.
     double cores { 1 };
     double linkMbps { 1000 };
+    /// Whether upstreams appear, disappear and report false health in this deployment; each one's speed is
+    /// learned then.
+    bool hasUnsteadyUpstreams { false };
 };
 
 /// \return the keys of the settings that differ and that take effect only after a restart.
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -32,9 +32,6 @@
 constexpr double maxCallMs = 10000;
 // Weight of a new observation in a model's statistics.
 constexpr double observationWeight = 0.1;
-// Bounds for observed reading times of a prompt token.
-constexpr double minMsPerToken = 0.002;
-constexpr double maxMsPerToken = 0.2;
 // Sets of prompt parts whose last upstream is remembered.
 constexpr std::size_t maxAffinities = 4096;
 // Number of gateways that are assumed to share the fleet's budgets until the coordinator reports it.
@@ -229,6 +226,7 @@
 
 void relay::onCoordinatorLost()
 {
+    m_hasCoordinator = false;
     for (const auto& [id, upstream] : m_upstreams) {
         upstream->peerLoad = {};
         upstream->hasCoordinatorUpdate = false;
@@ -398,22 +396,6 @@
         now);
 }
 
-void relay::recordFirstByte(
-    const relay_exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead)
-{
-    m_telemetry.metrics.observeSeconds(
-        "sagesaddle_first_byte_seconds", "Time from send to first byte", elapsed);
-    const double prompt = request.request().promptTokens.value_or(0);
-    if (prompt <= 0 || !request.route().isStream())
-        return;
-    model_stats& stats = statsOf(request);
-    if (upstream.inFlight + upstream.peerLoad.inFlight <= upstream.entry.slots) {
-        const double observed
-            = std::clamp(elapsed * 1000 / (prompt + tokensAhead), minMsPerToken, maxMsPerToken);
-        stats.millisecondsPerToken += observationWeight * (observed - stats.millisecondsPerToken);
-    }
-}
-
 relay::model_stats& relay::statsOf(const relay_exchange& request)
 {
     const auto [found, isNew] = m_stats.try_emplace(modelKey(request));
@@ -426,8 +408,10 @@
 {
     const monotonic_time now = monotonicNow();
     upstream.faults.onOutcome(!isSound, now);
-    if (isSound)
+    if (isSound) {
         recordDuration(request);
+        recordStreamSpeed(request, upstream);
+    }
     // Streams keep the initial value: with a learned one, a full engine refused more of them.
     if (!isSound || !request.request().model.empty())
         return;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -15,6 +15,7 @@
 #include "Route/retry_budget.h"
 #include "Route/upstream_choice.h"
 
+#include <array>
 #include <functional>
 #include <list>
 #include <map>
@@ -29,6 +30,8 @@
 struct send_decision {
     upstream_state_ptr target;
     double forecastMilliseconds { 0 };
+    /// Prompt tokens that the upstream has cached, so that they do not count as unread.
+    double cachedTokens { 0 };
 };
 
 /// \brief Decision to let a request wait, because the adapter that it needs is being loaded or credit for
@@ -55,6 +58,8 @@
     double retrySlack { 5 };
     /// Maximum number of callers' connections; beyond it an idle one is closed, or else the new one.
     std::size_t maxCallers { 3000 };
+    /// Whether the speed of each upstream is learned and decides on the choice.
+    bool learnsUpstreamSpeed { false };
 };
 
 /// \brief Functions through which the relay reaches the rest of the fleet.
@@ -96,6 +101,12 @@
     bool onLoadedModels(const std::string& id, const loaded_models_update& update);
     /// \brief Replaces the load that the other gateways put on an upstream.
     void onPeerLoad(const std::string& id, const peer_load& load);
+    /// \brief Applies the coordinator's factor of an upstream's speed.
+    void onSpeedTold(const std::string& id, double factor);
+    /// \return observed and forecast times of the upstreams that answered since the last call, by id.
+    std::vector<std::pair<std::string, pace_sums>> takeSpeedSamples();
+    /// \brief Notes that a coordinator answers, so that its factors of the upstreams' speeds are current.
+    void onCoordinatorHeard() { m_hasCoordinator = true; }
     /// \brief Notes that the known configuration was confirmed to be the newest.
     /// \param confirmedAt time on the clock that includes suspension
     void onConfigConfirmed(monotonic_time confirmedAt);
@@ -193,9 +204,10 @@
     void recordSend(const relay_exchange& request, upstream_state& upstream, double forecastMilliseconds,
         int earlierSends);
     /// \param elapsed seconds since the request was dispatched
-    /// \param tokensAhead unread prompt tokens of the upstream when the request was dispatched
+    /// \param unreadTokens unread prompt tokens of the upstream when the request was dispatched, its own
+    /// included
     void recordFirstByte(
-        const relay_exchange& request, const upstream_state& upstream, double elapsed, double tokensAhead);
+        const relay_exchange& request, upstream_state& upstream, double elapsed, double unreadTokens);
     /// \brief Logs an answer that bears the id of another request.
     void logMismatchedAnswer(const relay_exchange& request, const upstream_state& upstream);
     /// \brief Records a complete answer.
@@ -228,6 +240,9 @@
         /// Requests per second that this gateway placed recently, as of placedAt.
         double placedPerSecond { 0 };
         monotonic_time placedAt {};
+        /// Mean time for a byte of a stream on an upstream of mean speed, by the load of the upstream when
+        /// the stream ended; 0 before the first.
+        std::array<double, 4> millisecondsPerByte {};
 
         /// \return placedPerSecond as of now, which decays exponentially.
         double placedRate(monotonic_time now) const;
@@ -265,6 +280,11 @@
         const relay_exchange& request, const std::vector<upstream_state_ptr>& withoutCredit);
     /// Learns how long the requests for a model take.
     void recordDuration(const relay_exchange& request);
+    /// Learns from a complete stream how fast its upstream is.
+    void recordStreamSpeed(const relay_exchange& request, upstream_state& upstream);
+    /// \return the decision to send a request to the chosen one of the upstreams.
+    send_decision sendTo(
+        const std::vector<upstream_state_ptr>& upstreams, const chosen_upstream& chosen) const;
     void logRequestLimit(const upstream_limit& limit, std::string_view source);
     /// \param hasUpstreams whether the service has any upstream
     relay_choice decideWithoutCandidate(const relay_exchange& request, bool hasUpstreams);
@@ -326,6 +346,8 @@
     std::optional<drain_schedule> m_drain;
     bool m_knowsUpstreams { false };
     bool m_knowsLimits { false };
+    /// Whether a coordinator answers.
+    bool m_hasCoordinator { false };
 };
 
 } // namespace sagesaddle
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -168,8 +168,7 @@
         }
         return;
     }
-    std::visit(overloaded {
-                   [this](const send_decision& value) { dispatch(value.target, value.forecastMilliseconds); },
+    std::visit(overloaded { [this](const send_decision& value) { dispatch(value); },
                    [this](const wait_decision&) { m_owner.addWaiting(shared_from_this()); },
                    [this](const refuse_decision& value) { refuse(value.reason, value.retryAfter); } },
         m_owner.decideDispatch(*this, m_tried));
@@ -190,13 +189,13 @@
     place();
 }
 
-void relay_exchange::dispatch(const upstream_state_ptr& target, double forecastMilliseconds)
+void relay_exchange::dispatch(const send_decision& decision)
 {
-    m_upstream = target;
+    const upstream_state_ptr target = m_upstream = decision.target;
     m_connection = target->pool.acquire(m_wasDroppedEarly);
     m_isConnectionReused = m_connection->isConnected();
     const double prompt = m_request.promptTokens.value_or(0);
-    m_aheadTokens = prompt;
+    m_aheadTokens = std::max(0.0, prompt - decision.cachedTokens);
     m_kvCacheTokens = prompt
         + (m_request.expectedAnswerTokens > 0 ? m_request.expectedAnswerTokens
                                               : m_request.maxAnswerTokens / 2.0);
@@ -219,7 +218,7 @@
     m_answerBytes = 0;
     m_pausedAt.reset();
     m_buffered.clear();
-    m_owner.recordSend(*this, *target, forecastMilliseconds, m_sends);
+    m_owner.recordSend(*this, *target, decision.forecastMilliseconds, m_sends);
     const auto self = weak_from_this();
     const auto guarded = [self](auto action) {
         return [self, action](auto&&... arguments) {
@@ -283,7 +282,8 @@
     m_upstream->suspectUntil = {};
     m_upstream->tokensAhead -= m_aheadTokens;
     if (isSuccess(m_answer.status))
-        m_owner.recordFirstByte(*this, *m_upstream, secondsBetween(m_dispatchedAt, now), m_aheadAtDispatch);
+        m_owner.recordFirstByte(
+            *this, *m_upstream, secondsBetween(m_dispatchedAt, now), m_aheadAtDispatch + m_aheadTokens);
     m_aheadTokens = 0;
 }
 
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -12,6 +12,7 @@
 
 class caller_connection;
 class relay;
+struct send_decision;
 
 /// \brief Outcome of a request for credit of a team.
 enum class credit_outcome {
@@ -60,6 +61,11 @@
     /// \return the longest time between two pieces of the answer's body.
     monotonic_duration longestGap() const { return m_longestGap; }
 
+    /// \return when the current answer's first byte arrived.
+    monotonic_time firstByteAt() const { return m_firstByteAt; }
+    /// \return bytes of the current answer's body.
+    std::size_t answerBytes() const { return m_answerBytes; }
+
     /// \brief Places or refuses the request, depending on the decision about its credit.
     /// \param retryAfter when the caller should retry if no credit was granted
     void onCreditDecision(credit_outcome outcome, std::optional<milliseconds> retryAfter);
@@ -94,7 +100,7 @@
     bool hasValidKey();
     /// Counts the current answer as one that went on after its beginning, once.
     void countAnswerUnderWay();
-    void dispatch(const upstream_state_ptr& target, double forecastMilliseconds);
+    void dispatch(const send_decision& decision);
     void transmit();
     void onHead(http_head head);
     void onBody(std::string_view bytes);
--- a/Source/Relay/relay_placement.cpp
+++ b/Source/Relay/relay_placement.cpp
@@ -104,6 +104,7 @@
         candidate.failureRatio = upstream.faults.value(now);
         candidate.tokensAhead = upstream.tokensAhead + upstream.peerLoad.tokensAhead;
         candidate.memoryUsed = upstream.kvCacheTokens + upstream.peerLoad.kvCacheTokens;
+        candidate.timeFactor = upstream.pace.factor(m_hasCoordinator, now);
         if (cachedAt != m_affinity.end() && cachedAt->second == upstream.entry.id)
             candidate.cachedTokens = sharedTokens;
     }
@@ -125,7 +126,7 @@
     const auto choice = chooseUpstreamOf(request, upstreams);
     const auto* best = std::get_if<chosen_upstream>(&choice);
     if (best != nullptr && trySpendSend(upstreams[best->index]->entry.id))
-        return send_decision { upstreams[best->index], best->firstEventMilliseconds };
+        return sendTo(upstreams, *best);
     std::vector<upstream_state_ptr> withCredit;
     std::vector<upstream_state_ptr> withoutCredit;
     const monotonic_time now = bootTimeNow();
@@ -137,7 +138,7 @@
         const auto second = chooseUpstreamOf(request, withCredit);
         const auto* pick = std::get_if<chosen_upstream>(&second);
         if (pick != nullptr && trySpendSend(withCredit[pick->index]->entry.id))
-            return send_decision { withCredit[pick->index], pick->firstEventMilliseconds };
+            return sendTo(withCredit, *pick);
     }
     if (best != nullptr)
         return waitForSendCredit(request, withoutCredit);
@@ -185,6 +186,8 @@
         : standardObjectiveMs;
     const double elapsed = secondsBetween(request.arrivedAt(), monotonicNow()) * 1000;
     demand.objectiveMilliseconds = std::max(objective - elapsed, objective / 4);
+    if (m_options.learnsUpstreamSpeed)
+        demand.gapObjectiveMilliseconds = static_cast<double>(request.route().gapObjective.count());
     return chooseAmong(request, describe(request, upstreams), demand);
 }
 
@@ -229,7 +232,7 @@
             sample.push_back(candidates[index]);
         const auto choice = chooseUpstream(sample, demand, lateFactor);
         if (const auto* pick = std::get_if<chosen_upstream>(&choice))
-            return chosen_upstream { indices[pick->index], pick->firstEventMilliseconds };
+            return chosen_upstream { indices[pick->index], pick->firstEventMilliseconds, pick->cachedTokens };
     }
     return chooseUpstream(candidates, demand, lateFactor);
 }
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -4,6 +4,7 @@
 #include "Fleet/upstream_list.h"
 #include "Relay/upstream_connection.h"
 #include "Route/failure_ratio.h"
+#include "Route/upstream_pace.h"
 
 #include <memory>
 #include <set>
@@ -53,6 +54,8 @@
     /// is avoided.
     int failures { 0 };
     failure_ratio faults;
+    /// Stays as it is unless relay_options::learnsUpstreamSpeed is set.
+    upstream_pace pace;
     /// When the upstream last sent a byte of an answer or accepted a probe's connection.
     monotonic_time lastActivityAt {};
     /// Whether the upstream sent nothing for too long while it had requests. It then gets one request at a
--- a/Source/Route/upstream_choice.cpp
+++ b/Source/Route/upstream_choice.cpp
@@ -17,6 +17,16 @@
 // Penalty at a failure ratio of 1. The caller of a failed request retries after a second at best; most often
 // the request has failed for good.
 constexpr double failureMilliseconds = 3000;
+// Prompt tokens that an engine processes between two token steps, and tokens in an event of a stream.
+constexpr double chunkTokens = 1024;
+constexpr double tokensPerEvent = 3.5;
+// Time of a token step of an engine of mean speed; on unloaded engines gaps of an event were 26 ms and more.
+constexpr double tokenStepMilliseconds = 10;
+// Expected gaps, as parts of the objective, from which on streams may become late, and with which all do.
+constexpr double riskyGap = 0.6;
+constexpr double lateGap = 1.2;
+// Cost of a running stream that becomes late: with ten of them, a request rather waits 600 ms elsewhere.
+constexpr double lateStreamMilliseconds = 60;
 // Number of unreported requests below which all candidates are compared.
 constexpr double minUnreported = 1;
 constexpr std::size_t minSample = 2;
@@ -28,10 +38,12 @@
 double forecastFirstEvent(const upstream_candidate& candidate, const request_demand& demand)
 {
     const double ownTokens = std::max(0.0, demand.promptTokens - candidate.cachedTokens);
-    double forecast = (candidate.tokensAhead + ownTokens) * candidate.millisecondsPerToken;
+    double forecast
+        = (candidate.tokensAhead + ownTokens) * candidate.millisecondsPerToken * candidate.timeFactor;
     const int excess = candidate.inFlight - candidate.slots + 1;
     if (excess > 0)
-        forecast += candidate.meanRequestMilliseconds * excess / std::max(candidate.slots, 1);
+        forecast += candidate.meanRequestMilliseconds * candidate.timeFactor * excess
+            / std::max(candidate.slots, 1);
     if (candidate.memoryTotal > 0 && candidate.inFlight > 0) {
         const double room = candidate.memoryTotal * (1 - memoryReserve) - candidate.memoryUsed;
         if (demand.kvCacheTokens > room)
@@ -41,6 +53,22 @@
     return forecast;
 }
 
+double delayCost(const upstream_candidate& candidate, const request_demand& demand)
+{
+    if (demand.gapObjectiveMilliseconds <= 0)
+        return 0;
+    constexpr double eventTokens = chunkTokens * tokensPerEvent;
+    const double ownTokens = std::max(0.0, demand.promptTokens - candidate.cachedTokens);
+    const double waiting = std::max(0.0, candidate.tokensAhead) + ownTokens;
+    const double gap = candidate.timeFactor
+        * (tokensPerEvent * tokenStepMilliseconds
+            + std::min(waiting, eventTokens) * candidate.millisecondsPerToken);
+    const double lateShare
+        = std::clamp((gap / demand.gapObjectiveMilliseconds - riskyGap) / (lateGap - riskyGap), 0.0, 1.0);
+    const double ownShare = std::min(ownTokens / eventTokens, 1.0);
+    return std::min(candidate.inFlight, candidate.slots) * lateShare * ownShare * lateStreamMilliseconds;
+}
+
 std::vector<std::size_t> sampleUpstreams(
     std::size_t count, double unreported, const std::function<double()>& draw)
 {
@@ -80,12 +108,13 @@
         if (forecast > limit)
             continue;
         // The last term prefers the less loaded upstream where the forecasts are about equal.
-        const double cost = forecast + (candidate.isInSameZone ? 0 : otherZoneMilliseconds)
+        const double cost = forecast + delayCost(candidate, demand)
+            + (candidate.isInSameZone ? 0 : otherZoneMilliseconds)
             + (candidate.isSuspect ? suspectMilliseconds : 0)
             + (candidate.failureRatio - lowestFailureRatio) * failureMilliseconds
             + 10.0 * candidate.inFlight / std::max(candidate.slots, 1);
         if (cost < bestCost) {
-            best = chosen_upstream { index, forecast };
+            best = chosen_upstream { index, forecast, candidate.cachedTokens };
             bestCost = cost;
         }
     }
--- a/Source/Route/upstream_choice.h
+++ b/Source/Route/upstream_choice.h
@@ -24,8 +24,10 @@
     double memoryUsed { 0 };
     /// Size of its KV cache, in tokens; 0 where the upstream has no such limit.
     double memoryTotal { 0 };
-    /// Time to process one prompt token.
+    /// Time to process one prompt token, of an upstream of mean speed.
     double millisecondsPerToken { 0 };
+    /// Time that this upstream takes for a piece of work, relative to the mean upstream.
+    double timeFactor { 1 };
     /// Mean time for which a request occupies a slot; forecasts when a slot becomes free.
     double meanRequestMilliseconds { 0 };
     /// The upstream is in the zone of the gateway.
@@ -46,6 +48,9 @@
     double kvCacheTokens { 0 };
     /// Time left until the first event of the answer is due.
     double objectiveMilliseconds { 0 };
+    /// Longest time between two events with which a stream is on time; 0 if the delay of the streams that
+    /// run on an upstream does not count.
+    double gapObjectiveMilliseconds { 0 };
 
     auto operator<=>(const request_demand&) const = default;
 };
@@ -55,6 +60,8 @@
     /// Position among the candidates.
     std::size_t index { 0 };
     double firstEventMilliseconds { 0 };
+    /// Prompt tokens of the request that the upstream has cached.
+    double cachedTokens { 0 };
 
     auto operator<=>(const chosen_upstream&) const = default;
 };
@@ -78,6 +85,14 @@
 /// \return the forecast time until the candidate sends the first event of the answer, in milliseconds.
 double forecastFirstEvent(const upstream_candidate& candidate, const request_demand& demand);
 
+/// \return the cost of the delay that the request's prompt causes to the streams that run on the candidate,
+/// in milliseconds; 0 if the demand has no gap objective.
+///
+/// An engine processes a chunk of waiting prompt tokens between two token steps, so with a backlog each event
+/// waits for several chunks. The cost grows with the number of running streams, with the expected gap where
+/// it comes near the objective, and with the request's part in it.
+double delayCost(const upstream_candidate& candidate, const request_demand& demand);
+
 /// \brief Draws the candidates among which one request is placed.
 ///
 /// Gateways learn of each other's load with a delay. Until the next reports arrive, all of them would find
@@ -98,9 +113,9 @@
 
 /// \brief Chooses the candidate with the lowest cost among those that meet the objective.
 ///
-/// The cost is the forecast of the first event plus penalties. The forecast counts the prompt tokens that
-/// wait at an upstream rather than its requests, which spreads a burst evenly over few engines. A request
-/// whose forecast misses its objective on every candidate gets no_upstream_in_time, so that it can be
+/// The cost is the forecast of the first event plus penalties and delayCost(). The forecast counts the prompt
+/// tokens that wait at an upstream rather than its requests, which spreads a burst evenly over few engines. A
+/// request whose forecast misses its objective on every candidate gets no_upstream_in_time, so that it can be
 /// rejected before it delays others.
 ///
 /// An upstream that fails some of its requests is penalised by how far its failure ratio exceeds the lowest
--- /dev/null
+++ b/Source/Route/upstream_pace.cpp
@@ -0,0 +1,51 @@
+#include "Route/upstream_pace.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sagesaddle {
+
+namespace {
+
+// Forecast time for which the coordinator's last factor counts beside the gateway's own samples.
+constexpr double toldWeightMilliseconds = 2000;
+// Greatest ratio of observed to forecast time of a sample, and of forecast to observed time.
+constexpr double maxSampleRatio = 6;
+
+} // namespace
+
+void upstream_pace::onSample(double observed, double forecast, monotonic_time now)
+{
+    if (forecast <= 0)
+        return;
+    const pace_sums sample { std::clamp(observed, forecast / maxSampleRatio, forecast * maxSampleRatio),
+        forecast };
+    m_own = m_own.decayed(now - m_ownAt);
+    m_ownAt = now;
+    m_own += sample;
+    m_unreported += sample;
+}
+
+pace_sums upstream_pace::takeUnreported()
+{
+    return std::exchange(m_unreported, {});
+}
+
+void upstream_pace::onTold(double factor)
+{
+    if (std::isfinite(factor))
+        m_told = std::clamp(factor, minPaceFactor, maxPaceFactor);
+}
+
+double upstream_pace::factor(bool isCoordinated, monotonic_time now) const
+{
+    if (isCoordinated)
+        return m_told;
+    const pace_sums own = m_own.decayed(now - m_ownAt);
+    return std::clamp((m_told * toldWeightMilliseconds + own.observedMilliseconds)
+            / (toldWeightMilliseconds + own.forecastMilliseconds),
+        minPaceFactor, maxPaceFactor);
+}
+
+} // namespace sagesaddle
--- a/Source/Settings/settings_reader.cpp
+++ b/Source/Settings/settings_reader.cpp
@@ -206,6 +206,24 @@
     return list;
 }
 
+std::vector<std::string> settings_reader::textList(std::string_view section, std::string_view key)
+{
+    const toml::node* node = m_impl->find(section, key);
+    if (!node)
+        return {};
+    std::vector<std::string> list;
+    const toml::array* items = node->as_array();
+    const bool isValid = items
+        && std::all_of(items->begin(), items->end(), [](const auto& item) { return item.is_string(); });
+    if (!isValid) {
+        m_impl->addFault(section, key, "must be a list of strings; write a list such as [\"health\"]");
+        return {};
+    }
+    for (const auto& item : *items)
+        list.push_back(item.value_exact<std::string>().value_or(""));
+    return list;
+}
+
 std::int64_t settings_reader::integer(
     std::string_view section, std::string_view key, std::int64_t fallback, integer_range allowed)
 {
--- a/Source/Settings/settings_reader.h
+++ b/Source/Settings/settings_reader.h
@@ -66,6 +66,9 @@
     /// \return the addresses of a list of `ip:port` strings; empty if the key is absent.
     std::vector<address> addressList(std::string_view section, std::string_view key);
 
+    /// \return the strings of a list; empty if the key is absent.
+    std::vector<std::string> textList(std::string_view section, std::string_view key);
+
     /// \return an integer in the allowed range, or the fallback if the key is absent.
     std::int64_t integer(
         std::string_view section, std::string_view key, std::int64_t fallback, integer_range allowed);
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -37,6 +37,9 @@
 
 struct Quarantine;
 
+struct UpstreamTimes;
+struct UpstreamTimesBuilder;
+
 struct Report;
 struct ReportBuilder;
 
@@ -55,6 +58,8 @@
 struct QuarantineNews;
 struct QuarantineNewsBuilder;
 
+struct NumberedFactor;
+
 struct News;
 struct NewsBuilder;
 
@@ -223,6 +228,39 @@
   using type = Quarantine;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) NumberedFactor FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint16_t number_;
+  int16_t padding0__;
+  float factor_;
+
+ public:
+  struct Traits;
+  NumberedFactor()
+      : number_(0),
+        padding0__(0),
+        factor_(0) {
+    (void)padding0__;
+  }
+  NumberedFactor(uint16_t _number, float _factor)
+      : number_(flatbuffers::EndianScalar(_number)),
+        padding0__(0),
+        factor_(flatbuffers::EndianScalar(_factor)) {
+    (void)padding0__;
+  }
+  uint16_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  float factor() const {
+    return flatbuffers::EndianScalar(factor_);
+  }
+};
+FLATBUFFERS_STRUCT_END(NumberedFactor, 8);
+
+struct NumberedFactor::Traits {
+  using type = NumberedFactor;
+};
+
 struct CreditAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CreditAskBuilder Builder;
   struct Traits;
@@ -761,6 +799,88 @@
       parts__);
 }
 
+struct UpstreamTimes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UpstreamTimesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_OBSERVED = 6,
+    VT_FORECAST = 8
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  double observed() const {
+    return GetField<double>(VT_OBSERVED, 0.0);
+  }
+  double forecast() const {
+    return GetField<double>(VT_FORECAST, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<double>(verifier, VT_OBSERVED, 8) &&
+           VerifyField<double>(verifier, VT_FORECAST, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UpstreamTimesBuilder {
+  typedef UpstreamTimes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(UpstreamTimes::VT_UPSTREAM, upstream);
+  }
+  void add_observed(double observed) {
+    fbb_.AddElement<double>(UpstreamTimes::VT_OBSERVED, observed, 0.0);
+  }
+  void add_forecast(double forecast) {
+    fbb_.AddElement<double>(UpstreamTimes::VT_FORECAST, forecast, 0.0);
+  }
+  explicit UpstreamTimesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UpstreamTimes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UpstreamTimes>(end);
+    fbb_.Required(o, UpstreamTimes::VT_UPSTREAM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UpstreamTimes> CreateUpstreamTimes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    double observed = 0.0,
+    double forecast = 0.0) {
+  UpstreamTimesBuilder builder_(_fbb);
+  builder_.add_forecast(forecast);
+  builder_.add_observed(observed);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+struct UpstreamTimes::Traits {
+  using type = UpstreamTimes;
+  static auto constexpr Create = CreateUpstreamTimes;
+};
+
+inline flatbuffers::Offset<UpstreamTimes> CreateUpstreamTimesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    double observed = 0.0,
+    double forecast = 0.0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return sagesaddle::fleet_wire::CreateUpstreamTimes(
+      _fbb,
+      upstream__,
+      observed,
+      forecast);
+}
+
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReportBuilder Builder;
   struct Traits;
@@ -778,7 +898,8 @@
     VT_CRASHES = 24,
     VT_PART_ANSWERS = 26,
     VT_ALL_ANSWERS = 28,
-    VT_QUARANTINED = 30
+    VT_QUARANTINED = 30,
+    VT_UPSTREAM_TIMES = 32
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -822,6 +943,9 @@
   const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *> *>(VT_QUARANTINED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>> *upstream_times() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>> *>(VT_UPSTREAM_TIMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRY) &&
@@ -852,6 +976,9 @@
            VerifyField<uint32_t>(verifier, VT_ALL_ANSWERS, 4) &&
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
+           VerifyOffset(verifier, VT_UPSTREAM_TIMES) &&
+           verifier.VerifyVector(upstream_times()) &&
+           verifier.VerifyVectorOfTables(upstream_times()) &&
            verifier.EndTable();
   }
 };
@@ -902,6 +1029,9 @@
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined) {
     fbb_.AddOffset(Report::VT_QUARANTINED, quarantined);
   }
+  void add_upstream_times(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>>> upstream_times) {
+    fbb_.AddOffset(Report::VT_UPSTREAM_TIMES, upstream_times);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -929,9 +1059,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::PartAnswers *>> part_answers = 0,
     uint32_t all_answers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::Quarantine *>> quarantined = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>>> upstream_times = 0) {
   ReportBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_upstream_times(upstream_times);
   builder_.add_quarantined(quarantined);
   builder_.add_all_answers(all_answers);
   builder_.add_part_answers(part_answers);
@@ -968,7 +1100,8 @@
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>> *crashes = nullptr,
     const std::vector<sagesaddle::fleet_wire::PartAnswers> *part_answers = nullptr,
     uint32_t all_answers = 0,
-    const std::vector<sagesaddle::fleet_wire::Quarantine> *quarantined = nullptr) {
+    const std::vector<sagesaddle::fleet_wire::Quarantine> *quarantined = nullptr,
+    const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>> *upstream_times = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditAsk>>(*credit) : 0;
   auto work__ = work ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamWork>>(*work) : 0;
@@ -978,6 +1111,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Crash>>(*crashes) : 0;
   auto part_answers__ = part_answers ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::PartAnswers>(*part_answers) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::Quarantine>(*quarantined) : 0;
+  auto upstream_times__ = upstream_times ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamTimes>>(*upstream_times) : 0;
   return sagesaddle::fleet_wire::CreateReport(
       _fbb,
       entry__,
@@ -993,7 +1127,8 @@
       crashes__,
       part_answers__,
       all_answers,
-      quarantined__);
+      quarantined__,
+      upstream_times__);
 }
 
 struct UpstreamLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1538,7 +1673,8 @@
     VT_IS_INTERIM = 30,
     VT_UPSTREAM_LIMITS = 32,
     VT_UPSTREAM_CREDIT = 34,
-    VT_QUARANTINE = 36
+    VT_QUARANTINE = 36,
+    VT_TIME_FACTORS = 38
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1591,6 +1727,9 @@
   const sagesaddle::fleet_wire::QuarantineNews *quarantine() const {
     return GetPointer<const sagesaddle::fleet_wire::QuarantineNews *>(VT_QUARANTINE);
   }
+  const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *> *time_factors() const {
+    return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *> *>(VT_TIME_FACTORS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1624,6 +1763,8 @@
            verifier.VerifyVectorOfTables(upstream_credit()) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_TIME_FACTORS) &&
+           verifier.VerifyVector(time_factors()) &&
            verifier.EndTable();
   }
 };
@@ -1683,6 +1824,9 @@
   void add_quarantine(flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine) {
     fbb_.AddOffset(News::VT_QUARANTINE, quarantine);
   }
+  void add_time_factors(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *>> time_factors) {
+    fbb_.AddOffset(News::VT_TIME_FACTORS, time_factors);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1712,11 +1856,13 @@
     bool is_interim = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>> upstream_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit = 0,
-    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *>> time_factors = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
+  builder_.add_time_factors(time_factors);
   builder_.add_quarantine(quarantine);
   builder_.add_upstream_credit(upstream_credit);
   builder_.add_upstream_limits(upstream_limits);
@@ -1757,7 +1903,8 @@
     bool is_interim = false,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>> *upstream_limits = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit = nullptr,
-    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
+    const std::vector<sagesaddle::fleet_wire::NumberedFactor> *time_factors = nullptr) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
@@ -1766,6 +1913,7 @@
   auto successor__ = successor ? _fbb.CreateString(successor) : 0;
   auto upstream_limits__ = upstream_limits ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>(*upstream_limits) : 0;
   auto upstream_credit__ = upstream_credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*upstream_credit) : 0;
+  auto time_factors__ = time_factors ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::NumberedFactor>(*time_factors) : 0;
   return sagesaddle::fleet_wire::CreateNews(
       _fbb,
       number,
@@ -1784,7 +1932,8 @@
       is_interim,
       upstream_limits__,
       upstream_credit__,
-      quarantine);
+      quarantine,
+      time_factors__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -88,10 +88,15 @@
         answered.emplace_back(item.part, item.answers, static_cast<std::uint32_t>(item.watchedFor.count()));
     const auto answers = builder.CreateVectorOfStructs(answered);
     const auto quarantined = builder.CreateVectorOfStructs(encodeNotices(value.quarantine.quarantined));
+    const auto times
+        = vectorOf<fleet_wire::UpstreamTimes>(builder, value.times, [&](const upstream_times& item) {
+              return fleet_wire::CreateUpstreamTimes(builder, builder.CreateString(item.upstream),
+                  item.sums.observedMilliseconds, item.sums.forecastMilliseconds);
+          });
     return fleet_wire::CreateReport(builder, builder.CreateString(value.gateway), value.number,
         value.isStoreUnreachable, value.wantsFullUpdate, credit, work, demand, value.isOnlyCredit,
         builder.CreateString(value.member), sendCredit, crashes, answers, value.quarantine.allAnswers,
-        quarantined)
+        quarantined, times)
         .Union();
 }
 
@@ -164,12 +169,17 @@
     const auto listed = vectorOf<fleet_wire::Listed>(builder, value.listed,
         [&](const listed_upstream& item) { return encodeListed(builder, shared, item); });
     const auto quarantine = value.quarantine ? encodeQuarantine(builder, *value.quarantine) : 0;
+    std::vector<fleet_wire::NumberedFactor> encodedFactors;
+    encodedFactors.reserve(value.timeFactors.size());
+    for (const auto& item : value.timeFactors)
+        encodedFactors.emplace_back(item.number, item.factor);
+    const auto factors = builder.CreateVectorOfStructs(encodedFactors);
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
         credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
-        quarantine)
+        quarantine, factors)
         .Union();
 }
 
@@ -258,6 +268,10 @@
                     item->is_news(), item->needed(), item->ahead(), item->returned() });
     }
     value.quarantine = decodeQuarantineReport(table);
+    if (table.upstream_times() != nullptr) {
+        for (const auto* item : *table.upstream_times())
+            value.times.push_back({ item->upstream()->str(), { item->observed(), item->forecast() } });
+    }
     return value;
 }
 
@@ -313,6 +327,10 @@
     }
     if (table.quarantine() != nullptr)
         value.quarantine = decodeQuarantine(*table.quarantine());
+    if (table.time_factors() != nullptr) {
+        for (const auto* item : *table.time_factors())
+            value.timeFactors.push_back({ item->number(), item->factor() });
+    }
     return value;
 }
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/loaded_models_history.h"
+#include "Fleet/pace_sums.h"
 #include "Fleet/upstream_limit.h"
 #include "Quarantine/quarantine_messages.h"
 
@@ -62,6 +63,23 @@
     auto operator<=>(const peer_work&) const = default;
 };
 
+/// \brief Times of an upstream's work since a gateway's last report.
+struct upstream_times {
+    std::string upstream;
+    pace_sums sums;
+
+    auto operator<=>(const upstream_times&) const = default;
+};
+
+/// \brief Time that an upstream takes for a piece of work, relative to the mean of its service.
+struct numbered_factor {
+    /// listed_upstream::number of the upstream.
+    std::uint16_t number { 0 };
+    float factor { 1 };
+
+    auto operator<=>(const numbered_factor&) const = default;
+};
+
 /// \brief Requests for a model or adapter since the last report.
 struct demand_count {
     std::string service;
@@ -137,6 +155,7 @@
     std::vector<demand_count> demand;
     std::vector<send_credit_request> sendCredit;
     quarantine_report quarantine;
+    std::vector<upstream_times> times;
 
     auto operator<=>(const fleet_report&) const = default;
 
@@ -179,6 +198,8 @@
     std::vector<credit_answer> sendCredit;
     /// Nothing if no quarantine changed since the last update.
     std::optional<quarantine_update> quarantine;
+    /// Upstreams whose speed changed since the last update.
+    std::vector<numbered_factor> timeFactors;
 
     auto operator<=>(const fleet_update&) const = default;
 };
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -58,6 +58,25 @@
 
 } // namespace
 
+TEST_CASE("coordinator: the gateways' samples are pooled to one time factor for each upstream")
+{
+    coordinator tested;
+    tested.onUpstreams(listOf({ "a", "b" }, 1), start);
+    tested.beginTerm(2, start);
+    for (const char* gateway : { "g1", "g2" }) {
+        auto report = reportOf(gateway, true);
+        report.times = { { "a", { 3000, 2000 } }, { "b", { 1000, 2000 } }, { "unlisted", { 1, 1 } } };
+        tested.onReport(report, start);
+    }
+    // A gateway that is new or lost its connection is told all factors, and then only changes.
+    const auto factors = tested.onReport(reportOf("g3", true), start + milliseconds(200)).timeFactors;
+    REQUIRE(factors.size() == 2);
+    CHECK(factors[0].factor == doctest::Approx(1.45).epsilon(0.05));
+    CHECK(factors[1].factor == doctest::Approx(0.55).epsilon(0.1));
+    CHECK(tested.onReport(reportOf("g3"), start + milliseconds(210)).timeFactors.empty());
+    CHECK(tested.onReport(reportOf("g3", true), start + milliseconds(220)).timeFactors.size() == 2);
+}
+
 TEST_CASE("coordinator: a gateway is told the whole list once and then what changed")
 {
     coordinator tested;
--- a/Tests/Platform/settings_template_tests.cpp
+++ b/Tests/Platform/settings_template_tests.cpp
@@ -23,13 +23,31 @@
     return { text.substr(from, at - from), at + end.size() };
 }
 
+/// \return the content of a section once for each entry of a comma-separated list. {{.}} is the entry, and
+/// {{,}} a comma except after the last one.
+std::string repeatSection(const std::string& content, const std::string& list)
+{
+    std::string text;
+    std::stringstream entries(list);
+    for (std::string entry; std::getline(entries, entry, ',');) {
+        std::string item = content;
+        item.replace(item.find("{{.}}"), 5, entry);
+        item.replace(item.find("{{,}}"), 5, entries.eof() ? "" : ",");
+        text += item;
+    }
+    return text;
+}
+
 /// Replaces each section {{#NAME}}...{{/NAME}} by its content if NAME has a value, and removes it otherwise.
 std::string resolveSections(std::string text, const template_values& values)
 {
     for (std::size_t at = 0; (at = text.find("{{#")) != std::string::npos;) {
         const auto [name, contentFrom] = textBefore(text, at + 3, "}}");
         const auto [sectionText, end] = textBefore(text, contentFrom, "{{/" + name + "}}");
-        text.replace(at, end - at, values.contains(name) ? sectionText : "");
+        if (name == "contracts" && values.contains(name))
+            text.replace(at, end - at, repeatSection(sectionText, values.at(name)));
+        else
+            text.replace(at, end - at, values.contains(name) ? sectionText : "");
     }
     return text;
 }
@@ -96,6 +114,18 @@
     CHECK(parse(values).grace == milliseconds(2500));
 }
 
+TEST_CASE("settings template: the speeds of upstreams are learned where the health contract is in force")
+{
+    auto values = requiredValues();
+    CHECK_FALSE(parse(values).hasUnsteadyUpstreams);
+    values["contracts"] = "rates";
+    CHECK_FALSE(parse(values).hasUnsteadyUpstreams);
+    values["contracts"] = "rates,health";
+    CHECK(parse(values).hasUnsteadyUpstreams);
+    CHECK(settingsNeedingRestart(parse(requiredValues()), parse(values))
+        == std::vector<std::string> { "deployment.parts" });
+}
+
 TEST_CASE("settings: a value out of range or malformed is rejected, naming the key")
 {
     auto values = requiredValues();
--- a/Tests/Route/upstream_choice_tests.cpp
+++ b/Tests/Route/upstream_choice_tests.cpp
@@ -90,6 +90,33 @@
     CHECK(forecastFirstEvent(crowded, demand) > forecastFirstEvent(candidateWith(30, 0), demand));
 }
 
+TEST_CASE("upstream choice: the time of waiting tokens decides, which differs by the upstream's speed")
+{
+    auto slow = candidateWith(5, 2000);
+    slow.timeFactor = 1.6;
+    auto fast = candidateWith(5, 4000);
+    fast.timeFactor = 0.6;
+    CHECK(chosenIndex({ slow, fast }) == 1);
+    CHECK(forecastFirstEvent(slow, demand) == doctest::Approx(3400 * 0.05 * 1.6));
+}
+
+TEST_CASE("upstream choice: delay counts where it makes running streams late, by their number and the prompt")
+{
+    request_demand asked = demand;
+    auto slow = candidateWith(10, 3000);
+    slow.timeFactor = 1.7;
+    CHECK(delayCost(slow, asked) == 0);
+    asked.gapObjectiveMilliseconds = 300;
+    CHECK(delayCost(slow, asked) > 100);
+    CHECK(delayCost(candidateWith(10, 0), asked) == 0);
+    auto crowded = slow;
+    crowded.inFlight = 20;
+    CHECK(delayCost(crowded, asked) == doctest::Approx(2 * delayCost(slow, asked)));
+    auto shorter = asked;
+    shorter.promptTokens = 100;
+    CHECK(delayCost(slow, shorter) < 0.2 * delayCost(slow, asked));
+}
+
 TEST_CASE("upstream choice: an empty list of candidates gives no upstream")
 {
     CHECK(std::holds_alternative<no_candidate>(chooseUpstream({}, demand, 1.2)));
--- a/Tests/Settings/settings_reader_tests.cpp
+++ b/Tests/Settings/settings_reader_tests.cpp
@@ -76,3 +76,14 @@
         CHECK(contains(error.what(), "a.toml: line 2: is no TOML"));
     }
 }
+
+TEST_CASE("settings: a list of strings is read, and anything else in its place is a fault that names the key")
+{
+    settings_reader reader("file", "[deployment]\nparts = [\"health\", \"rates\"]\n");
+    CHECK(reader.textList("deployment", "parts") == std::vector<std::string> { "health", "rates" });
+    CHECK(reader.textList("deployment", "absent").empty());
+    reader.finish();
+    settings_reader wrong("file", "[deployment]\nparts = [\"health\", 7]\n");
+    CHECK(wrong.textList("deployment", "parts").empty());
+    CHECK_THROWS_WITH_AS(wrong.finish(), doctest::Contains("parts"), settings_error);
+}
