Fleet: Build the set of evacuated zones and carry it in messages

An operator can request the evacuation of a zone with a record of the table that also holds the configuration. Nothing read these records.

zone_evacuations builds the set from listings and single records, and compares it with the set that another gateway told: the higher position wins. Evacuations that a new era of the store lacks are kept for a grace period. The position is the one up to which the table was read, since an evacuation may end without a record. News carries the set and the position.

--- a/Source/Fleet/store_position.h
+++ b/Source/Fleet/store_position.h
@@ -17,6 +17,12 @@
     return (era << storeOffsetBits) | offset;
 }
 
+/// \return the era of a position.
+constexpr std::uint64_t eraOfPosition(std::uint64_t position)
+{
+    return position >> storeOffsetBits;
+}
+
 /// \return the offset of a position, as the store knows it.
 constexpr std::uint64_t offsetOfPosition(std::uint64_t position)
 {
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -55,6 +55,9 @@
 struct QuarantineNews;
 struct QuarantineNewsBuilder;
 
+struct Evacuations;
+struct EvacuationsBuilder;
+
 struct News;
 struct NewsBuilder;
 
@@ -1518,6 +1521,76 @@
       quarantined__);
 }
 
+struct Evacuations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONES = 4,
+    VT_POSITION = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ZONES);
+  }
+  uint64_t position() const {
+    return GetField<uint64_t>(VT_POSITION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfStrings(zones()) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct EvacuationsBuilder {
+  typedef Evacuations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones) {
+    fbb_.AddOffset(Evacuations::VT_ZONES, zones);
+  }
+  void add_position(uint64_t position) {
+    fbb_.AddElement<uint64_t>(Evacuations::VT_POSITION, position, 0);
+  }
+  explicit EvacuationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuations>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones = 0,
+    uint64_t position = 0) {
+  EvacuationsBuilder builder_(_fbb);
+  builder_.add_position(position);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+struct Evacuations::Traits {
+  using type = Evacuations;
+  static auto constexpr Create = CreateEvacuations;
+};
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *zones = nullptr,
+    uint64_t position = 0) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*zones) : 0;
+  return sagesaddle::fleet_wire::CreateEvacuations(
+      _fbb,
+      zones__,
+      position);
+}
+
 struct News FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NewsBuilder Builder;
   struct Traits;
@@ -1538,7 +1611,8 @@
     VT_IS_INTERIM = 30,
     VT_UPSTREAM_LIMITS = 32,
     VT_UPSTREAM_CREDIT = 34,
-    VT_QUARANTINE = 36
+    VT_QUARANTINE = 36,
+    VT_EVACUATIONS = 38
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1591,6 +1665,9 @@
   const sagesaddle::fleet_wire::QuarantineNews *quarantine() const {
     return GetPointer<const sagesaddle::fleet_wire::QuarantineNews *>(VT_QUARANTINE);
   }
+  const sagesaddle::fleet_wire::Evacuations *evacuations() const {
+    return GetPointer<const sagesaddle::fleet_wire::Evacuations *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1624,6 +1701,8 @@
            verifier.VerifyVectorOfTables(upstream_credit()) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
 };
@@ -1683,6 +1762,9 @@
   void add_quarantine(flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine) {
     fbb_.AddOffset(News::VT_QUARANTINE, quarantine);
   }
+  void add_evacuations(flatbuffers::Offset<sagesaddle::fleet_wire::Evacuations> evacuations) {
+    fbb_.AddOffset(News::VT_EVACUATIONS, evacuations);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1712,11 +1794,13 @@
     bool is_interim = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>> upstream_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit = 0,
-    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
+    flatbuffers::Offset<sagesaddle::fleet_wire::Evacuations> evacuations = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
+  builder_.add_evacuations(evacuations);
   builder_.add_quarantine(quarantine);
   builder_.add_upstream_credit(upstream_credit);
   builder_.add_upstream_limits(upstream_limits);
@@ -1757,7 +1841,8 @@
     bool is_interim = false,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>> *upstream_limits = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit = nullptr,
-    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0) {
+    flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
+    flatbuffers::Offset<sagesaddle::fleet_wire::Evacuations> evacuations = 0) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
@@ -1784,7 +1869,8 @@
       is_interim,
       upstream_limits__,
       upstream_credit__,
-      quarantine);
+      quarantine,
+      evacuations);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -52,6 +52,12 @@
     return fleet_wire::CreateQuarantineNews(builder, watched, quarantined);
 }
 
+Offset<fleet_wire::Evacuations> encodeEvacuations(FlatBufferBuilder& builder, const evacuated_zones& value)
+{
+    const auto zones = builder.CreateVectorOfStrings(value.zones.begin(), value.zones.end());
+    return fleet_wire::CreateEvacuations(builder, zones, value.position);
+}
+
 Offset<void> encodeReport(FlatBufferBuilder& builder, const fleet_report& value)
 {
     const auto credit
@@ -164,12 +170,13 @@
     const auto listed = vectorOf<fleet_wire::Listed>(builder, value.listed,
         [&](const listed_upstream& item) { return encodeListed(builder, shared, item); });
     const auto quarantine = value.quarantine ? encodeQuarantine(builder, *value.quarantine) : 0;
+    const auto evacuations = value.evacuations ? encodeEvacuations(builder, *value.evacuations) : 0;
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
         credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
-        quarantine)
+        quarantine, evacuations)
         .Union();
 }
 
@@ -228,6 +235,12 @@
     return { decodeParts(table.watched_parts()), decodeNotices(table.quarantined()) };
 }
 
+evacuated_zones decodeEvacuations(const fleet_wire::Evacuations& table)
+{
+    const auto zones = namesOf(table.zones());
+    return { { zones.begin(), zones.end() }, table.position() };
+}
+
 fleet_report decodeReport(const fleet_wire::Report& table)
 {
     fleet_report value;
@@ -313,6 +326,8 @@
     }
     if (table.quarantine() != nullptr)
         value.quarantine = decodeQuarantine(*table.quarantine());
+    if (table.evacuations() != nullptr)
+        value.evacuations = decodeEvacuations(*table.evacuations());
     return value;
 }
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/loaded_models_history.h"
 #include "Fleet/upstream_limit.h"
+#include "Fleet/zone_evacuations.h"
 #include "Quarantine/quarantine_messages.h"
 
 #include <algorithm>
@@ -179,6 +180,8 @@
     std::vector<credit_answer> sendCredit;
     /// Nothing if no quarantine changed since the last update.
     std::optional<quarantine_update> quarantine;
+    /// Nothing if neither the evacuated zones nor their position changed since the last update.
+    std::optional<evacuated_zones> evacuations;
 
     auto operator<=>(const fleet_update&) const = default;
 };
--- a/Tests/Platform/store_calls_tests.cpp
+++ b/Tests/Platform/store_calls_tests.cpp
@@ -1,3 +1,4 @@
+#include "evacuation_reader.h"
 #include "store_calls.h"
 
 #include <doctest/doctest.h>
@@ -151,3 +152,13 @@
     CHECK(page.records.front().key == "b");
     CHECK(page.unreadable.size() == 4);
 }
+
+TEST_CASE("store calls: a record of an evacuation counts whatever its value, and its removal ends it")
+{
+    using platform::parseEvacuation;
+    CHECK(parseEvacuation({ "evacuate/z1", 7, "{}" }) == evacuation_record { "z1", 7, true });
+    CHECK(parseEvacuation({ "evacuate/z1", 8, "\xff{" }) == evacuation_record { "z1", 8, true });
+    CHECK(parseEvacuation({ "evacuate/z/1", 9, std::nullopt }) == evacuation_record { "z/1", 9, false });
+    for (const char* key : { "evacuate/", "evacuate", "config", "" })
+        CHECK_FALSE(parseEvacuation({ key, 7, "{}" }));
+}
--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -44,6 +44,7 @@
     update.loadedModels = { { "u1", { { "m1", "m1/a2" }, {}, false } }, { "u2", {} },
         { "u3", { { "m1/a3" }, { "m1/a1", "m1/a2" }, true } } };
     update.quarantine = sampleQuarantine();
+    update.evacuations = evacuated_zones { { "z1", "z2" }, 0xdeadbeefcafe };
     return update;
 }
 
