Relay: Send nothing to the upstreams of evacuated zones

Upstreams of an evacuated zone get no requests and no probes. Requests that were placed there and not sent yet are placed again at once, and the check right before a request is transmitted covers evacuations too.

Without probes a crash cannot be told from a broken connection, so connections that break in an evacuated zone are no evidence against prompts.

--- a/Source/Relay/refusal_reason.cpp
+++ b/Source/Relay/refusal_reason.cpp
@@ -43,6 +43,8 @@
         return { 503, "prompt_quarantined", true };
     case refusal_reason::Draining:
         return { 503, "draining", true };
+    case refusal_reason::ZoneEvacuated:
+        return { 503, "zone_evacuated", true };
     }
     return { 503, "unknown", true };
 }
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -201,7 +201,7 @@
             const auto names = loadedModelRefs(entry.models);
             state->loadedModels = { names.begin(), names.end() };
         }
-        state->entry = entry;
+        applyEntry(*state, entry);
         m_byService[entry.service].push_back(state);
         startTimes.emplace(id, entry.startedAt);
     }
@@ -469,7 +469,7 @@
 
 void relay::probe(const upstream_state_ptr& upstream, monotonic_time now)
 {
-    if (now - upstream->probedAt < probeInterval)
+    if (upstream->isEvacuated || now - upstream->probedAt < probeInterval)
         return;
     if (upstream->probe)
         upstream->probe->close();
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -91,6 +91,9 @@
     void onConfig(fleet_config_ptr config);
     /// \brief Replaces the list of upstreams.
     void onUpstreams(const std::map<std::string, upstream_entry>& entries);
+    /// \brief Replaces the set of evacuated zones, whose upstreams are sent nothing. Requests that were
+    /// placed there and not sent yet are placed again; those that were sent run to their end.
+    void onEvacuations(const std::set<std::string>& zones);
     /// \brief Applies an update of what an upstream has loaded, which is more current than the list.
     /// \return false if the update is a delta and what it adds to is not known
     bool onLoadedModels(const std::string& id, const loaded_models_update& update);
@@ -256,6 +259,9 @@
     /// \return a refusal if upstreams that could take the request have requested a backoff; otherwise
     /// nothing.
     std::optional<relay_choice> refuseDuringBackoff(const relay_exchange& request);
+    /// \return a refusal if only upstreams of evacuated zones could take the request; otherwise nothing.
+    std::optional<relay_choice> refuseEvacuated(const relay_exchange& request);
+    void applyEntry(upstream_state& upstream, const upstream_entry& entry);
     /// \return the choice among upstreams, as the position in the list; no credit is spent.
     upstream_choice chooseUpstreamOf(
         const relay_exchange& request, const std::vector<upstream_state_ptr>& upstreams);
@@ -297,6 +303,7 @@
     /// Start times of upstreams that said that they are leaving, by id. Kept when such an upstream disappears
     /// from the list, so that it is not used again if the list shows it once more.
     std::unordered_map<std::string, std::int64_t> m_leavingStarts;
+    std::set<std::string> m_evacuatedZones;
     send_credit m_sendCredit;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_callers;
     std::vector<std::shared_ptr<caller_connection>> m_toRead;
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -51,6 +51,9 @@
 
     /// \brief Retries a request that may run twice elsewhere, because its upstream sent nothing for too long.
     void onUpstreamSilent();
+    /// \brief Chooses an upstream anew unless the request was sent already, since the chosen one must get no
+    /// requests any more.
+    void placeAgainIfUnsent();
     /// \return when an upstream was last chosen; the bytes may be sent later, once it is connected.
     monotonic_time dispatchedAt() const { return m_dispatchedAt; }
     /// \return when the request's bytes were last sent to an upstream.
--- a/Source/Relay/relay_placement.cpp
+++ b/Source/Relay/relay_placement.cpp
@@ -116,6 +116,8 @@
     if (upstreams.empty()) {
         if (const auto refusal = refuseDuringBackoff(request))
             return *refusal;
+        if (const auto refusal = refuseEvacuated(request))
+            return *refusal;
         return decideWithoutCandidate(request, m_byService.contains(request.service()));
     }
     std::erase_if(
@@ -243,8 +245,8 @@
     const std::string modelRef = request.request().modelRef();
     std::optional<monotonic_time> earliestEnd;
     for (const auto& upstream : service->second) {
-        if (upstream->entry.isDraining || upstream->isLeaving || now >= upstream->requestedBackoffUntil
-            || !upstream->hasLoaded(modelRef))
+        if (upstream->isEvacuated || upstream->entry.isDraining || upstream->isLeaving
+            || now >= upstream->requestedBackoffUntil || !upstream->hasLoaded(modelRef))
             continue;
         earliestEnd = std::min(
             earliestEnd.value_or(upstream->requestedBackoffUntil), upstream->requestedBackoffUntil);
--- a/Source/Relay/relay_quarantine.cpp
+++ b/Source/Relay/relay_quarantine.cpp
@@ -55,6 +55,10 @@
 void relay::onConnectionBroken(
     const relay_exchange& request, const upstream_state_ptr& upstream, bool isUnderWay)
 {
+    // Upstreams of evacuated zones are not probed, and without a probe a crash cannot be told from a broken
+    // connection.
+    if (upstream->isEvacuated)
+        return;
     m_crashWatch.onConnectionBroken(upstream->entry, request.request(), isUnderWay);
     probe(upstream, monotonicNow());
 }
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -67,6 +67,8 @@
     bool isGone { false };
     /// Whether an answer said that the upstream is shutting down; reset only by a new process.
     bool isLeaving { false };
+    /// Whether the upstream's zone is evacuated, so that it is sent nothing.
+    bool isEvacuated { false };
     /// End of the backoff that the upstream requested from this gateway.
     monotonic_time requestedBackoffUntil {};
 
@@ -75,10 +77,11 @@
     {
         return modelRef.empty() || loadedModels.contains(modelRef);
     }
-    /// \return whether the upstream takes new requests, according to the list and to its own answers.
+    /// \return whether the upstream takes new requests, according to the list, to its own answers and to the
+    /// operator's evacuations.
     bool isOpen(monotonic_time now) const
     {
-        return !entry.isDraining && !isLeaving && now >= requestedBackoffUntil;
+        return !isEvacuated && !entry.isDraining && !isLeaving && now >= requestedBackoffUntil;
     }
     /// \return whether the upstream is avoided after failures.
     bool isSuspect(monotonic_time now) const { return now < suspectUntil; }
