Gateway: Evacuate a zone on the operator's request

The store follower applies the evacuations of the operator's table before its configuration, so that a gateway that starts places no request before it knows them. The coordinator tells the set and its position in its answers, sends engines of evacuated zones neither orders nor calls for reports, and plans with them as with draining ones, so that their models are loaded in other zones.

--- a/Source/Command/request_explanation.cpp
+++ b/Source/Command/request_explanation.cpp
@@ -193,6 +193,8 @@
             [](const ended_request& request) {
                 return findNewest(request, { "quarantine_in_force", "quarantine_decided" });
             } },
+        { "zone_evacuated", "refused, not run: only upstreams of evacuated zones could have served it",
+            [](const ended_request& request) { return findNewest(request, { "zone_evacuated" }); } },
         { "unknown_key", "refused, not run: the configuration in force does not have its key",
             [](const ended_request& request) { return findNewest(request, { "config_in_force" }); } },
         { "unknown_route", "refused, not run: the configuration in force has no route for it",
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -164,6 +164,20 @@
     releaseRemovedUpstreams();
 }
 
+void coordinator::onEvacuations(const evacuated_zones& evacuated)
+{
+    if (evacuated == m_evacuated)
+        return;
+    m_evacuated = evacuated;
+    ++m_evacuationRevision;
+}
+
+bool coordinator::isEvacuated(const std::string& upstream) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found != m_upstreams.end() && m_evacuated.zones.contains(found->second.entry.zone);
+}
+
 std::uint16_t coordinator::numberFor(const std::string& upstream)
 {
     const auto found = m_numbers.find(upstream);
@@ -330,6 +344,10 @@
     if (report.wantsFullUpdate)
         from.sentQuarantineRevision = 0;
     addQuarantine(from, report.quarantine, update, now);
+    if (report.wantsFullUpdate)
+        from.sentEvacuationRevision = 0;
+    if (std::exchange(from.sentEvacuationRevision, m_evacuationRevision) != m_evacuationRevision)
+        update.evacuations = m_evacuated;
     if (report.isOnlyCredit)
         return update;
     if (report.wantsFullUpdate) {
@@ -510,7 +528,8 @@
             const versioned_upstream& upstream = m_upstreams.at(id);
             if (upstream.entry.service != service)
                 continue;
-            engines.push_back({ &tracker, upstream.entry.zone, upstream.entry.isDraining,
+            engines.push_back({ &tracker, upstream.entry.zone,
+                upstream.entry.isDraining || m_evacuated.zones.contains(upstream.entry.zone),
                 static_cast<int>(m_totalWork[upstream.number].inFlight), upstream.entry.slots });
         }
         auto planned = m_planners.at(service).plan(engines, *config, m_demand, now);
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -66,6 +66,12 @@
     /// \param list the platform's list as known to this gateway
     void onUpstreams(const upstream_list& list, monotonic_time now);
 
+    /// Applies the evacuated zones: their engines get no orders, and gateways are told of them.
+    void onEvacuations(const evacuated_zones& evacuated);
+
+    /// \return whether an upstream is listed in an evacuated zone, so that it must be sent nothing.
+    bool isEvacuated(const std::string& upstream) const;
+
     /// \return the model trackers of the listed engines, by the upstream's id; empty outside a term.
     std::map<std::string, engine_model_tracker>& trackers() { return m_trackers; }
 
@@ -112,6 +118,8 @@
         std::uint64_t sentListRevision { 0 };
         /// Revision of the crash evidence whose quarantines were sent to this gateway.
         std::uint64_t sentQuarantineRevision { 0 };
+        /// Revision of the evacuated zones that was sent to this gateway.
+        std::uint64_t sentEvacuationRevision { 0 };
     };
 
     /// A listed upstream with the list revision of its last change.
@@ -184,6 +192,8 @@
     std::uint64_t m_listRevision { 0 };
     std::unordered_map<std::string, std::uint16_t> m_numbers;
     std::vector<std::uint16_t> m_freeNumbers;
+    evacuated_zones m_evacuated;
+    std::uint64_t m_evacuationRevision { 0 };
     /// Work of all gateways together, by the upstream's number.
     std::vector<upstream_work> m_totalWork;
     std::map<std::string, engine_model_tracker> m_trackers;
--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -390,6 +390,9 @@
 void coordinator_client::onUpdate(const fleet_update& update, monotonic_time askedAt)
 {
     m_hasConnectionAnswered = true;
+    // Before the list and the loaded models, which may have waiting requests placed.
+    if (update.evacuations)
+        m_hooks.onEvacuationsTold(*update.evacuations);
     if (update.isInterim) {
         m_lastInterimNewsAt = monotonicNow();
         setFallbackActive(false, bootTimeNow());
--- a/Source/Gateway/coordinator_client.h
+++ b/Source/Gateway/coordinator_client.h
@@ -35,6 +35,8 @@
         /// The coordinator named the gateway that is to take the lease next.
         /// \param isSuccessor whether it is this gateway, or none was named
         std::function<void(bool isSuccessor)> onSuccessorKnown;
+        /// The coordinator told which zones are evacuated.
+        std::function<void(const evacuated_zones&)> onEvacuationsTold;
     };
 
     /// \param name the gateway's name in reports
--- a/Source/Gateway/engine_order_sender.cpp
+++ b/Source/Gateway/engine_order_sender.cpp
@@ -71,7 +71,7 @@
     for (auto& [id, tracker] : m_coordinator.trackers()) {
         tracker.completeAdapterLoads(now);
         if (m_pendingReports.size() < maxPendingReports && tracker.needsReport(now)
-            && m_coordinator.trySpendSend(id, now))
+            && !m_coordinator.isEvacuated(id) && m_coordinator.trySpendSend(id, now))
             requestReport(id, tracker);
     }
     if (!m_lease().maySendOrders(bootTimeNow()))
@@ -117,7 +117,7 @@
     if (peer == m_peers.end() || found == m_coordinator.trackers().end())
         return;
     // The process may have been suspended since the plan was made.
-    if (!m_lease().maySendOrders(bootTimeNow())
+    if (!m_lease().maySendOrders(bootTimeNow()) || m_coordinator.isEvacuated(planned.upstream)
         || !m_coordinator.trySpendSend(planned.upstream, monotonicNow()))
         return;
     engine_model_tracker& tracker = found->second;
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -86,7 +86,11 @@
               [this] { return m_client.hasLiveCoordinator(); },
               [this] { return m_client.hasRecentConfirmation(); },
               [this] { return m_coordinator.knownGatewayCount(monotonicNow()); },
-              [this](unsigned count) { m_client.onGatewayCountFromLease(count); } })
+              [this](unsigned count) { m_client.onGatewayCountFromLease(count); },
+              [this](const evacuated_zones& evacuated) {
+                  m_coordinator.onEvacuations(evacuated);
+                  m_relay.onEvacuations(evacuated.zones);
+              } })
     , m_orderSender(
           loop, m_coordinator, m_settings.name,
           [this]() -> const coordinator_lease& { return m_storeFollower.lease(); }, m_lines, m_metrics)
@@ -102,7 +106,8 @@
               },
               [this](const coordinator_lease_record& record) { m_storeFollower.onRemoteLeaseRecord(record); },
               [this] { m_orderSender.runPass(); },
-              [this](bool isSuccessor) { m_storeFollower.setPreferred(isSuccessor); } })
+              [this](bool isSuccessor) { m_storeFollower.setPreferred(isSuccessor); },
+              [this](const evacuated_zones& told) { m_storeFollower.onRemoteEvacuations(told); } })
     , m_reportServer(loop, m_settings.peerListenAddress,
           [this](fleet_report report) { return answerReport(std::move(report)); })
     , m_readinessServer(loop, m_settings.readinessListenAddress,
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "Base/overloaded.h"
 #include "Fleet/fleet_timing.h"
 #include "config_reader.h"
+#include "evacuation_reader.h"
 #include "upstream_reader.h"
 
 #include <algorithm>
@@ -33,7 +34,8 @@
 constexpr milliseconds leaseCheckInterval { 50 };
 // How much longer than the expected successor other gateways wait before they acquire the lease.
 constexpr milliseconds nonSuccessorDelay { 400 };
-// Time after the store's recovery within which running upstreams are listed again.
+// Time after the store's recovery within which running upstreams are listed again, and the operator's records
+// are rewritten where it returned from an older copy.
 constexpr milliseconds recoveryGrace { 2300 };
 // Time without any answer after which the store counts as unreachable.
 constexpr milliseconds unreachableAfter { 1500 };
@@ -55,6 +57,7 @@
     , m_lines(lines)
     , m_hooks(std::move(hooks))
     , m_upstreams(recoveryGrace)
+    , m_evacuations(recoveryGrace)
     , m_operatorTableTimer(loop, [this] { readTable(m_operatorTable); })
     , m_upstreamTableTimer(loop,
           [this] {
@@ -169,6 +172,7 @@
     }
     reader.pageRecords.clear();
     reader.listingEnd = 0;
+    reader.hasUnreadable = false;
     readPage(reader, {});
 }
 
@@ -209,6 +213,7 @@
     // The pages are no snapshot: they are complete only up to the table's end when the first page was made.
     if (reader.pageRecords.empty())
         reader.listingEnd = page.end;
+    reader.hasUnreadable = reader.hasUnreadable || !page.unreadable.empty();
     reader.pageRecords.insert(reader.pageRecords.end(), page.records.begin(), page.records.end());
     if (page.hasMore && !page.records.empty()) {
         readPage(reader, page.records.back().key);
@@ -228,6 +233,8 @@
         scheduleRead(reader, upstreamPollInterval);
         return;
     }
+    // Requests may be placed as soon as there is a configuration, so that the evacuations come first.
+    applyEvacuations(reader, records, true, sentAt);
     applyRecords(reader, records, sentAt);
     scheduleRead(reader, {});
 }
@@ -271,6 +278,8 @@
                     return;
                 }
                 reader.nextOffset = from + tail.records.size();
+                if (isOperatorTable)
+                    applyEvacuations(reader, tail.records, false, sentAt);
                 applyRecords(reader, tail.records, sentAt);
                 scheduleRead(reader,
                     isOperatorTable || reader.nextOffset < tail.end ? milliseconds(0) : upstreamPollInterval);
@@ -306,9 +315,45 @@
     notifyUpstreams();
 }
 
+void store_follower::applyEvacuations(const table_reader& reader,
+    const std::vector<platform::table_record>& records, bool isListing, monotonic_time sentAt)
+{
+    std::vector<evacuation_record> evacuations;
+    for (const auto& record : records) {
+        if (auto evacuation = platform::parseEvacuation(record))
+            evacuations.push_back(std::move(*evacuation));
+    }
+    const monotonic_time now = bootTimeNow();
+    if (!isListing)
+        m_evacuations.onRecords(evacuations, *reader.nextOffset, now);
+    else if (!reader.hasUnreadable)
+        m_evacuations.onListing(evacuations, reader.listingEnd, now);
+    else
+        // A zone without a record may be that of a record that could not be read.
+        m_evacuations.onRecords(evacuations, 0, now);
+    m_evacuations.onConfirmed(sentAt);
+    notifyEvacuations();
+}
+
+void store_follower::notifyEvacuations()
+{
+    if (m_notifiedEvacuations == m_evacuations.current())
+        return;
+    m_notifiedEvacuations = m_evacuations.current();
+    m_hooks.onEvacuations(m_notifiedEvacuations);
+}
+
+void store_follower::onRemoteEvacuations(const evacuated_zones& told)
+{
+    m_evacuations.onTold(told, bootTimeNow());
+    notifyEvacuations();
+}
+
 void store_follower::onRemoteConfirmation(std::uint64_t configEnd, monotonic_time confirmedAt)
 {
     if (m_configVersion > 0 && m_configEnd >= configEnd) {
+        m_evacuations.onConfirmed(confirmedAt);
+        notifyEvacuations();
         m_hooks.onConfigConfirmed(confirmedAt);
         return;
     }
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -3,6 +3,7 @@
 #include "Fleet/coordinator_lease.h"
 #include "Fleet/fleet_config.h"
 #include "Fleet/upstream_list.h"
+#include "Fleet/zone_evacuations.h"
 #include "Loop/loop_http_client.h"
 #include "Watch/decision_logger.h"
 #include "store_calls.h"
@@ -31,6 +32,8 @@
     std::function<unsigned()> gatewayCount;
     /// The lease record that was read names that number of gateways.
     std::function<void(unsigned)> onGatewayCountRead;
+    /// The evacuated zones or their position changed.
+    std::function<void(const evacuated_zones&)> onEvacuations;
 };
 
 /// \brief Follows the platform's store: the configuration, the list of upstreams and the coordinator's lease.
@@ -61,6 +64,9 @@
     /// \param isWhole whether upstreams without a record are removed
     void onRemoteUpstreams(const std::vector<upstream_record>& records, bool isWhole);
 
+    /// Applies the evacuated zones as another gateway knows them.
+    void onRemoteEvacuations(const evacuated_zones& told);
+
     /// \return the offset up to which the configuration was read here, and when that read was sent.
     std::optional<std::pair<std::uint64_t, monotonic_time>> configConfirmation() const;
     const upstream_list& upstreams() const { return m_upstreams; }
@@ -80,6 +86,8 @@
         std::uint64_t listingEnd { 0 };
         /// A call is under way.
         bool isBusy { false };
+        /// The pages read so far had records that could not be read.
+        bool hasUnreadable { false };
     };
 
     /// \return the delay of the next call after a failed one.
@@ -93,6 +101,11 @@
     void onPage(table_reader& reader, const platform::table_page& page, monotonic_time sentAt);
     void applyRecords(
         table_reader& reader, const std::vector<platform::table_record>& records, monotonic_time sentAt);
+    /// Applies records of the operator's table that request or end evacuations.
+    /// \param isListing whether these are the newest records of all keys, so that absent ones have ended
+    void applyEvacuations(const table_reader& reader, const std::vector<platform::table_record>& records,
+        bool isListing, monotonic_time sentAt);
+    void notifyEvacuations();
     void applyConfig(const platform::table_record& record);
     std::optional<upstream_record> decode(const platform::table_record& record);
     void scheduleRead(table_reader& reader, milliseconds delay);
@@ -120,8 +133,10 @@
     decision_logger& m_lines;
     follower_hooks m_hooks;
     upstream_list m_upstreams;
-    table_reader m_operatorTable { platform::store_table::Operator, {}, {}, 0, false };
-    table_reader m_upstreamTable { platform::store_table::Upstreams, {}, {}, 0, false };
+    table_reader m_operatorTable { platform::store_table::Operator, {}, {}, 0, false, false };
+    table_reader m_upstreamTable { platform::store_table::Upstreams, {}, {}, 0, false, false };
+    zone_evacuations m_evacuations;
+    evacuated_zones m_notifiedEvacuations;
     timer m_operatorTableTimer;
     timer m_upstreamTableTimer;
     timer m_leaseTimer;
--- a/Tests/Gateway/coordinator_tests.cpp
+++ b/Tests/Gateway/coordinator_tests.cpp
@@ -406,3 +406,49 @@
     tested.trackers().at("a").onReport(holds, start + seconds(2), start + seconds(2));
     CHECK(loadedModelsSent("g1", milliseconds(2100)) == whole);
 }
+
+TEST_CASE("coordinator: a gateway is told the evacuated zones once, also in answers about credit only")
+{
+    coordinator tested;
+    const evacuated_zones evacuated { { "z1" }, 7 };
+    tested.onReport(reportOf("g1", true), start);
+    tested.onEvacuations(evacuated);
+    auto ask = reportOf("g1");
+    ask.isOnlyCredit = true;
+    CHECK(tested.onReport(ask, start).evacuations == evacuated);
+    CHECK_FALSE(tested.onReport(reportOf("g1"), start).evacuations);
+    // A new connection asks for everything.
+    CHECK(tested.onReport(reportOf("g1", true), start).evacuations == evacuated);
+}
+
+TEST_CASE("coordinator: a model that only an evacuated zone has loaded is ordered in another zone")
+{
+    fleet_config config;
+    service_config service { "desk", 0, engine_config {} };
+    service.engine->weightMemoryMb = 1000;
+    service.engine->loadsPerSecond = 5;
+    service.engine->models = { { "m1", 100, milliseconds(300), 0, 0 } };
+    config.services.push_back(service);
+    coordinator tested;
+    tested.onConfig(config, start);
+    upstream_list list = listOf({ "a", "b" }, 1);
+    upstream_entry moved = list.entries().at("a");
+    moved.zone = "z1";
+    list.onRecord({ "a", 9, moved }, start);
+    tested.onUpstreams(list, start);
+    tested.onEvacuations({ { "z1" }, 7 });
+    tested.beginTerm(0, start);
+    loaded_models_report holds;
+    tested.trackers().at("b").onReport(holds, start, start);
+    holds.models = { { "m1", {} } };
+    tested.trackers().at("a").onReport(holds, start, start);
+    CHECK(tested.isEvacuated("a"));
+    CHECK_FALSE(tested.isEvacuated("b"));
+    auto report = reportOf("g1");
+    report.demand = { { "desk", "m1", "", 5, 5, 100 } };
+    tested.onReport(report, start);
+    // The allowance of loads from the weight store grows from the first pass on.
+    tested.plan(start);
+    CHECK(tested.plan(start + milliseconds(500))
+        == std::vector<planned_model_order> { { "b", model_order::action::Load, "m1", "" } });
+}
--- a/Tests/Gateway/engine_stand_in.cpp
+++ b/Tests/Gateway/engine_stand_in.cpp
@@ -46,8 +46,8 @@
     }
     return nlohmann::json {
         { "service", m_settings.service }, { "address", formatAddress(server.entry().endpoint) },
-        { "zone", "z" }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" }, { "models", models },
-        { "sequence", orders }, { "born", m_startedAt }
+        { "zone", m_settings.zone }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" },
+        { "models", models }, { "sequence", orders }, { "born", m_startedAt }
     }.dump();
 }
 
@@ -68,6 +68,7 @@
 void engine_stand_in::onCall(const scripted_upstream::request& call)
 {
     const std::string& target = call.head.target;
+    allCalls.push_back(monotonicNow());
     if (target.find("/report") != std::string::npos) {
         auto body = nlohmann::json::parse(listing());
         body["busy"] = m_loading.has_value();
--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -28,6 +28,7 @@
         milliseconds modelLoad { 300 };
         /// Shortest time allowed between the orders of two lease holders.
         milliseconds handoverPause { 1000 };
+        std::string zone { "z" };
     };
 
     engine_stand_in(event_loop& loop, settings value, violation_list& violations);
@@ -35,6 +36,7 @@
     /// \return the JSON of its entry in the store's list of upstreams.
     std::string listing() const;
     const std::string& id() const { return m_settings.id; }
+    const std::string& zone() const { return m_settings.zone; }
 
     /// Loaded models and adapters, as `model` or `model/adapter`.
     std::set<std::string> held;
@@ -67,6 +69,8 @@
     std::vector<monotonic_time> crashingArrivals;
     /// Number of next requests that run and whose connections are then cut without an answer.
     int cutAnswers { 0 };
+    /// When each request, order and call for a report arrived.
+    std::vector<monotonic_time> allCalls;
     /// Number of runs, by the request's id.
     std::map<std::string, int> runs;
     /// Time, team and tokens of each run.
--- a/Tests/Gateway/gateway_soak.cpp
+++ b/Tests/Gateway/gateway_soak.cpp
@@ -13,6 +13,9 @@
 // Duration of the faults of one seed; afterwards every fault is ended and the fleet must recover.
 constexpr milliseconds faultDuration { 8000 };
 constexpr milliseconds stepInterval { 40 };
+// Key of the evacuation of zone `y`, and the platform's bound for it.
+const std::string evacuationKey = "evacuate/y";
+constexpr milliseconds evacuationBound { 5000 };
 
 /// One run with a seed: callers send requests while faults begin at random, one after another, and overlap.
 class soak_run {
@@ -25,7 +28,9 @@
         m_fixture.addEngine({ "e1" }, { "m1", "m2" });
         m_fixture.addEngine({ "e2" }, { "m1", "m3" });
         m_fixture.addEngine({ "l1", "ledger" });
-        m_fixture.addEngine({ "l2", "ledger" });
+        engine_stand_in::settings inOtherZone { "l2", "ledger" };
+        inOtherZone.zone = "y";
+        m_fixture.addEngine(inOtherZone);
         for (auto& engine : m_fixture.engines) {
             engine.teamOf = [this](const std::string& id) { return m_teams[id]; };
             engine.onRestarted = [this, &engine] { m_fixture.publishListing(engine); };
@@ -48,6 +53,7 @@
         }
         endAllFaults();
         checkRecovery();
+        checkEvacuation();
         checkNoViolations();
     }
 
@@ -82,7 +88,7 @@
     {
         auto& gateway = m_fixture.gateways.at(pick(gateways));
         auto& engine = m_fixture.engines.at(pick(m_fixture.engines.size()));
-        switch (pick(12)) {
+        switch (pick(13)) {
         case 0:
             gateway.process->kill();
             scheduleFaultEnd(milliseconds(50), milliseconds(800), [&] { m_fixture.start(gateway); });
@@ -137,6 +143,11 @@
                 m_fixture.publishListing(engine);
             });
             break;
+        case 11:
+            m_fixture.store.put("keyed.op", evacuationKey, "{}");
+            scheduleFaultEnd(milliseconds(500), milliseconds(4000),
+                [this] { m_fixture.store.drop("keyed.op", evacuationKey); });
+            break;
         default:
             m_fixture.store.compact();
             m_fixture.configure({ "key-1" });
@@ -193,6 +204,22 @@
         }
     }
 
+    /// Whatever the faults left behind, an evacuation takes effect within the bound, and ends.
+    void checkEvacuation()
+    {
+        const auto& arrivals = m_fixture.engines.back().arrivals;
+        m_fixture.store.put("keyed.op", evacuationKey, "{}");
+        loopFor(m_fixture.loop, evacuationBound);
+        const std::size_t before = arrivals.size();
+        checkRecovery();
+        CHECK(arrivals.size() == before);
+        m_fixture.store.drop("keyed.op", evacuationKey);
+        CHECK(loopUntil(m_fixture.loop, [&] {
+            sendRequests();
+            return arrivals.size() > before;
+        }));
+    }
+
     void checkNoViolations()
     {
         int answered = 0;
