--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -52,6 +52,12 @@
     return fleet_wire::CreateQuarantineNews(builder, watched, quarantined);
 }
 
+Offset<fleet_wire::Evacuations> encodeEvacuations(FlatBufferBuilder& builder, const evacuated_zones& value)
+{
+    const auto zones = builder.CreateVectorOfStrings(value.zones.begin(), value.zones.end());
+    return fleet_wire::CreateEvacuations(builder, zones, value.position);
+}
+
 Offset<void> encodeReport(FlatBufferBuilder& builder, const fleet_report& value)
 {
     const auto credit
@@ -174,12 +180,13 @@
     for (const auto& item : value.timeFactors)
         encodedFactors.emplace_back(item.number, item.factor);
     const auto factors = builder.CreateVectorOfStructs(encodedFactors);
+    const auto evacuations = value.evacuations ? encodeEvacuations(builder, *value.evacuations) : 0;
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
         credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
-        quarantine, factors)
+        quarantine, factors, evacuations)
         .Union();
 }
 
@@ -238,6 +245,12 @@
     return { decodeParts(table.watched_parts()), decodeNotices(table.quarantined()) };
 }
 
+evacuated_zones decodeEvacuations(const fleet_wire::Evacuations& table)
+{
+    const auto zones = namesOf(table.zones());
+    return { { zones.begin(), zones.end() }, table.position() };
+}
+
 fleet_report decodeReport(const fleet_wire::Report& table)
 {
     fleet_report value;
@@ -331,6 +344,8 @@
         for (const auto* item : *table.time_factors())
             value.timeFactors.push_back({ item->number(), item->factor() });
     }
+    if (table.evacuations() != nullptr)
+        value.evacuations = decodeEvacuations(*table.evacuations());
     return value;
 }
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -3,6 +3,7 @@
 #include "Fleet/loaded_models_history.h"
 #include "Fleet/pace_sums.h"
 #include "Fleet/upstream_limit.h"
+#include "Fleet/zone_evacuations.h"
 #include "Quarantine/quarantine_messages.h"
 
 #include <algorithm>
@@ -200,6 +201,8 @@
     std::optional<quarantine_update> quarantine;
     /// Upstreams whose speed changed since the last update.
     std::vector<numbered_factor> timeFactors;
+    /// Nothing if neither the evacuated zones nor their position changed since the last update.
+    std::optional<evacuated_zones> evacuations;
 
     auto operator<=>(const fleet_update&) const = default;
 };
--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -46,6 +46,7 @@
         { "u3", { { "m1/a3" }, { "m1/a1", "m1/a2" }, true } } };
     update.quarantine = sampleQuarantine();
     update.timeFactors = { { 7, 1.5F }, { 9, 0.25F } };
+    update.evacuations = evacuated_zones { { "z1", "z2" }, 0xdeadbeefcafe };
     return update;
 }
 
