Fleet: Read the cold time of upstreams and the limit that services state for it

A service may state how many requests a second its cold upstreams take, and an upstream's entry for how long it stays cold. Both were ignored. The configuration reader and the upstream reader decode them now, and the list of upstreams turns the remaining time into the time at which the cold time ends, once for each record, so that it ends by itself.

--- a/Source/Fleet/fleet_config.h
+++ b/Source/Fleet/fleet_config.h
@@ -113,6 +113,11 @@
     int maxConnections { 0 };
     /// Nothing if the service's upstreams are not model engines.
     std::optional<engine_config> engine;
+    /// Requests a second that a cold upstream takes from all gateways together; 0 if the service has no cold
+    /// upstreams.
+    double coldRequestsPerSecond { 0 };
+    /// Time for which an upstream is usually cold after its start.
+    milliseconds coldStart { 0 };
 
     auto operator<=>(const service_config&) const = default;
 };
--- a/Source/Fleet/upstream_list.cpp
+++ b/Source/Fleet/upstream_list.cpp
@@ -38,6 +38,7 @@
     // An older copy of the store may list a process as it was before it began to drain.
     entry.isDraining = entry.isDraining
         || (!isNew && position->second.isDraining && position->second.isSameProcess(entry));
+    entry.coldUntil = entry.coldRemaining > milliseconds(0) ? now + entry.coldRemaining : monotonic_time {};
     if (!isNew && position->second == entry)
         return;
     position->second = std::move(entry);
--- a/Source/Fleet/upstream_list.h
+++ b/Source/Fleet/upstream_list.h
@@ -37,6 +37,10 @@
     /// When it started, in Unix milliseconds. Distinguishes processes that run under the same id one after
     /// the other.
     std::int64_t startedAt { 0 };
+    /// Time for which the upstream stays cold, counted from when the entry was read; 0 if it is not cold.
+    milliseconds coldRemaining { 0 };
+    /// When the cold time ends, as the list of upstreams computed it; the clock's zero if it is not cold.
+    monotonic_time coldUntil {};
 
     auto operator<=>(const upstream_entry&) const = default;
 
@@ -72,6 +76,7 @@
     explicit upstream_list(milliseconds recoveryGrace);
 
     /// Applies a record. A record that is not newer than the last one of its id changes nothing.
+    /// \param now time of reading, from which the cold time of the entry counts
     void onRecord(const upstream_record& record, monotonic_time now);
 
     /// Applies a complete listing. Known entries that it lacks are removed, unless they are newer than it.
--- a/Tests/Fleet/upstream_list_tests.cpp
+++ b/Tests/Fleet/upstream_list_tests.cpp
@@ -96,3 +96,17 @@
     list.onRecord(listed("a", 3, true), start);
     CHECK(list.revision() > before);
 }
+
+TEST_CASE("upstream list: the cold time counts from the reading of the entry, once for each record")
+{
+    upstream_list list(recoveryGrace);
+    upstream_record cold = listed("a", 1);
+    cold.entry->coldRemaining = seconds(3);
+    list.onRecord(cold, start);
+    CHECK(list.entries().at("a").coldUntil == start + seconds(3));
+    // The same record, read again or told by the coordinator, does not prolong it.
+    list.onRecord(cold, start + seconds(1));
+    CHECK(list.entries().at("a").coldUntil == start + seconds(3));
+    list.onRecord(listed("a", 2), start + seconds(2));
+    CHECK(list.entries().at("a").coldUntil == monotonic_time {});
+}
--- a/Tests/Platform/config_reader_tests.cpp
+++ b/Tests/Platform/config_reader_tests.cpp
@@ -71,3 +71,12 @@
     CHECK(config.teams.empty());
     CHECK(config.limits == caller_limits {});
 }
+
+TEST_CASE("config reader: a service may state the limit of its cold upstreams")
+{
+    const auto config = platform::parseFleetConfig(
+        R"({"version":1,"services":[{"name":"a","cold-per-s":12,"cold-start-s":3},{"name":"b"}]})");
+    CHECK(config.services.at(0).coldRequestsPerSecond == 12);
+    CHECK(config.services.at(0).coldStart == seconds(3));
+    CHECK(config.services.at(1).coldRequestsPerSecond == 0);
+}
--- a/Tests/Platform/upstream_reader_tests.cpp
+++ b/Tests/Platform/upstream_reader_tests.cpp
@@ -84,3 +84,15 @@
             std::invalid_argument);
     }
 }
+
+TEST_CASE("upstream reader: the remaining cold time is read, and is 0 where it is absent")
+{
+    CHECK(platform::parseUpstreamEntry("i-1", entryWith("slots", "8")).coldRemaining == milliseconds(0));
+    CHECK(platform::parseUpstreamEntry("i-1", entryWith("cold-remaining-ms", "2950")).coldRemaining
+        == milliseconds(2950));
+    CHECK_THROWS_AS(
+        platform::parseUpstreamEntry("i-1", entryWith("cold-remaining-ms", "-3")), std::invalid_argument);
+    // A nonsensical time must not limit an upstream for ever.
+    CHECK(platform::parseUpstreamEntry("i-1", entryWith("cold-remaining-ms", "1e300")).coldRemaining
+        == seconds(600));
+}
