Relay: Let upstreams that started or recovered begin slowly

An upstream that appears, is heard again or failed three times in a row got requests from all gateways at once, before any of them knew whether it keeps up.

Such an upstream now has a concurrency limit over all gateways: it starts at 2, doubles after a round of answers on time, halves when answers are late or fail, and ends at the upstream's slots. Gateways report beginnings and outcomes; the coordinator pools them and tells the limit. Because gateways learn of each other's requests late, each places a request with a probability that keeps all of them to the limit on average. An upstream at its limit is chosen only where no other meets the objective. Without a coordinator each gateway uses its share of the limit.

--- a/Source/Fleet/pace_table.cpp
+++ b/Source/Fleet/pace_table.cpp
@@ -17,6 +17,9 @@
 constexpr double toldChange = 0.03;
 // Shortest time between two computations of the factors. In a large fleet reports arrive more often.
 constexpr milliseconds factorUpdateInterval { 100 };
+// Time after the beginning of a slow start within which gateways that report a beginning mean the same one:
+// they read the list at different times.
+constexpr milliseconds sameStartTime { 3000 };
 // Most forecast time in one gateway's report on one upstream; a gateway that reports more reports nonsense.
 constexpr double maxReportedMilliseconds = 60000;
 
@@ -39,6 +42,30 @@
     item.updatedAt = now;
 }
 
+void pace_table::onStart(const std::string& upstream, const std::string& service, int slots,
+    const start_report& report, monotonic_time now)
+{
+    record& item = m_records[upstream];
+    item.service = service;
+    if (report.isBeginning
+        && (!item.start || (!item.start->limit(now) && now - item.start->begunAt() >= sameStartTime)))
+        item.start.emplace(slots, now);
+    if (!item.start)
+        return;
+    if (!report.outcomes.isEmpty())
+        item.start->onOutcomes(report.outcomes, now);
+    updateLimit(item, now);
+}
+
+void pace_table::updateLimit(record& item, monotonic_time now)
+{
+    const int limit = item.start ? item.start->limit(now).value_or(0) : 0;
+    if (item.limit == limit)
+        return;
+    item.limit = limit;
+    item.limitRevision = ++m_revision;
+}
+
 void pace_table::onProcessReplaced(const std::string& upstream)
 {
     const auto found = m_records.find(upstream);
@@ -72,6 +99,7 @@
         item.sums = item.sums.decayed(now - item.updatedAt);
         item.updatedAt = now;
         services[item.service].all += item.sums;
+        updateLimit(item, now);
     }
     // With few samples an upstream's ratio stays near that of the whole service.
     const auto ratioOf = [](const record& item, const service_sums& service) {
@@ -108,4 +136,16 @@
     return changes;
 }
 
+std::vector<upstream_start_limit> pace_table::limitChangesSince(std::uint64_t revision) const
+{
+    std::vector<upstream_start_limit> changes;
+    if (revision == m_revision)
+        return changes;
+    for (const auto& [upstream, item] : m_records) {
+        if (item.limitRevision > revision)
+            changes.push_back({ upstream, item.limit });
+    }
+    return changes;
+}
+
 } // namespace sagesaddle
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -356,12 +356,17 @@
 {
     for (const auto& item : report.times) {
         const auto upstream = m_upstreams.find(item.upstream);
-        if (upstream != m_upstreams.end() && !upstream->second.isRemoved)
-            m_paces.onSamples(item.upstream, upstream->second.entry.service, item.sums, now);
+        if (upstream == m_upstreams.end() || upstream->second.isRemoved)
+            continue;
+        const upstream_entry& entry = upstream->second.entry;
+        m_paces.onSamples(item.upstream, entry.service, item.sums, now);
+        m_paces.onStart(item.upstream, entry.service, entry.slots, item.start, now);
     }
     m_paces.update(now);
     for (const auto& item : m_paces.changesSince(to.sentPaceRevision))
         update.timeFactors.push_back({ m_numbers.at(item.upstream), static_cast<float>(item.factor) });
+    for (const auto& item : m_paces.limitChangesSince(to.sentPaceRevision))
+        update.startLimits.push_back({ m_numbers.at(item.upstream), static_cast<std::uint16_t>(item.limit) });
     to.sentPaceRevision = m_paces.revision();
 }
 
--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -288,8 +288,8 @@
             value.work.push_back({ id, static_cast<std::uint32_t>(upstream->inFlight),
                 std::max(0.0, upstream->tokensAhead), std::max(0.0, upstream->kvCacheTokens) });
     }
-    for (auto& [id, sums] : m_relay.takeSpeedSamples())
-        value.times.push_back({ id, sums });
+    for (auto& [id, sums, start] : m_relay.takeSpeedSamples())
+        value.times.push_back({ id, sums, start });
     return value;
 }
 
@@ -495,6 +495,10 @@
         if (item.number < m_upstreamsByNumber.size())
             m_relay.onSpeedTold(m_upstreamsByNumber[item.number], item.factor);
     }
+    for (const auto& item : update.startLimits) {
+        if (item.number < m_upstreamsByNumber.size())
+            m_relay.onStartLimitTold(m_upstreamsByNumber[item.number], item.limit);
+    }
 }
 
 void coordinator_client::applyList(const fleet_update& update)
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds firstSuspicion { 250 };
 // The longest such time is firstSuspicion * 2^(maxFailures - 1).
 constexpr int maxFailures = 4;
+// Failures in a row after which an upstream counts as recovering.
+constexpr int failuresBeforeSlowStart = 3;
 // Lifetime of credit for sending to an upstream with a request limit.
 constexpr milliseconds sendCreditLifetime { 500 };
 // Retry time for callers if neither the route nor the load determines one.
@@ -163,7 +165,7 @@
 
 void relay::onUpstreams(const std::map<std::string, upstream_entry>& entries)
 {
-    m_knowsUpstreams = true;
+    const bool knewUpstreams = std::exchange(m_knowsUpstreams, true);
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const auto listed = entries.find(entry->first);
         if (listed != entries.end() && listed->second.isSameProcess(entry->second->entry)) {
@@ -189,6 +191,8 @@
                 { { "upstream", id }, { "service", entry.service },
                     { "address", formatAddress(entry.endpoint) } },
                 monotonicNow());
+            if (knewUpstreams)
+                beginSlowStart(*state, "listed");
         }
         if (state->entry.isDraining != entry.isDraining)
             m_telemetry.lines.write(
@@ -230,6 +234,7 @@
     for (const auto& [id, upstream] : m_upstreams) {
         upstream->peerLoad = {};
         upstream->hasCoordinatorUpdate = false;
+        upstream->pace.onCoordinatorLost();
     }
 }
 
@@ -408,6 +413,8 @@
 {
     const monotonic_time now = monotonicNow();
     upstream.faults.onOutcome(!isSound, now);
+    if (!isSound || request.request().promptTokens.value_or(0) <= 0)
+        recordStartOutcome(upstream, { isSound ? 1U : 0U, 0, isSound ? 0U : 1U });
     if (isSound) {
         recordDuration(request);
         recordStreamSpeed(request, upstream);
@@ -438,6 +445,9 @@
         { { "upstream", upstream.entry.id }, { "before_first_byte", beforeFirstByte },
             { "failures", upstream.failures } },
         now);
+    recordStartOutcome(upstream, { 0, 0, 1 });
+    if (upstream.failures >= failuresBeforeSlowStart)
+        beginSlowStart(upstream, "failed");
 }
 
 void relay::recordActivity(upstream_state& upstream)
@@ -449,6 +459,7 @@
     upstream.isSilent = false;
     m_telemetry.lines.write(
         log_level::Info, "upstream_heard", { { "upstream", upstream.entry.id } }, upstream.lastActivityAt);
+    beginSlowStart(upstream, "heard");
 }
 
 void relay::probe(const upstream_state_ptr& upstream, monotonic_time now)
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -20,6 +20,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -103,8 +104,10 @@
     void onPeerLoad(const std::string& id, const peer_load& load);
     /// \brief Applies the coordinator's factor of an upstream's speed.
     void onSpeedTold(const std::string& id, double factor);
-    /// \return observed and forecast times of the upstreams that answered since the last call, by id.
-    std::vector<std::pair<std::string, pace_sums>> takeSpeedSamples();
+    /// \brief Applies the coordinator's limit for an upstream in slow start; 0 ends it.
+    void onStartLimitTold(const std::string& id, int limit);
+    /// \return what was observed of the upstreams' speeds and slow starts since the last call, by id.
+    std::vector<std::tuple<std::string, pace_sums, start_report>> takeSpeedSamples();
     /// \brief Notes that a coordinator answers, so that its factors of the upstreams' speeds are current.
     void onCoordinatorHeard() { m_hasCoordinator = true; }
     /// \brief Notes that the known configuration was confirmed to be the newest.
@@ -280,6 +283,15 @@
         const relay_exchange& request, const std::vector<upstream_state_ptr>& withoutCredit);
     /// Learns how long the requests for a model take.
     void recordDuration(const relay_exchange& request);
+    /// Begins the slow start of an upstream that started or recovered.
+    /// \param reason what was seen of it, for the log
+    void beginSlowStart(upstream_state& upstream, std::string_view reason);
+    /// Counts the outcome of a request, if its upstream is in slow start.
+    void recordStartOutcome(upstream_state& upstream, const start_outcomes& outcome);
+    /// Logs the end of a slow start, and sets its metric.
+    void showStartLimit(upstream_state& upstream);
+    /// \return whether an upstream in slow start should get no further request.
+    bool isHeldBack(const relay_exchange& request, const upstream_state& upstream);
     /// Learns from a complete stream how fast its upstream is.
     void recordStreamSpeed(const relay_exchange& request, upstream_state& upstream);
     /// \return the decision to send a request to the chosen one of the upstreams.
--- a/Source/Relay/relay_placement.cpp
+++ b/Source/Relay/relay_placement.cpp
@@ -105,6 +105,7 @@
         candidate.tokensAhead = upstream.tokensAhead + upstream.peerLoad.tokensAhead;
         candidate.memoryUsed = upstream.kvCacheTokens + upstream.peerLoad.kvCacheTokens;
         candidate.timeFactor = upstream.pace.factor(m_hasCoordinator, now);
+        candidate.isHeldBack = isHeldBack(request, upstream);
         if (cachedAt != m_affinity.end() && cachedAt->second == upstream.entry.id)
             candidate.cachedTokens = sharedTokens;
     }
@@ -231,7 +232,8 @@
         for (const std::size_t index : indices)
             sample.push_back(candidates[index]);
         const auto choice = chooseUpstream(sample, demand, lateFactor);
-        if (const auto* pick = std::get_if<chosen_upstream>(&choice))
+        const auto* pick = std::get_if<chosen_upstream>(&choice);
+        if (pick != nullptr && !sample[pick->index].isHeldBack)
             return chosen_upstream { indices[pick->index], pick->firstEventMilliseconds, pick->cachedTokens };
     }
     return chooseUpstream(candidates, demand, lateFactor);
--- a/Source/Relay/upstream_state.h
+++ b/Source/Relay/upstream_state.h
@@ -56,6 +56,8 @@
     failure_ratio faults;
     /// Stays as it is unless relay_options::learnsUpstreamSpeed is set.
     upstream_pace pace;
+    /// Whether the beginning of a slow start was logged and its end was not.
+    bool isStartShown { false };
     /// When the upstream last sent a byte of an answer or accepted a probe's connection.
     monotonic_time lastActivityAt {};
     /// Whether the upstream sent nothing for too long while it had requests. It then gets one request at a
--- a/Source/Route/upstream_choice.cpp
+++ b/Source/Route/upstream_choice.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <numeric>
 #include <optional>
+#include <utility>
 
 namespace sagesaddle {
 
@@ -98,7 +99,7 @@
           })->failureRatio;
     const double limit = demand.objectiveMilliseconds * objectiveFactor;
     std::optional<chosen_upstream> best;
-    double bestCost = std::numeric_limits<double>::max();
+    auto bestCost = std::pair(true, std::numeric_limits<double>::max());
     double earliest = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
@@ -113,9 +114,10 @@
             + (candidate.isSuspect ? suspectMilliseconds : 0)
             + (candidate.failureRatio - lowestFailureRatio) * failureMilliseconds
             + 10.0 * candidate.inFlight / std::max(candidate.slots, 1);
-        if (cost < bestCost) {
+        const auto ranked = std::pair(candidate.isHeldBack, cost);
+        if (ranked < bestCost) {
             best = chosen_upstream { index, forecast, candidate.cachedTokens };
-            bestCost = cost;
+            bestCost = ranked;
         }
     }
     if (!best)
--- a/Source/Route/upstream_choice.h
+++ b/Source/Route/upstream_choice.h
@@ -34,6 +34,8 @@
     bool isInSameZone { false };
     /// The upstream recently failed or stopped answering.
     bool isSuspect { false };
+    /// The upstream is in slow start and should get no further request, unless no other can take it in time.
+    bool isHeldBack { false };
     /// Part of its recent answers that failed, from 0 to 1.
     double failureRatio { 0 };
 
@@ -121,6 +123,8 @@
 /// An upstream that fails some of its requests is penalised by how far its failure ratio exceeds the lowest
 /// one among the candidates. A fault that affects all of them therefore does not change the spread.
 ///
+/// A candidate that is held back is chosen only if no other candidate meets the objective.
+///
 /// Performs no I/O and reads no clock.
 ///
 /// \param objectiveFactor forecasts up to this multiple of the objective count as in time
--- a/Source/Route/upstream_pace.cpp
+++ b/Source/Route/upstream_pace.cpp
@@ -48,4 +48,45 @@
         minPaceFactor, maxPaceFactor);
 }
 
+void upstream_pace::beginStart(int slots, monotonic_time now)
+{
+    if (startLimit(now))
+        return;
+    m_start.emplace(slots, now);
+    m_isLimitTold = false;
+    m_startReport.isBeginning = true;
+}
+
+void upstream_pace::onOutcome(const start_outcomes& outcome, unsigned gateways, monotonic_time now)
+{
+    if (!startLimit(now))
+        return;
+    m_startReport.outcomes += outcome;
+    if (!m_isLimitTold)
+        m_start->onOutcomes(
+            { outcome.onTime * gateways, outcome.late * gateways, outcome.failed * gateways }, now);
+}
+
+void upstream_pace::onLimitTold(int limit, int slots, monotonic_time now)
+{
+    m_isLimitTold = limit > 0;
+    if (limit <= 0) {
+        m_start.reset();
+        return;
+    }
+    if (!startLimit(now))
+        m_start.emplace(slots, now);
+    m_start->adopt(limit);
+}
+
+std::optional<int> upstream_pace::startLimit(monotonic_time now) const
+{
+    return m_start ? m_start->limit(now) : std::nullopt;
+}
+
+start_report upstream_pace::takeStartReport()
+{
+    return std::exchange(m_startReport, {});
+}
+
 } // namespace sagesaddle
--- a/Source/Wire/fleet_generated.h
+++ b/Source/Wire/fleet_generated.h
@@ -60,6 +60,8 @@
 
 struct NumberedFactor;
 
+struct NumberedLimit;
+
 struct News;
 struct NewsBuilder;
 
@@ -261,6 +263,34 @@
   using type = NumberedFactor;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(2) NumberedLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint16_t number_;
+  uint16_t limit_;
+
+ public:
+  struct Traits;
+  NumberedLimit()
+      : number_(0),
+        limit_(0) {
+  }
+  NumberedLimit(uint16_t _number, uint16_t _limit)
+      : number_(flatbuffers::EndianScalar(_number)),
+        limit_(flatbuffers::EndianScalar(_limit)) {
+  }
+  uint16_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint16_t limit() const {
+    return flatbuffers::EndianScalar(limit_);
+  }
+};
+FLATBUFFERS_STRUCT_END(NumberedLimit, 4);
+
+struct NumberedLimit::Traits {
+  using type = NumberedLimit;
+};
+
 struct CreditAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CreditAskBuilder Builder;
   struct Traits;
@@ -805,7 +835,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_UPSTREAM = 4,
     VT_OBSERVED = 6,
-    VT_FORECAST = 8
+    VT_FORECAST = 8,
+    VT_STARTS = 10,
+    VT_ON_TIME = 12,
+    VT_LATE = 14,
+    VT_FAILED = 16
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
@@ -816,12 +850,28 @@
   double forecast() const {
     return GetField<double>(VT_FORECAST, 0.0);
   }
+  bool starts() const {
+    return GetField<uint8_t>(VT_STARTS, 0) != 0;
+  }
+  uint32_t on_time() const {
+    return GetField<uint32_t>(VT_ON_TIME, 0);
+  }
+  uint32_t late() const {
+    return GetField<uint32_t>(VT_LATE, 0);
+  }
+  uint32_t failed() const {
+    return GetField<uint32_t>(VT_FAILED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
            VerifyField<double>(verifier, VT_OBSERVED, 8) &&
            VerifyField<double>(verifier, VT_FORECAST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STARTS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ON_TIME, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LATE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
            verifier.EndTable();
   }
 };
@@ -839,6 +889,18 @@
   void add_forecast(double forecast) {
     fbb_.AddElement<double>(UpstreamTimes::VT_FORECAST, forecast, 0.0);
   }
+  void add_starts(bool starts) {
+    fbb_.AddElement<uint8_t>(UpstreamTimes::VT_STARTS, static_cast<uint8_t>(starts), 0);
+  }
+  void add_on_time(uint32_t on_time) {
+    fbb_.AddElement<uint32_t>(UpstreamTimes::VT_ON_TIME, on_time, 0);
+  }
+  void add_late(uint32_t late) {
+    fbb_.AddElement<uint32_t>(UpstreamTimes::VT_LATE, late, 0);
+  }
+  void add_failed(uint32_t failed) {
+    fbb_.AddElement<uint32_t>(UpstreamTimes::VT_FAILED, failed, 0);
+  }
   explicit UpstreamTimesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -855,11 +917,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
     double observed = 0.0,
-    double forecast = 0.0) {
+    double forecast = 0.0,
+    bool starts = false,
+    uint32_t on_time = 0,
+    uint32_t late = 0,
+    uint32_t failed = 0) {
   UpstreamTimesBuilder builder_(_fbb);
   builder_.add_forecast(forecast);
   builder_.add_observed(observed);
+  builder_.add_failed(failed);
+  builder_.add_late(late);
+  builder_.add_on_time(on_time);
   builder_.add_upstream(upstream);
+  builder_.add_starts(starts);
   return builder_.Finish();
 }
 
@@ -872,13 +942,21 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *upstream = nullptr,
     double observed = 0.0,
-    double forecast = 0.0) {
+    double forecast = 0.0,
+    bool starts = false,
+    uint32_t on_time = 0,
+    uint32_t late = 0,
+    uint32_t failed = 0) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return sagesaddle::fleet_wire::CreateUpstreamTimes(
       _fbb,
       upstream__,
       observed,
-      forecast);
+      forecast,
+      starts,
+      on_time,
+      late,
+      failed);
 }
 
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1674,7 +1752,8 @@
     VT_UPSTREAM_LIMITS = 32,
     VT_UPSTREAM_CREDIT = 34,
     VT_QUARANTINE = 36,
-    VT_TIME_FACTORS = 38
+    VT_TIME_FACTORS = 38,
+    VT_START_LIMITS = 40
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1730,6 +1809,9 @@
   const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *> *time_factors() const {
     return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *> *>(VT_TIME_FACTORS);
   }
+  const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedLimit *> *start_limits() const {
+    return GetPointer<const flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedLimit *> *>(VT_START_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1765,6 +1847,8 @@
            verifier.VerifyTable(quarantine()) &&
            VerifyOffset(verifier, VT_TIME_FACTORS) &&
            verifier.VerifyVector(time_factors()) &&
+           VerifyOffset(verifier, VT_START_LIMITS) &&
+           verifier.VerifyVector(start_limits()) &&
            verifier.EndTable();
   }
 };
@@ -1827,6 +1911,9 @@
   void add_time_factors(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *>> time_factors) {
     fbb_.AddOffset(News::VT_TIME_FACTORS, time_factors);
   }
+  void add_start_limits(flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedLimit *>> start_limits) {
+    fbb_.AddOffset(News::VT_START_LIMITS, start_limits);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1857,11 +1944,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>> upstream_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>> upstream_credit = 0,
     flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *>> time_factors = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedFactor *>> time_factors = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const sagesaddle::fleet_wire::NumberedLimit *>> start_limits = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_config_end(config_end);
   builder_.add_lease_end(lease_end);
   builder_.add_number(number);
+  builder_.add_start_limits(start_limits);
   builder_.add_time_factors(time_factors);
   builder_.add_quarantine(quarantine);
   builder_.add_upstream_credit(upstream_credit);
@@ -1904,7 +1993,8 @@
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>> *upstream_limits = nullptr,
     const std::vector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>> *upstream_credit = nullptr,
     flatbuffers::Offset<sagesaddle::fleet_wire::QuarantineNews> quarantine = 0,
-    const std::vector<sagesaddle::fleet_wire::NumberedFactor> *time_factors = nullptr) {
+    const std::vector<sagesaddle::fleet_wire::NumberedFactor> *time_factors = nullptr,
+    const std::vector<sagesaddle::fleet_wire::NumberedLimit> *start_limits = nullptr) {
   auto lease_holder__ = lease_holder ? _fbb.CreateString(lease_holder) : 0;
   auto listed__ = listed ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::Listed>>(*listed) : 0;
   auto credit__ = credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*credit) : 0;
@@ -1914,6 +2004,7 @@
   auto upstream_limits__ = upstream_limits ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::UpstreamLimit>>(*upstream_limits) : 0;
   auto upstream_credit__ = upstream_credit ? _fbb.CreateVector<flatbuffers::Offset<sagesaddle::fleet_wire::CreditGrant>>(*upstream_credit) : 0;
   auto time_factors__ = time_factors ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::NumberedFactor>(*time_factors) : 0;
+  auto start_limits__ = start_limits ? _fbb.CreateVectorOfStructs<sagesaddle::fleet_wire::NumberedLimit>(*start_limits) : 0;
   return sagesaddle::fleet_wire::CreateNews(
       _fbb,
       number,
@@ -1933,7 +2024,8 @@
       upstream_limits__,
       upstream_credit__,
       quarantine,
-      time_factors__);
+      time_factors__,
+      start_limits__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -91,7 +91,8 @@
     const auto times
         = vectorOf<fleet_wire::UpstreamTimes>(builder, value.times, [&](const upstream_times& item) {
               return fleet_wire::CreateUpstreamTimes(builder, builder.CreateString(item.upstream),
-                  item.sums.observedMilliseconds, item.sums.forecastMilliseconds);
+                  item.sums.observedMilliseconds, item.sums.forecastMilliseconds, item.start.isBeginning,
+                  item.start.outcomes.onTime, item.start.outcomes.late, item.start.outcomes.failed);
           });
     return fleet_wire::CreateReport(builder, builder.CreateString(value.gateway), value.number,
         value.isStoreUnreachable, value.wantsFullUpdate, credit, work, demand, value.isOnlyCredit,
@@ -174,12 +175,17 @@
     for (const auto& item : value.timeFactors)
         encodedFactors.emplace_back(item.number, item.factor);
     const auto factors = builder.CreateVectorOfStructs(encodedFactors);
+    std::vector<fleet_wire::NumberedLimit> encodedLimits;
+    encodedLimits.reserve(value.startLimits.size());
+    for (const auto& item : value.startLimits)
+        encodedLimits.emplace_back(item.number, item.limit);
+    const auto startLimits = builder.CreateVectorOfStructs(encodedLimits);
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
         credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
-        quarantine, factors)
+        quarantine, factors, startLimits)
         .Union();
 }
 
@@ -270,7 +276,8 @@
     value.quarantine = decodeQuarantineReport(table);
     if (table.upstream_times() != nullptr) {
         for (const auto* item : *table.upstream_times())
-            value.times.push_back({ item->upstream()->str(), { item->observed(), item->forecast() } });
+            value.times.push_back({ item->upstream()->str(), { item->observed(), item->forecast() },
+                { item->starts(), { item->on_time(), item->late(), item->failed() } } });
     }
     return value;
 }
@@ -331,6 +338,10 @@
         for (const auto* item : *table.time_factors())
             value.timeFactors.push_back({ item->number(), item->factor() });
     }
+    if (table.start_limits() != nullptr) {
+        for (const auto* item : *table.start_limits())
+            value.startLimits.push_back({ item->number(), item->limit() });
+    }
     return value;
 }
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Fleet/loaded_models_history.h"
-#include "Fleet/pace_sums.h"
+#include "Fleet/pace_table.h"
 #include "Fleet/upstream_limit.h"
 #include "Quarantine/quarantine_messages.h"
 
@@ -63,10 +63,11 @@
     auto operator<=>(const peer_work&) const = default;
 };
 
-/// \brief Times of an upstream's work since a gateway's last report.
+/// \brief Times of an upstream's work since a gateway's last report, and outcomes in its slow start.
 struct upstream_times {
     std::string upstream;
     pace_sums sums;
+    start_report start;
 
     auto operator<=>(const upstream_times&) const = default;
 };
@@ -80,6 +81,16 @@
     auto operator<=>(const numbered_factor&) const = default;
 };
 
+/// \brief The concurrency limit of an upstream in slow start.
+struct numbered_limit {
+    /// listed_upstream::number of the upstream.
+    std::uint16_t number { 0 };
+    /// 0 after the end of the slow start.
+    std::uint16_t limit { 0 };
+
+    auto operator<=>(const numbered_limit&) const = default;
+};
+
 /// \brief Requests for a model or adapter since the last report.
 struct demand_count {
     std::string service;
@@ -200,6 +211,8 @@
     std::optional<quarantine_update> quarantine;
     /// Upstreams whose speed changed since the last update.
     std::vector<numbered_factor> timeFactors;
+    /// Slow starts whose limit changed since the last update.
+    std::vector<numbered_limit> startLimits;
 
     auto operator<=>(const fleet_update&) const = default;
 };
--- a/Tests/Relay/relay_speed_tests.cpp
+++ b/Tests/Relay/relay_speed_tests.cpp
@@ -1,6 +1,7 @@
 #include "Loop/timer.h"
 #include "Relay/relay_fixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace sagesaddle;
@@ -81,3 +82,62 @@
     CHECK(fixture.slow.requests.size() == 5);
     CHECK(fixture.tested.takeSpeedSamples().empty());
 }
+
+TEST_CASE("relay: an upstream that is listed later starts slowly, and takes what no other upstream can")
+{
+    unequal_upstreams fixture(true);
+    fixture.quick.onRequest = {};
+    auto& added = fixture.addUpstream("u0", { { "m1", {} } });
+    fixture.tested.onCoordinatorHeard();
+    fixture.tested.onSpeedTold("u0", 0.25);
+    fixture.tested.onGatewayCount(1);
+    const auto callAtOnce = [&](std::size_t calls) {
+        const std::size_t before
+            = added.requests.size() + fixture.quick.requests.size() + fixture.slow.requests.size();
+        for (std::size_t call = 0; call < calls; ++call)
+            fixture.addCaller().request("POST", "/stream/a", "Model: m1\r\nToken-Counts: 100,100\r\n");
+        REQUIRE(loopUntil(fixture.loop, [&] {
+            return added.requests.size() + fixture.quick.requests.size() + fixture.slow.requests.size()
+                == before + calls;
+        }));
+    };
+    callAtOnce(8);
+    CHECK(added.requests.size() == 2);
+    // Answers on time let it have more.
+    for (const auto& asked : added.requests)
+        asked.stream->write(scripted_upstream::streamHead(asked) + scripted_upstream::event(1, "one"));
+    loopFor(fixture.loop, milliseconds(50));
+    callAtOnce(8);
+    CHECK(added.requests.size() == 4);
+    CHECK(fixture.metrics.serialize().find("sagesaddle_upstream_start_limit{upstream=\"u0\"} 4")
+        != std::string::npos);
+    // Without another upstream the limit yields.
+    fixture.upstreams[0].models = fixture.upstreams[1].models = {};
+    fixture.publishUpstreams();
+    callAtOnce(4);
+    CHECK(added.requests.size() == 8);
+    fixture.tested.onStartLimitTold("u0", 0);
+    CHECK(fixture.metrics.serialize().find("sagesaddle_upstream_start_limit{upstream=\"u0\"} 0")
+        != std::string::npos);
+}
+
+TEST_CASE("relay: an upstream that fails several times in a row starts slowly, and this is reported")
+{
+    unequal_upstreams fixture(true);
+    fixture.slow.onRequest = {};
+    fixture.tested.onCoordinatorHeard();
+    fixture.tested.onSpeedTold("u1", 0.25);
+    const auto& state = fixture.tested.upstreams().at("u1");
+    fixture.quick.onRequest = {};
+    for (int call = 0; call < 12; ++call)
+        fixture.addCaller().request("POST", "/stream/a", "Model: m1\r\nToken-Counts: 100,100\r\n");
+    REQUIRE(loopUntil(fixture.loop, [&] { return fixture.slow.requests.size() >= 3; }));
+    CHECK_FALSE(state->pace.startLimit(monotonicNow()).has_value());
+    fixture.slow.cutAll();
+    REQUIRE(loopUntil(fixture.loop, [&] { return state->failures >= 3; }));
+    const auto samples = fixture.tested.takeSpeedSamples();
+    const bool isReported = std::any_of(samples.begin(), samples.end(),
+        [](const auto& item) { return std::get<0>(item) == "u1" && std::get<2>(item).isBeginning; });
+    CHECK(isReported);
+    CHECK(state->pace.startLimit(monotonicNow()).has_value());
+}
--- a/Tests/Route/upstream_choice_tests.cpp
+++ b/Tests/Route/upstream_choice_tests.cpp
@@ -100,6 +100,14 @@
     CHECK(forecastFirstEvent(slow, demand) == doctest::Approx(3400 * 0.05 * 1.6));
 }
 
+TEST_CASE("upstream choice: an upstream that is held back gets a request only where all others are late")
+{
+    auto starting = candidateWith(0, 0);
+    starting.isHeldBack = true;
+    CHECK(chosenIndex({ starting, candidateWith(20, 8000) }) == 1);
+    CHECK(chosenIndex({ starting, candidateWith(20, 40000) }) == 0);
+}
+
 TEST_CASE("upstream choice: delay counts where it makes running streams late, by their number and the prompt")
 {
     request_demand asked = demand;
--- a/Tests/Route/upstream_pace_tests.cpp
+++ b/Tests/Route/upstream_pace_tests.cpp
@@ -101,3 +101,41 @@
     pace.onTold(std::numeric_limits<double>::quiet_NaN());
     CHECK(pace.factor(true, at(0)) == maxPaceFactor);
 }
+
+TEST_CASE("pace table: a start that several gateways report is one slow start, and its end is told")
+{
+    pace_table table;
+    table.onStart("u1", "desk", 8, { true, {} }, at(0));
+    table.onStart("u1", "desk", 8, { true, { 2, 0, 0 } }, at(200));
+    CHECK(table.limitChangesSince(0) == std::vector<upstream_start_limit> { { "u1", 4 } });
+    table.onStart("u1", "desk", 8, { false, { 4, 0, 0 } }, at(300));
+    CHECK(table.limitChangesSince(0) == std::vector<upstream_start_limit> { { "u1", 0 } });
+    // A gateway that read the list late means the same start; a later one is new.
+    table.onStart("u1", "desk", 8, { true, {} }, at(1000));
+    CHECK(table.limitChangesSince(0) == std::vector<upstream_start_limit> { { "u1", 0 } });
+    table.onStart("u1", "desk", 8, { true, {} }, at(5000));
+    CHECK(table.limitChangesSince(0) == std::vector<upstream_start_limit> { { "u1", 2 } });
+    table.onStart("u2", "desk", 8, { false, { 1, 0, 0 } }, at(5000));
+    CHECK(table.limitChangesSince(0).size() == 1);
+}
+
+TEST_CASE("upstream pace: the coordinator's limit of a slow start holds, and own outcomes without it")
+{
+    upstream_pace pace;
+    pace.onOutcome({ 1, 0, 0 }, 1, at(0));
+    CHECK(pace.takeStartReport() == start_report {});
+    pace.beginStart(32, at(0));
+    CHECK(pace.takeStartReport().isBeginning);
+    pace.onLimitTold(8, 32, at(0));
+    pace.onOutcome({ 0, 0, 5 }, 1, at(1000));
+    CHECK(pace.startLimit(at(1000)) == 8);
+    CHECK(pace.takeStartReport().outcomes.failed == 5);
+    pace.onCoordinatorLost();
+    pace.onOutcome({ 0, 0, 1 }, 1, at(1000));
+    CHECK(pace.startLimit(at(1000)) == 4);
+    // One of 30 gateways sees one of 30 answers.
+    pace.onOutcome({ 1, 0, 0 }, 30, at(1100));
+    CHECK(pace.startLimit(at(1100)) == 8);
+    pace.onLimitTold(0, 32, at(1200));
+    CHECK_FALSE(pace.startLimit(at(1200)).has_value());
+}
--- a/Tests/Wire/fleet_messages_tests.cpp
+++ b/Tests/Wire/fleet_messages_tests.cpp
@@ -22,7 +22,7 @@
         { { "u2", std::nullopt }, milliseconds(0), true, 0, 0, 3 } };
     report.quarantine = { { { { "u1", 1234567890123 }, milliseconds(40), { 1, 0xffffffffffffffff } } },
         { { 5, 2, milliseconds(900) }, { 6, 0, milliseconds(1) } }, 17, { { 9, milliseconds(299000) } } };
-    report.times = { { "u1", { 250, 120.5 } } };
+    report.times = { { "u1", { 250, 120.5 }, { true, { 5, 2, 1 } } }, { "u2", { 1, 2 }, {} } };
     return report;
 }
 
@@ -46,6 +46,7 @@
         { "u3", { { "m1/a3" }, { "m1/a1", "m1/a2" }, true } } };
     update.quarantine = sampleQuarantine();
     update.timeFactors = { { 7, 1.5F }, { 9, 0.25F } };
+    update.startLimits = { { 7, 16 }, { 9, 0 } };
     return update;
 }
 
