Route: Keep the coordinator's limit of a slow start until it tells another

A told limit expired at a gateway 15 s after its last change, although the coordinator tells only changes. A gateway that learned of a slow start from the coordinator reported it as a beginning, which could start another one.

--- a/Source/Route/upstream_pace.cpp
+++ b/Source/Route/upstream_pace.cpp
@@ -70,17 +70,23 @@
 void upstream_pace::onLimitTold(int limit, int slots, monotonic_time now)
 {
     m_isLimitTold = limit > 0;
+    m_toldLimit = limit;
     if (limit <= 0) {
         m_start.reset();
         return;
     }
-    if (!startLimit(now))
+    // The coordinator knows of this slow start; told late, its beginning would look like another one.
+    m_startReport.isBeginning = false;
+    if (!m_start || !m_start->limit(now))
         m_start.emplace(slots, now);
     m_start->adopt(limit);
 }
 
 std::optional<int> upstream_pace::startLimit(monotonic_time now) const
 {
+    // The coordinator tells only changes, so its limit does not expire here.
+    if (m_isLimitTold)
+        return m_toldLimit;
     return m_start ? m_start->limit(now) : std::nullopt;
 }
 
--- a/Source/Route/upstream_pace.h
+++ b/Source/Route/upstream_pace.h
@@ -40,8 +40,6 @@
     void onCoordinatorLost() { m_isLimitTold = false; }
     /// \return requests that may be in flight from all gateways together; nothing without a slow start.
     std::optional<int> startLimit(monotonic_time now) const;
-    /// \return whether the limit is the coordinator's.
-    bool isLimitTold() const { return m_isLimitTold; }
     /// \return what to report on the slow start since the last call.
     start_report takeStartReport();
 
@@ -52,6 +50,7 @@
     pace_sums m_unreported;
     std::optional<slow_start> m_start;
     bool m_isLimitTold { false };
+    int m_toldLimit { 0 };
     start_report m_startReport;
 };
 
--- a/Tests/Route/upstream_pace_tests.cpp
+++ b/Tests/Route/upstream_pace_tests.cpp
@@ -130,6 +130,8 @@
     pace.onOutcome({ 0, 0, 5 }, 1, at(1000));
     CHECK(pace.startLimit(at(1000)) == 8);
     CHECK(pace.takeStartReport().outcomes.failed == 5);
+    // A limit that stays the same is not told again and must not expire.
+    CHECK(pace.startLimit(at(60000)) == 8);
     pace.onCoordinatorLost();
     pace.onOutcome({ 0, 0, 1 }, 1, at(1000));
     CHECK(pace.startLimit(at(1000)) == 4);
@@ -138,4 +140,8 @@
     CHECK(pace.startLimit(at(1100)) == 8);
     pace.onLimitTold(0, 32, at(1200));
     CHECK_FALSE(pace.startLimit(at(1200)).has_value());
+    // What the coordinator told must not come back to it as the beginning of another slow start.
+    pace.beginStart(32, at(1300));
+    pace.onLimitTold(2, 32, at(1300));
+    CHECK_FALSE(pace.takeStartReport().isBeginning);
 }
