--- a/Source/Wire/fleet_messages.cpp
+++ b/Source/Wire/fleet_messages.cpp
@@ -98,7 +98,8 @@
     const auto times
         = vectorOf<fleet_wire::UpstreamTimes>(builder, value.times, [&](const upstream_times& item) {
               return fleet_wire::CreateUpstreamTimes(builder, builder.CreateString(item.upstream),
-                  item.sums.observedMilliseconds, item.sums.forecastMilliseconds);
+                  item.sums.observedMilliseconds, item.sums.forecastMilliseconds, item.start.isBeginning,
+                  item.start.outcomes.onTime, item.start.outcomes.late, item.start.outcomes.failed);
           });
     return fleet_wire::CreateReport(builder, builder.CreateString(value.gateway), value.number,
         value.isStoreUnreachable, value.wantsFullUpdate, credit, work, demand, value.isOnlyCredit,
@@ -183,12 +184,17 @@
         encodedFactors.emplace_back(item.number, item.factor);
     const auto factors = builder.CreateVectorOfStructs(encodedFactors);
     const auto evacuations = value.evacuations ? encodeEvacuations(builder, *value.evacuations) : 0;
+    std::vector<fleet_wire::NumberedLimit> encodedLimits;
+    encodedLimits.reserve(value.startLimits.size());
+    for (const auto& item : value.startLimits)
+        encodedLimits.emplace_back(item.number, item.limit);
+    const auto startLimits = builder.CreateVectorOfStructs(encodedLimits);
     return fleet_wire::CreateNews(builder, value.number, value.leaseEnd,
         builder.CreateString(value.leaseHolder), value.confirmation.has_value(),
         value.confirmation ? value.confirmation->ageMs : 0,
         value.confirmation ? value.confirmation->configEnd : 0, value.isFullList, listed, value.gatewayCount,
         credit, work, holdings, builder.CreateString(value.successor), value.isInterim, limits, sendCredit,
-        quarantine, factors, evacuations)
+        quarantine, factors, evacuations, startLimits)
         .Union();
 }
 
@@ -293,7 +299,8 @@
     value.quarantine = decodeQuarantineReport(table);
     if (table.upstream_times() != nullptr) {
         for (const auto* item : *table.upstream_times())
-            value.times.push_back({ item->upstream()->str(), { item->observed(), item->forecast() } });
+            value.times.push_back({ item->upstream()->str(), { item->observed(), item->forecast() },
+                { item->starts(), { item->on_time(), item->late(), item->failed() } } });
     }
     return value;
 }
@@ -363,6 +370,10 @@
     }
     if (table.evacuations() != nullptr)
         value.evacuations = decodeEvacuations(*table.evacuations());
+    if (table.start_limits() != nullptr) {
+        for (const auto* item : *table.start_limits())
+            value.startLimits.push_back({ item->number(), item->limit() });
+    }
     return value;
 }
 
