Fleet: Let a coordinator go on while the store answers nobody

A coordinator's term ends 1,450 ms after its last renewal, but it counted the store as unreachable only 1,500 ms after the last answer of any call. Gateways that rely on its confirmations do not call the store at all and reported it as reachable. So the rule that a coordinator may outlive its lease never applied.

A lease holder now notices the silence before its term ends: a call for the lease timed out (600 ms), and no other call was answered since it was sent. A slow store or an idle long poll answers some call meanwhile. Gateways report the store as silent where no call was answered for 1,500 ms, also where they sent none. A gateway that hears a coordinator leaves the lease alone.

Related: a holder whose renewal was not answered took its own answers for those of another holder and did not read the lease again until its term was over. It now reads and renews it within the term.

--- a/Source/Fleet/coordinator_lease.cpp
+++ b/Source/Fleet/coordinator_lease.cpp
@@ -103,7 +103,8 @@
     if (m_knowsRecord && record.end < m_record.end)
         return;
     adopt(record, now);
-    if (m_record.holder.empty())
+    // An own term that was renewed without an answer is renewed again before it ends.
+    if (m_record.holder.empty() || (m_term && m_record.holder == m_self))
         m_nextActionAt = now;
 }
 
--- a/Source/Gateway/coordinator.cpp
+++ b/Source/Gateway/coordinator.cpp
@@ -273,6 +273,12 @@
     });
 }
 
+store_silence coordinator::storeSilence(bool isOwnStoreSilent, monotonic_time now) const
+{
+    return { isOwnStoreSilent, !m_gateways.empty() && recentGatewayCount(now) == m_gateways.size(),
+        isStoreUnreachableFromAll(now), timing().maxReportAge };
+}
+
 double coordinator::grantableShare(monotonic_time now) const
 {
     const double recent = recentGatewayCount(now);
--- a/Source/Gateway/coordinator.h
+++ b/Source/Gateway/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/fleet_config.h"
 #include "Fleet/fleet_timing.h"
+#include "Fleet/lease_outlasting.h"
 #include "Fleet/loaded_models_history.h"
 #include "Fleet/upstream_list.h"
 #include "Limit/token_buckets.h"
@@ -61,6 +62,9 @@
     /// \return whether every gateway that reported within the last 20 s still reports and cannot reach the
     /// store. No gateway can take the lease then, so credit may be granted after the lease has expired.
     bool isStoreUnreachableFromAll(monotonic_time now) const;
+    /// \return what the gateways' reports show about the store.
+    /// \param isOwnStoreSilent whether the store answers none of this process's calls
+    store_silence storeSilence(bool isOwnStoreSilent, monotonic_time now) const;
 
     /// Applies the list of upstreams. During a term, each listed engine then has exactly one model tracker.
     /// \param list the platform's list as known to this gateway
--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -271,7 +271,7 @@
     fleet_report value;
     value.gateway = m_name;
     value.number = ++m_lastReportNumber;
-    value.isStoreUnreachable = m_hooks.isStoreUnreachable();
+    value.isStoreUnreachable = m_hooks.isStoreSilent();
     value.wantsFullUpdate = m_wantsFullUpdate;
     value.isOnlyCredit = isOnlyCredit;
     if (!isOnlyCredit)
@@ -395,6 +395,7 @@
         setFallbackActive(false, bootTimeNow());
     } else {
         m_lastNewsAt = monotonicNow();
+        m_isOwnNews = askedAt == monotonic_time {};
         m_disconnectedAt.reset();
         setCoordinatorLost(false);
         m_gatewayCount = std::max(update.gatewayCount, 1U);
--- a/Source/Gateway/coordinator_client.h
+++ b/Source/Gateway/coordinator_client.h
@@ -23,7 +23,7 @@
         /// Answers a report in this process, where this gateway coordinates; returns nothing where it does
         /// not.
         std::function<std::optional<fleet_update>(const fleet_report&)> answerLocally;
-        std::function<bool()> isStoreUnreachable;
+        std::function<bool()> isStoreSilent;
         /// The coordinator read the configuration up to that offset, in a read sent at that time.
         std::function<void(std::uint64_t configEnd, monotonic_time confirmedAt)> onConfigConfirmation;
         /// The coordinator sent changes of the list of upstreams, or the whole list.
@@ -56,8 +56,8 @@
     bool isInterimDue() const;
     /// \return the number of gateways that share the limits, as last told by a coordinator.
     unsigned gatewayCount() const { return m_gatewayCount; }
-    /// \return whether a coordinator answered recently.
-    bool hasLiveCoordinator() const { return !m_isCoordinatorLost; }
+    /// \return whether another gateway answered recently as coordinator.
+    bool hasLiveCoordinator() const { return !m_isCoordinatorLost && !m_isOwnNews; }
     /// \return whether another gateway coordinates and recently confirmed the configuration.
     bool hasRecentConfirmation() const;
 
@@ -147,6 +147,8 @@
     std::uint64_t m_connectionCount { 0 };
     unsigned m_gatewayCount { 1 };
     monotonic_time m_lastNewsAt {};
+    /// This gateway itself answered its last report as coordinator.
+    bool m_isOwnNews { false };
     monotonic_time m_connectedAt {};
     monotonic_time m_remoteConfirmedAt {};
     /// The successor's name in the lease.
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -93,7 +93,7 @@
     , m_client(loop, m_settings.name, isFitToCoordinate(m_settings) ? m_member : std::string(), m_relay,
           m_lines,
           { [this](const fleet_report& report) { return answerReport(report); },
-              [this] { return m_storeFollower.isStoreUnreachable(); },
+              [this] { return m_storeFollower.isStoreSilent(); },
               [this](std::uint64_t configEnd, monotonic_time confirmedAt) {
                   m_storeFollower.onRemoteConfirmation(configEnd, confirmedAt);
               },
@@ -149,10 +149,14 @@
 {
     const bool holdsLease = m_storeFollower.lease().holds(bootTimeNow());
     const monotonic_time now = monotonicNow();
-    // The store is unreachable from all gateways: the lease can be neither renewed nor acquired by another
-    // one.
-    const bool mayOutliveLease = m_isCoordinating && !m_isInterim && !m_relay.isDraining()
-        && m_coordinator.isStoreUnreachableFromAll(now);
+    if (holdsLease)
+        m_outlasting.onLeaseHeld(bootTimeNow());
+    // The store answers no gateway, so nobody can renew or acquire the lease. The fence is 0 once this
+    // process learned of another holder, or that the store returned from an older copy.
+    const bool mayOutliveLease = !holdsLease && m_isCoordinating && !m_isInterim && !m_relay.isDraining()
+        && m_storeFollower.lease().fence() != 0
+        && m_outlasting.mayGoOn(
+            m_coordinator.storeSilence(m_storeFollower.isStoreSilent(), now), bootTimeNow());
     m_isInterim = !holdsLease && !mayOutliveLease && !m_relay.isDraining() && m_client.isInterimDue();
     const bool isCoordinating = holdsLease || mayOutliveLease || m_isInterim;
     if (isCoordinating && !m_isCoordinating) {
--- a/Source/Gateway/gateway.h
+++ b/Source/Gateway/gateway.h
@@ -48,6 +48,7 @@
     /// Coordinates without the lease: this gateway is the successor of a coordinator that fell silent.
     bool m_isInterim { false };
     bool m_heldLease { false };
+    lease_outlasting m_outlasting;
     relay m_relay;
     store_follower m_storeFollower;
     engine_order_sender m_orderSender;
--- a/Source/Gateway/store_follower.cpp
+++ b/Source/Gateway/store_follower.cpp
@@ -84,6 +84,7 @@
 {
     const monotonic_time now = monotonicNow();
     m_lastAnswerAt = now;
+    m_isLeaseCallUnanswered = false;
     if (!m_isStoreUnreachable)
         return;
     m_isStoreUnreachable = false;
@@ -135,6 +136,19 @@
         { { "call", call }, { "seconds", secondsBetween(m_lastAnswerAt, now) } }, now);
 }
 
+void store_follower::onLeaseCallFailed(std::string_view call, monotonic_time sentAt)
+{
+    // A slow store answers other calls meanwhile.
+    m_isLeaseCallUnanswered = m_isLeaseCallUnanswered || m_lastAnswerAt < sentAt;
+    onCallFailed(call);
+}
+
+bool store_follower::isStoreSilent() const
+{
+    return m_isStoreUnreachable || m_isLeaseCallUnanswered
+        || monotonicNow() - m_lastAnswerAt >= unreachableAfter;
+}
+
 milliseconds store_follower::delayAfterFailure() const
 {
     if (m_lease.holds(bootTimeNow()))
@@ -392,14 +406,14 @@
 void store_follower::readLease()
 {
     m_store.call(platform::formatLeaseReadCall(m_store.peer()), leaseCallTimeout,
-        [this, era = m_storeEra](const std::optional<http_answer>& answer) {
+        [this, sentAt = monotonicNow(), era = m_storeEra](const std::optional<http_answer>& answer) {
             const monotonic_time now = bootTimeNow();
             if (answer && !checkEra(*answer, era)) {
                 m_lease.onReadFailed(now);
                 return;
             }
             if (!answer || answer->status != statusOk) {
-                onCallFailed("lease read");
+                onLeaseCallFailed("lease read", sentAt);
                 m_lease.onReadFailed(now);
                 return;
             }
@@ -427,7 +441,9 @@
     const monotonic_time sentAt = bootTimeNow();
     m_store.call(platform::formatLeaseAppendCall(m_store.peer(), what.isRelease ? std::string() : m_member,
                      m_hooks.gatewayCount(), what.at, what.isHandoverComplete),
-        leaseCallTimeout, [this, sentAt, era = m_storeEra](const std::optional<http_answer>& answer) {
+        leaseCallTimeout,
+        [this, sentAt, callSentAt = monotonicNow(), era = m_storeEra](
+            const std::optional<http_answer>& answer) {
             const monotonic_time now = bootTimeNow();
             const bool held = m_lease.holds(now);
             const std::uint64_t heldFence = m_lease.fence();
@@ -435,7 +451,7 @@
             if (!isUsable)
                 m_lease.onAppendUnanswered(now);
             else if (!answer || (answer->status != statusOk && answer->status != statusPreconditionFailed)) {
-                onCallFailed("lease append");
+                onLeaseCallFailed("lease append", callSentAt);
                 m_lease.onAppendUnanswered(now);
             } else if (answer->status == statusPreconditionFailed) {
                 onCallAnswered();
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -65,7 +65,11 @@
     std::optional<std::pair<std::uint64_t, monotonic_time>> configConfirmation() const;
     const upstream_list& upstreams() const { return m_upstreams; }
     const coordinator_lease& lease() const { return m_lease; }
-    bool isStoreUnreachable() const { return m_isStoreUnreachable; }
+    /// \return whether nothing shows that the store answers this process: it counts as unreachable, a call
+    /// for the lease had no answer and no other call was answered since it was sent, or no call was answered
+    /// for the time after which the store counts as unreachable, which is so while another gateway reads it
+    /// for this one.
+    bool isStoreSilent() const;
 
 private:
     /// State of reading one table: first the newest record of each key, in pages, then the records that
@@ -105,6 +109,8 @@
     void rereadTable(table_reader& reader, const http_answer& unused);
     /// \param call name of the call in the log
     void onCallFailed(std::string_view call);
+    /// \param sentAt when the call for the lease was sent
+    void onLeaseCallFailed(std::string_view call, monotonic_time sentAt);
     /// Does what the lease needs next: reads it, acquires it, renews it or gives it up.
     void advanceLease();
     void readLease();
@@ -137,6 +143,8 @@
     bool m_knowsStoreEra { false };
     monotonic_time m_lastAnswerAt {};
     bool m_isStoreUnreachable { false };
+    /// A call for the lease had no answer, and no other call was answered since it was sent.
+    bool m_isLeaseCallUnanswered { false };
     bool m_hasListing { false };
 };
 
--- a/Tests/Gateway/platform_fixture.cpp
+++ b/Tests/Gateway/platform_fixture.cpp
@@ -50,7 +50,7 @@
             + "\"\npeers = \"" + formatAddress(added.peers) + "\"\n[store]\naddress = \""
             + formatAddress(added.storeProxy.where())
             + "\"\n[bounds]\ngrace_s = " + std::to_string(static_cast<double>(grace.count()) / 1000)
-            + "\nrevoke_ms = " + std::to_string(revocationBound.count())
+            + "\nrevoke_ms = " + std::to_string(revocation.count())
             + "\nlease_ms = " + std::to_string(handoverPause.count()) + "\n");
     start(added);
     return added;
--- a/Tests/Gateway/platform_fixture.h
+++ b/Tests/Gateway/platform_fixture.h
@@ -80,6 +80,8 @@
     int streamEvents { 5 };
     /// Set before gateways and engines are added.
     milliseconds handoverPause { 1000 };
+    /// Time for which API keys are valid without a confirmation, over 0.86. Set before gateways are added.
+    milliseconds revocation { revocationBound };
 
 private:
     testing::temp_folder m_folder;
