Limit: Let requests wait for a coordinator that is due

While nobody coordinated, requests beyond the fallback allowance were refused as limit_unknown at once, or after 0.4 of their objective: 1,408 after a restart of all gateways whose coordinator was back within 0.36 s.

Limit/credit_wait decides whether a request waits: a coordinator is due 0.6 s after a start, 0.3 s after the timeout of one that named a successor, and 2.7 s after the last answer otherwise. A request that cannot be served after that is refused at once, with the time until a coordinator is due. At most 512 requests wait at a gateway. The metric sagesaddle_coordinator_waits counts them by the end of their wait.

--- a/Source/Gateway/coordinator_client.cpp
+++ b/Source/Gateway/coordinator_client.cpp
@@ -3,7 +3,7 @@
 #include "Gateway/member_name.h"
 
 #include <algorithm>
-#include <set>
+#include <numeric>
 
 namespace sagesaddle {
 
@@ -13,9 +13,6 @@
 constexpr milliseconds urgentReportDelay { 2 };
 // Lifetime of granted credit. A process that was suspended for longer spends none of it.
 constexpr milliseconds grantLife { 1000 };
-// Part of its latency objective for which a request waits for credit before it is refused because its limit
-// is unknown.
-constexpr double creditWaitFraction = 0.4;
 // Time between checks of the requests that wait for credit.
 constexpr milliseconds creditCheckInterval { 50 };
 // Time between attempts to reach the successor, which declines until it misses the coordinator itself.
@@ -23,8 +20,6 @@
 // Time from a broken connection until the coordinator counts as failed. A restarted one is back within it,
 // or not soon.
 constexpr milliseconds reconnectGrace { 100 };
-// Retry-After of requests whose limit is unknown, since no coordinator answers.
-constexpr milliseconds limitUnknownRetryAfter { 600 };
 
 std::vector<loaded_model> parseLoadedModels(const std::vector<std::string>& modelRefs)
 {
@@ -42,12 +37,12 @@
 } // namespace
 
 coordinator_client::coordinator_client(event_loop& loop, std::string name, std::string member, relay& relayed,
-    decision_logger& lines, hooks value)
+    const relay_telemetry& telemetry, hooks value)
     : m_loop(loop)
     , m_name(std::move(name))
     , m_member(std::move(member))
     , m_relay(relayed)
-    , m_lines(lines)
+    , m_telemetry(telemetry)
     , m_hooks(std::move(value))
     , m_creditCache(grantLife, fallbackRateFraction)
     , m_reportTimer(loop, [this] { sendReport(); })
@@ -190,7 +185,8 @@
         return;
     m_isCoordinatorLost = isLost;
     setFallbackActive(isLost && !hasLiveInterimCoordinator(monotonicNow()), bootTimeNow());
-    m_lines.write(log_level::Warning, isLost ? "coordinator_away" : "coordinator_heard", {}, monotonicNow());
+    m_telemetry.lines.write(
+        log_level::Warning, isLost ? "coordinator_away" : "coordinator_heard", {}, monotonicNow());
     if (isLost)
         m_relay.onCoordinatorLost();
 }
@@ -202,15 +198,31 @@
         request->onCreditDecision(credit_outcome::Granted, {});
         return;
     }
-    if (!mayRequestCredit(monotonicNow())) {
-        // Nobody would answer, so the request does not wait: its limit is unknown.
-        request->onCreditDecision(credit_outcome::Unknown, limitUnknownRetryAfter);
+    const auto decision = decideCreditWait(
+        coordinationState(), { request->route().objective, request->timeLeft(), {}, waitingRequestCount() });
+    if (const auto* refusal = std::get_if<refuse_uncredited>(&decision)) {
+        request->onCreditDecision(credit_outcome::Unknown, refusal->retryAfter);
         return;
     }
-    waiting.push_back({ request, monotonicNow(), false });
+    waiting.push_back({ request, monotonicNow() });
     scheduleReport();
 }
 
+coordination_state coordinator_client::coordinationState() const
+{
+    const monotonic_time answeredAt = std::max(m_lastNewsAt, m_lastInterimNewsAt);
+    const bool hasAnswered = answeredAt != monotonic_time {};
+    const auto silentFor = monotonicNow() - (hasAnswered ? answeredAt : m_startedAt);
+    return { std::chrono::duration_cast<milliseconds>(silentFor), hasAnswered, !m_successor.empty(),
+        m_hooks.isStoreUnreachable(), m_gatewayCount };
+}
+
+std::size_t coordinator_client::waitingRequestCount() const
+{
+    return std::accumulate(m_waiting.begin(), m_waiting.end(), std::size_t { 0 },
+        [](std::size_t sum, const auto& item) { return sum + item.second.size(); });
+}
+
 void coordinator_client::refund(const std::string& team, double tokens)
 {
     m_creditCache.refund(team, tokens, bootTimeNow());
@@ -311,7 +323,7 @@
     const fleet_timing times = timing();
     const bool isOnlyCredit = !m_wantsFullUpdate && now - m_fullReportAt < times.minReportInterval;
     if (isOnlyCredit && !hasUrgentRequest()) {
-        rejectOverdueRequests();
+        updateWaitingRequests();
         return;
     }
     if (!isOnlyCredit)
@@ -344,7 +356,7 @@
     }
     updateCoordinatorConnection(now);
     setFallbackActive(m_isCoordinatorLost && !hasLiveInterimCoordinator(now), sentAt);
-    rejectOverdueRequests();
+    updateWaitingRequests();
 }
 
 void coordinator_client::updateCoordinatorConnection(monotonic_time now)
@@ -366,24 +378,57 @@
         setCoordinatorLost(true);
 }
 
-void coordinator_client::rejectOverdueRequests()
+void coordinator_client::updateWaitingRequests()
 {
     const monotonic_time now = monotonicNow();
+    const coordination_state state = coordinationState();
+    std::vector<wait_end> ends;
     for (auto& [team, waiting] : m_waiting) {
-        while (!waiting.empty()) {
-            const waiting_request oldest = waiting.front();
-            if (!oldest.request->isOver()) {
-                const auto maxWait
-                    = std::chrono::duration<double, std::milli>(oldest.request->route().objective)
-                    * creditWaitFraction;
-                if (now - oldest.waitingSince < maxWait)
-                    break;
-                oldest.request->onCreditDecision(credit_outcome::Unknown, limitUnknownRetryAfter);
+        const auto credited = takeCredited(team, waiting);
+        ends.insert(ends.end(), credited.begin(), credited.end());
+        std::erase_if(waiting, [&](waiting_request& item) {
+            const auto waitedFor = std::chrono::duration_cast<milliseconds>(now - item.waitingSince);
+            const auto decision = decideCreditWait(
+                state, { item.request->route().objective, item.request->timeLeft(), waitedFor, 0 });
+            if (const auto* wait = std::get_if<wait_for_credit>(&decision)) {
+                item.hasMissedCoordinator = item.hasMissedCoordinator || wait->dueIn > milliseconds(0);
+                return false;
             }
-            // The call above may have added or removed waiting requests.
-            if (!waiting.empty() && waiting.front().request == oldest.request)
-                waiting.pop_front();
-        }
+            ends.push_back(
+                { item, credit_outcome::Unknown, std::get<refuse_uncredited>(decision).retryAfter });
+            return true;
+        });
+    }
+    endWaits(ends);
+}
+
+std::vector<coordinator_client::wait_end> coordinator_client::takeCredited(
+    const std::string& team, std::list<waiting_request>& waiting)
+{
+    std::vector<wait_end> credited;
+    std::erase_if(waiting, [](const waiting_request& item) { return item.request->isOver(); });
+    const monotonic_time now = bootTimeNow();
+    while (!waiting.empty() && m_creditCache.trySpend(team, waiting.front().request->tokens(), now)) {
+        credited.push_back({ waiting.front(), credit_outcome::Granted, {} });
+        waiting.pop_front();
+    }
+    return credited;
+}
+
+void coordinator_client::endWaits(const std::vector<wait_end>& ends)
+{
+    for (const auto& end : ends) {
+        if (end.wait.hasMissedCoordinator)
+            m_telemetry.metrics.add("sagesaddle_coordinator_waits",
+                "Requests that waited for a coordinator, by the end of the wait",
+                { { "outcome",
+                    end.outcome == credit_outcome::Granted         ? "granted"
+                        : end.outcome == credit_outcome::OverLimit ? "over_limit"
+                                                                   : "limit_unknown" } });
+        // An earlier decision may have ended this request.
+        if (end.outcome == credit_outcome::Granted && end.wait.request->isOver())
+            refund(end.wait.request->team(), end.wait.request->tokens());
+        end.wait.request->onCreditDecision(end.outcome, end.retryAfter);
     }
 }
 
@@ -523,14 +568,7 @@
 void coordinator_client::serveWaitingRequests(const std::string& team, std::optional<milliseconds> retryAfter)
 {
     auto& waiting = m_waiting[team];
-    const monotonic_time now = bootTimeNow();
-    while (!waiting.empty()) {
-        const relay_exchange_ptr request = waiting.front().request;
-        if (!request->isOver() && !m_creditCache.trySpend(team, request->tokens(), now))
-            break;
-        waiting.pop_front();
-        request->onCreditDecision(credit_outcome::Granted, {});
-    }
+    endWaits(takeCredited(team, waiting));
     if (waiting.empty())
         return;
     if (!retryAfter) {
@@ -538,8 +576,10 @@
         scheduleReport();
         return;
     }
+    std::vector<wait_end> ends;
     for (const auto& item : std::exchange(waiting, {}))
-        item.request->onCreditDecision(credit_outcome::OverLimit, retryAfter);
+        ends.push_back({ item, credit_outcome::OverLimit, retryAfter });
+    endWaits(ends);
 }
 
 } // namespace sagesaddle
--- a/Source/Gateway/coordinator_client.h
+++ b/Source/Gateway/coordinator_client.h
@@ -5,6 +5,7 @@
 #include "Gateway/coordinator.h"
 #include "Gateway/fleet_connections.h"
 #include "Limit/credit_cache.h"
+#include "Limit/credit_wait.h"
 #include "Loop/timer.h"
 #include "Relay/relay.h"
 
@@ -24,6 +25,7 @@
         /// not.
         std::function<std::optional<fleet_update>(const fleet_report&)> answerLocally;
         std::function<bool()> isStoreSilent;
+        std::function<bool()> isStoreUnreachable;
         /// The coordinator read the configuration up to that offset, in a read sent at that time.
         std::function<void(std::uint64_t configEnd, monotonic_time confirmedAt)> onConfigConfirmation;
         /// The coordinator sent changes of the list of upstreams, or the whole list.
@@ -40,7 +42,7 @@
     /// \param name the gateway's name in reports
     /// \param member the gateway's name in the lease; empty where its host is not fit to coordinate
     coordinator_client(event_loop& loop, std::string name, std::string member, relay& relayed,
-        decision_logger& lines, hooks value);
+        const relay_telemetry& telemetry, hooks value);
 
     void start();
     void onConfig(const fleet_config& config);
@@ -83,8 +85,10 @@
     void addCreditRequests(fleet_report& value);
     /// \return whether a request waits for credit that was not requested yet, or for a model or adapter.
     bool hasUrgentRequest() const;
-    /// Ends the wait of requests that waited too long for credit: their limit is unknown.
-    void rejectOverdueRequests();
+    /// Serves waiting requests from the fallback allowance, and refuses those that can wait no longer.
+    void updateWaitingRequests();
+    coordination_state coordinationState() const;
+    std::size_t waitingRequestCount() const;
     /// Forgets the reports without an answer, which may be lost; credit is requested again.
     void resetUnansweredRequests();
     /// \return the time to the next report, unless something urgent comes first.
@@ -123,13 +127,25 @@
         monotonic_time waitingSince {};
         /// Its credit was requested in a report without an answer yet.
         bool isRequested { false };
+        /// It waited for a coordinator, not only for an answer.
+        bool hasMissedCoordinator { false };
     };
 
+    struct wait_end {
+        waiting_request wait;
+        credit_outcome outcome { credit_outcome::Granted };
+        std::optional<milliseconds> retryAfter;
+    };
+    /// Decides about the credit of requests that wait no longer. That may add waiting requests.
+    void endWaits(const std::vector<wait_end>& ends);
+    /// Takes the requests out of the list for which there is credit, oldest first.
+    std::vector<wait_end> takeCredited(const std::string& team, std::list<waiting_request>& waiting);
+
     event_loop& m_loop;
     std::string m_name;
     std::string m_member;
     relay& m_relay;
-    decision_logger& m_lines;
+    relay_telemetry m_telemetry;
     hooks m_hooks;
     credit_cache m_creditCache;
     std::unique_ptr<coordinator_connection> m_connection;
@@ -142,6 +158,7 @@
     std::list<sent_report> m_unansweredReports;
     /// Upstreams by their number in the coordinator's list.
     std::vector<std::string> m_upstreamsByNumber;
+    monotonic_time m_startedAt { monotonicNow() };
     monotonic_time m_fullReportAt {};
     std::uint64_t m_lastReportNumber { 0 };
     std::uint64_t m_connectionCount { 0 };
--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -91,9 +91,10 @@
           loop, m_coordinator, m_settings.name,
           [this]() -> const coordinator_lease& { return m_storeFollower.lease(); }, m_lines, m_metrics)
     , m_client(loop, m_settings.name, isFitToCoordinate(m_settings) ? m_member : std::string(), m_relay,
-          m_lines,
+          m_telemetry,
           { [this](const fleet_report& report) { return answerReport(report); },
               [this] { return m_storeFollower.isStoreSilent(); },
+              [this] { return m_storeFollower.isStoreUnreachable(); },
               [this](std::uint64_t configEnd, monotonic_time confirmedAt) {
                   m_storeFollower.onRemoteConfirmation(configEnd, confirmedAt);
               },
--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -70,6 +70,9 @@
     /// for the time after which the store counts as unreachable, which is so while another gateway reads it
     /// for this one.
     bool isStoreSilent() const;
+    /// \return whether calls failed and none was answered for the time after which the store counts as
+    /// unreachable.
+    bool isStoreUnreachable() const { return m_isStoreUnreachable; }
 
 private:
     /// State of reading one table: first the newest record of each key, in pages, then the records that
--- a/Tests/Gateway/platform_fixture.cpp
+++ b/Tests/Gateway/platform_fixture.cpp
@@ -10,12 +10,13 @@
 
 namespace {
 
-nlohmann::json routeOf(
-    const std::string& prefix, const std::string& type, const std::string& service, bool isResumable)
+nlohmann::json routeOf(const std::string& prefix, const std::string& type, const std::string& service,
+    bool isResumable, milliseconds objective)
 {
     return { { "name", prefix }, { "hostname", "h" }, { "path-prefix", prefix }, { "route-type", type },
-        { "timeout-ms", 8000 }, { "target-latency-ms", 2000 }, { "priority", 1 }, { "service", service },
-        { "max-attempts", isResumable || type == "safe" ? 2 : 1 }, { "resumable", isResumable } };
+        { "timeout-ms", 8000 }, { "target-latency-ms", objective.count() }, { "priority", 1 },
+        { "service", service }, { "max-attempts", isResumable || type == "safe" ? 2 : 1 },
+        { "resumable", isResumable } };
 }
 
 } // namespace
@@ -87,11 +88,12 @@
             { "adapter-mb", 1 } });
     const nlohmann::json engine { { "slots", 8 }, { "kv-capacity", 100000 }, { "weights-mb", 206 },
         { "adapter-slots", 2 }, { "loads-per-s", 5 }, { "models", models } };
-    nlohmann::json routes { routeOf("/safe/", "safe", "ledger", false),
-        routeOf("/unsafe/", "unsafe", "ledger", false), routeOf("/stream/", "streaming", "desk", false),
-        routeOf("/resume/", "streaming", "desk", true) };
+    nlohmann::json routes { routeOf("/safe/", "safe", "ledger", false, objective),
+        routeOf("/unsafe/", "unsafe", "ledger", false, objective),
+        routeOf("/stream/", "streaming", "desk", false, objective),
+        routeOf("/resume/", "streaming", "desk", true, objective) };
     for (int index = 0; index < moreRoutes; ++index)
-        routes.push_back(routeOf("/more/" + std::to_string(index) + "/", "safe", "ledger", false));
+        routes.push_back(routeOf("/more/" + std::to_string(index) + "/", "safe", "ledger", false, objective));
     const nlohmann::json config { { "version", m_version += 3 }, { "routes", routes },
         { "services", { { { "name", "desk" }, { "engine", engine } }, { { "name", "ledger" } } } },
         { "tenants",
--- a/Tests/Gateway/platform_fixture.h
+++ b/Tests/Gateway/platform_fixture.h
@@ -80,6 +80,8 @@
     int streamEvents { 5 };
     /// Set before gateways and engines are added.
     milliseconds handoverPause { 1000 };
+    /// Latency objective of all routes. Set before configure() is called.
+    milliseconds objective { 2000 };
     /// Time for which API keys are valid without a confirmation, over 0.86. Set before gateways are added.
     milliseconds revocation { revocationBound };
 
