--- a/Source/Gateway/store_follower.h
+++ b/Source/Gateway/store_follower.h
@@ -71,6 +71,13 @@
     std::optional<std::pair<std::uint64_t, monotonic_time>> configConfirmation() const;
     const upstream_list& upstreams() const { return m_upstreams; }
     const coordinator_lease& lease() const { return m_lease; }
+    /// \return whether nothing shows that the store answers this process: it counts as unreachable, a call
+    /// for the lease had no answer and no other call was answered since it was sent, or no call was answered
+    /// for the time after which the store counts as unreachable, which is so while another gateway reads it
+    /// for this one.
+    bool isStoreSilent() const;
+    /// \return whether calls failed and none was answered for the time after which the store counts as
+    /// unreachable.
     bool isStoreUnreachable() const { return m_isStoreUnreachable; }
 
 private:
@@ -120,6 +127,8 @@
     void rereadTable(table_reader& reader, const http_answer& unused);
     /// \param call name of the call in the log
     void onCallFailed(std::string_view call);
+    /// \param sentAt when the call for the lease was sent
+    void onLeaseCallFailed(std::string_view call, monotonic_time sentAt);
     /// Does what the lease needs next: reads it, acquires it, renews it or gives it up.
     void advanceLease();
     void readLease();
@@ -154,6 +163,8 @@
     bool m_knowsStoreEra { false };
     monotonic_time m_lastAnswerAt {};
     bool m_isStoreUnreachable { false };
+    /// A call for the lease had no answer, and no other call was answered since it was sent.
+    bool m_isLeaseCallUnanswered { false };
     bool m_hasListing { false };
     /// Some service has a limit for its cold upstreams.
     bool m_hasColdServices { false };
--- a/Tests/Gateway/platform_fixture.h
+++ b/Tests/Gateway/platform_fixture.h
@@ -82,6 +82,10 @@
     milliseconds handoverPause { 1000 };
     /// Requests a second that a cold instance of the service without an engine takes; set before configure().
     double coldPerSecond { 0 };
+    /// Latency objective of all routes. Set before configure() is called.
+    milliseconds objective { 2000 };
+    /// Time for which API keys are valid without a confirmation, over 0.86. Set before gateways are added.
+    milliseconds revocation { revocationBound };
 
 private:
     testing::temp_folder m_folder;
