Tests: Cover damaged statuses before whole bodies, in orders, reports and calls to the store

Answers with the statuses 000, 0, 001, 099, 999, +20 and 2x0 before a whole body (with a length, in chunks, until the end of the connection) now have to be rejected by the reader at each cut, to be refused with 502 by the relay on each kind of route, and to fail calls of loop_http_client. No place was found where one gets through.

--- a/Tests/Gateway/engine_stand_in.cpp
+++ b/Tests/Gateway/engine_stand_in.cpp
@@ -51,11 +51,12 @@
     }.dump();
 }
 
-void engine_stand_in::reply(tcp_stream* stream, int status, const std::string& body)
+void engine_stand_in::reply(
+    tcp_stream* stream, int status, const std::string& body, const std::function<std::string()>& statusText)
 {
     writeAnswer(stream,
-        "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
-            + "\r\n\r\n" + body);
+        "HTTP/1.1 " + (statusText ? statusText() : std::to_string(status))
+            + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 void engine_stand_in::writeAnswer(tcp_stream* stream, std::string text) const
@@ -71,7 +72,7 @@
     if (target.find("/report") != std::string::npos) {
         auto body = nlohmann::json::parse(listing());
         body["busy"] = m_loading.has_value();
-        reply(call.stream, 200, body.dump());
+        reply(call.stream, 200, body.dump(), reportStatus);
         return;
     }
     if (call.head.find("Key") != nullptr)
@@ -142,7 +143,7 @@
     holders.emplace_back(holder, fence);
     m_lastOrderAt = now;
     if (m_loading || body.value("expected", orders) != orders) {
-        reply(call.stream, 409, "");
+        reply(call.stream, 409, "", orderStatus);
         return;
     }
     ++orders;
@@ -152,7 +153,7 @@
     if (body.at("operation") == "unload") {
         std::erase_if(
             held, [&](const std::string& item) { return item == name || item.starts_with(name + "/"); });
-        reply(call.stream, adapter.empty() ? 202 : 200, "");
+        reply(call.stream, adapter.empty() ? 202 : 200, "", orderStatus);
         return;
     }
     const std::size_t models = held.size() - adapters();
@@ -163,7 +164,7 @@
         m_loading = { now + m_settings.modelLoad, name };
     else
         held.insert(name);
-    reply(call.stream, 202, "");
+    reply(call.stream, 202, "", orderStatus);
 }
 
 void engine_stand_in::run(const scripted_upstream::request& call)
--- a/Tests/Gateway/engine_stand_in.h
+++ b/Tests/Gateway/engine_stand_in.h
@@ -65,6 +65,9 @@
     bool isCrashing(const http_head& head) const;
     /// When each such request arrived.
     std::vector<monotonic_time> crashingArrivals;
+    /// Text in the place of the status of each answer to a report call or an order, where one is set.
+    std::function<std::string()> reportStatus;
+    std::function<std::string()> orderStatus;
     /// Number of next requests that run and whose connections are then cut without an answer.
     int cutAnswers { 0 };
     /// Number of runs, by the request's id.
@@ -91,7 +94,8 @@
     void onOrder(const scripted_upstream::request& call);
     void run(const scripted_upstream::request& call);
     void decline(const scripted_upstream::request& call, int status);
-    void reply(tcp_stream* stream, int status, const std::string& body);
+    void reply(tcp_stream* stream, int status, const std::string& body,
+        const std::function<std::string()>& statusText);
     /// Writes the head of an answer, or all of it, with the fields that each answer bears.
     void writeAnswer(tcp_stream* stream, std::string text) const;
     void poll();
--- a/Tests/Gateway/store_stand_in.cpp
+++ b/Tests/Gateway/store_stand_in.cpp
@@ -93,8 +93,8 @@
 void store_stand_in::answer(tcp_stream* stream, int status, const std::string& body)
 {
     m_delayed.emplace_back(monotonicNow() + delay, stream,
-        "HTTP/1.1 " + std::to_string(status) + " X\r\nStore-Era: " + std::to_string(era)
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        "HTTP/1.1 " + (statusText ? statusText() : std::to_string(status)) + " X\r\nStore-Era: "
+            + std::to_string(era) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 void store_stand_in::answerTail(tcp_stream* stream, const topic_log& log, std::uint64_t from)
--- a/Tests/Gateway/store_stand_in.h
+++ b/Tests/Gateway/store_stand_in.h
@@ -41,6 +41,8 @@
     /// Stated in each answer.
     int era { 0 };
     behaviour mode { behaviour::Sound };
+    /// Text in the place of the status of every answer, where one is set.
+    std::function<std::string()> statusText;
     /// Delay of every answer.
     milliseconds delay { 0 };
     /// Part of the appends, from 0 to 1, that are carried out and not answered.
--- a/Tests/Loop/http_reader_tests.cpp
+++ b/Tests/Loop/http_reader_tests.cpp
@@ -1,4 +1,5 @@
 #include "Loop/http_reader.h"
+#include "Support/damaged_statuses.h"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -141,6 +142,30 @@
     }
 }
 
+// Guards against an answer with a whole body that is taken for one whatever its status.
+TEST_CASE(
+    "http reader: nothing is reported of a whole answer with a damaged status, in whatever pieces it comes")
+{
+    for (const std::string status : damagedStatuses) {
+        for (const std::string body :
+            { "Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                "Connection: close\r\n\r\nbody" }) {
+            CAPTURE(status);
+            CAPTURE(body);
+            const std::string text = "HTTP/1.1 " + status + " OK\r\n" + body;
+            for (std::size_t cut = 0; cut < text.size(); ++cut) {
+                recording_reader it(http_reader::message::Answers);
+                it.reader.feed(std::string_view(text).substr(0, cut));
+                it.reader.feed(std::string_view(text).substr(cut));
+                CHECK(it.reader.failed());
+                CHECK_FALSE(it.reader.feedEnd());
+                CHECK(it.heads.empty());
+                CHECK(it.ends == 0);
+            }
+        }
+    }
+}
+
 TEST_CASE("http reader: interim answers without end are rejected")
 {
     recording_reader it(http_reader::message::Answers);
--- a/Tests/Loop/loop_http_client_tests.cpp
+++ b/Tests/Loop/loop_http_client_tests.cpp
@@ -1,5 +1,6 @@
 #include "Loop/loop_http_client.h"
 #include "Loop/status_server.h"
+#include "Support/damaged_statuses.h"
 #include "Support/loop_until.h"
 
 #include <doctest/doctest.h>
@@ -199,3 +200,24 @@
         CHECK(got->body == "/");
     }
 }
+
+// Guards against calls to the store, orders and reports whose answers are none.
+TEST_CASE(
+    "loop http client: a call fails when its answer has a damaged status, and its connection is not reused")
+{
+    for (const std::string status : damagedStatuses) {
+        CAPTURE(status);
+        event_loop loop;
+        fixed_answer_server server(loop, "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nhi");
+        loop_http_client client(loop, server.endpoint(), maxAnswerBytes);
+        int ends = 0;
+        for (int call = 1; call <= 2; ++call) {
+            client.call(request, seconds(10), [&](const std::optional<http_answer>& answer) {
+                ++ends;
+                CHECK_FALSE(answer.has_value());
+            });
+            REQUIRE(loopUntil(loop, [&] { return ends == call; }));
+        }
+        CHECK(server.accepted == 2);
+    }
+}
--- a/Tests/Relay/relay_broken_answer_tests.cpp
+++ b/Tests/Relay/relay_broken_answer_tests.cpp
@@ -1,4 +1,5 @@
 #include "Relay/relay_fixture.h"
+#include "Support/damaged_statuses.h"
 
 #include <doctest/doctest.h>
 
@@ -261,3 +262,38 @@
         }
     }
 }
+
+// Guards against an answer with a whole body that is passed on whatever its status.
+TEST_CASE("relay: an answer with a damaged status before a whole body never reaches a caller")
+{
+    const auto withLength
+        = [](const request& asked) { return scripted_upstream::answer(asked, 200, "damaged"); };
+    const auto inChunks = [](const request& asked) {
+        return scripted_upstream::streamHead(asked) + scripted_upstream::event(1, "damaged")
+            + std::string(lastChunk);
+    };
+    const auto untilClose
+        = [](const request& asked) { return headWithoutLength(asked, "text/plain") + "damaged"; };
+    for (const std::string status : damagedStatuses) {
+        for (const std::function<std::string(const request&)>& answer :
+            { std::function<std::string(const request&)>(withLength), { inChunks }, { untilClose } }) {
+            for (const std::string path : { "/safe/a", "/unsafe/a", "/stream/a", "/resume/a" }) {
+                CAPTURE(status);
+                CAPTURE(path);
+                relay_fixture fixture;
+                auto& upstream = fixture.addUpstream("u1");
+                upstream.onRequest = [&](const request& asked) {
+                    std::string text = answer(asked);
+                    text.replace(text.find("200"), 3, status);
+                    asked.stream->write(text);
+                };
+                auto& caller = fixture.addCaller();
+                caller.request("POST", path);
+                REQUIRE(fixture.ended(caller));
+                CHECK(caller.status() == 502);
+                CHECK(caller.text().starts_with("HTTP/1.1 502 "));
+                CHECK_FALSE(caller.has("damaged"));
+            }
+        }
+    }
+}
