Route: Let a request wait for a model that loads soon

Cause: a request whose model no upstream had loaded was refused within 3 ms, although its model loads in 1.2 to 4.2 s and its caller waits 8 to 20 s.

Change: the pure decision Route/load_wait lets a request wait if the load ends within a third of its time, which is how long a refused caller waits before it comes back. Where a configuration states slower loads, nothing changes.

--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -38,7 +38,10 @@
 
 /// \brief Decision to let a request wait, because the adapter that it needs is being loaded or credit for
 /// sending it was requested.
-struct wait_decision { };
+struct wait_decision {
+    /// Time until the request is placed again, unless something changes before.
+    milliseconds recheck { 10 };
+};
 
 /// \brief Decision to refuse a request that has not run.
 struct refuse_decision {
@@ -185,7 +188,8 @@
     void requestCredit(const relay_exchange_ptr& request);
     void refund(const std::string& team, double tokens);
     /// \brief Adds a request to those that wait to be placed.
-    void addWaiting(const relay_exchange_ptr& request);
+    /// \param recheck time until it is placed again, unless something changes before
+    void addWaiting(const relay_exchange_ptr& request, milliseconds recheck);
     void removeWaiting(const relay_exchange& request);
     /// \return whether the service's retry budget allows one more retry, which is then counted.
     bool tryRetry(const std::string& service);
@@ -276,6 +280,9 @@
     /// \return retry time for the caller of a request whose model no upstream has loaded: when the model can
     /// be loaded.
     milliseconds modelLoadRetryAfter(const relay_exchange& request);
+    /// \return the time until the request's model can be used once its load is ordered; nothing if the
+    /// configuration does not know the model.
+    std::optional<milliseconds> modelLoadTime(const relay_exchange& request) const;
     /// \return the connections that an upstream accepts from all gateways together; 0 for no limit.
     int maxConnectionsOf(const upstream_state& upstream) const;
     /// \return whether an upstream accepts a further connection for a request, of all gateways together.
@@ -376,6 +383,8 @@
     std::unordered_map<std::string, std::string> m_affinity;
     timer m_readTimer;
     timer m_placeTimer;
+    /// When m_placeTimer places waiting requests.
+    monotonic_time m_placeDueAt {};
     timer m_silenceTimer;
     crash_watch m_crashWatch;
     prompt_quarantine m_quarantine;
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -168,9 +168,10 @@
         }
         return;
     }
-    std::visit(overloaded { [this](const send_decision& value) { dispatch(value); },
-                   [this](const wait_decision&) { m_owner.addWaiting(shared_from_this()); },
-                   [this](const refuse_decision& value) { refuse(value.reason, value.retryAfter); } },
+    std::visit(
+        overloaded { [this](const send_decision& value) { dispatch(value); },
+            [this](const wait_decision& value) { m_owner.addWaiting(shared_from_this(), value.recheck); },
+            [this](const refuse_decision& value) { refuse(value.reason, value.retryAfter); } },
         m_owner.decideDispatch(*this, m_tried));
 }
 
--- a/Source/Relay/relay_placement.cpp
+++ b/Source/Relay/relay_placement.cpp
@@ -1,5 +1,7 @@
 #include "Relay/relay.h"
 
+#include "Route/load_wait.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -8,8 +10,9 @@
 
 namespace {
 
-// Interval at which waiting requests are placed again; well under the time that loading an adapter takes.
-constexpr milliseconds placeInterval { 10 };
+// Interval at which requests that wait for a model are placed again. News of a loaded model place them at
+// once.
+constexpr milliseconds modelWaitRecheck { 100 };
 // Part of an upstream's connections that requests may use; idle ones share the rest.
 constexpr double requestConnectionShare = 0.5;
 // Part of the route's objective for which a request may wait for a missing adapter or for credit; an adapter
@@ -281,21 +284,34 @@
         = static_cast<double>(std::max<std::int64_t>(request.route().objective.count(), 1));
     if (hasModel && !wanted.adapter.empty() && waited < objective * maxWaitShare)
         return wait_decision {};
+    const auto loadTime = modelLoadTime(request);
+    if (!hasModel && loadTime
+        && mayWaitForLoad({ *loadTime, request.timeLeft(), milliseconds(static_cast<std::int64_t>(waited)),
+            m_waiting.size() }))
+        return wait_decision { modelWaitRecheck };
     return refuse_decision { refusal_reason::ModelAbsent,
         hasModel ? declinedRetryAfter(request) : modelLoadRetryAfter(request) };
 }
 
-milliseconds relay::modelLoadRetryAfter(const relay_exchange& request)
+std::optional<milliseconds> relay::modelLoadTime(const relay_exchange& request) const
 {
-    const milliseconds shortest = declinedRetryAfter(request);
     const service_config* service = m_table->findService(request.service());
     const model_config* model
         = service != nullptr && service->engine ? service->engine->find(request.request().model) : nullptr;
     if (model == nullptr)
+        return std::nullopt;
+    return model->loadTime + loadReserve;
+}
+
+milliseconds relay::modelLoadRetryAfter(const relay_exchange& request)
+{
+    const milliseconds shortest = declinedRetryAfter(request);
+    const auto loadTime = modelLoadTime(request);
+    if (!loadTime)
         return shortest;
     const milliseconds spread(static_cast<std::int64_t>(randomFraction() * loadSpread.count()));
     const milliseconds longest = request.timeLeft() / retryWaitDivisor;
-    return std::max(shortest, std::min(model->loadTime + loadReserve + spread, longest));
+    return std::max(shortest, std::min(*loadTime + spread, longest));
 }
 
 void relay::logNoRoom(const relay_exchange& request, const no_upstream_in_time& full,
@@ -341,12 +357,15 @@
     return shortest + milliseconds(static_cast<std::int64_t>(spread));
 }
 
-void relay::addWaiting(const relay_exchange_ptr& request)
+void relay::addWaiting(const relay_exchange_ptr& request, milliseconds recheck)
 {
     if (std::find(m_waiting.begin(), m_waiting.end(), request) == m_waiting.end())
         m_waiting.push_back(request);
-    if (!m_placeTimer.isRunning())
-        m_placeTimer.start(placeInterval);
+    const monotonic_time due = monotonicNow() + recheck;
+    if (m_placeTimer.isRunning() && m_placeDueAt <= due)
+        return;
+    m_placeDueAt = due;
+    m_placeTimer.start(recheck);
 }
 
 void relay::removeWaiting(const relay_exchange& request)
@@ -369,8 +388,10 @@
 
 void relay::schedulePlacement()
 {
-    if (!m_waiting.empty() && !m_placeTimer.isRunning())
-        m_placeTimer.start({});
+    if (m_waiting.empty())
+        return;
+    m_placeDueAt = monotonicNow();
+    m_placeTimer.start({});
 }
 
 int relay::maxConnectionsOf(const upstream_state& upstream) const
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -68,6 +68,31 @@
     CHECK(retryAfter <= 8.0 / 3 + 0.01);
 }
 
+TEST_CASE("relay: a request waits for a model that loads soon and is sent once it is loaded")
+{
+    // Without the wait, the requests of a model whose engines crashed are refused although it is back in
+    // time.
+    relay_fixture fixture;
+    auto config = relay_fixture::config(2);
+    engine_config engine;
+    model_config model;
+    model.name = "m1";
+    model.loadTime = milliseconds(1200);
+    engine.models = { model };
+    config.services = { { "desk", 0, engine } };
+    fixture.tested.onConfig(std::make_shared<fleet_config>(config));
+    auto& upstream = fixture.addUpstream("u1", { { "m2", {} } });
+    answerAll(upstream);
+    auto& caller = fixture.addCaller();
+    caller.request("POST", "/resume/a", modelFields);
+    REQUIRE(loopUntil(fixture.loop, [&] { return fixture.tested.waiting() == 1; }));
+    CHECK(fixture.missingModels >= 1);
+    CHECK(fixture.tested.onLoadedModels("u1", { { "m1", "m2" }, {}, false }));
+    REQUIRE(fixture.ended(caller));
+    CHECK(caller.status() == 200);
+    CHECK(upstream.requests.size() == 1);
+}
+
 TEST_CASE("relay: a request whose model no upstream has loaded is refused at once and its model is reported")
 {
     relay_fixture fixture;
