--- a/Tests/Gateway/platform_fixture.cpp
+++ b/Tests/Gateway/platform_fixture.cpp
@@ -51,7 +51,7 @@
             + formatAddress(added.storeProxy.where())
             + "\"\n[bounds]\ngrace_s = " + std::to_string(static_cast<double>(grace.count()) / 1000)
             + "\nrevoke_ms = " + std::to_string(revocationBound.count())
-            + "\nlease_ms = " + std::to_string(handoverPause.count()) + "\n");
+            + "\nlease_ms = " + std::to_string(handoverPause.count()) + "\n" + moreSettings);
     start(added);
     return added;
 }
@@ -92,12 +92,14 @@
         routeOf("/resume/", "streaming", "desk", true) };
     for (int index = 0; index < moreRoutes; ++index)
         routes.push_back(routeOf("/more/" + std::to_string(index) + "/", "safe", "ledger", false));
-    const nlohmann::json config { { "version", m_version += 3 }, { "routes", routes },
+    nlohmann::json config { { "version", m_version += 3 }, { "routes", routes },
         { "services", { { { "name", "desk" }, { "engine", engine } }, { { "name", "ledger" } } } },
         { "tenants",
             { { { "name", "atelier" }, { "api-keys", keysOfAtelier }, { "unit", "tokens" },
                   { "plain-tokens", 10 }, { "rate-per-s", rate }, { "burst", rate } },
                 { { "name", "dealers" }, { "api-keys", { "key-9" } } } } } };
+    if (maxBodyBytes > 0)
+        config["limits"] = { { "max-body-bytes", maxBodyBytes } };
     store.put("keyed.op", "config", config.dump());
 }
 
--- a/Tests/Gateway/platform_fixture.h
+++ b/Tests/Gateway/platform_fixture.h
@@ -80,6 +80,10 @@
     int streamEvents { 5 };
     /// Set before gateways and engines are added.
     milliseconds handoverPause { 1000 };
+    /// Further lines of the gateways' settings, such as a table `[limits]`.
+    std::string moreSettings;
+    /// Largest body of a request in the next configuration, in bytes; 0 leaves the gateway's default.
+    std::size_t maxBodyBytes { 0 };
 
 private:
     testing::temp_folder m_folder;
--- a/Utilities/cmake/SagesaddleTargets.cmake
+++ b/Utilities/cmake/SagesaddleTargets.cmake
@@ -39,15 +39,15 @@
 # Parameters of the property tests: a fixed seed gives each run the same result.
 set(SAGESADDLE_RC_PARAMS "seed=20261203 max_success=300" CACHE STRING "Parameters of rapidcheck")
 
-# sagesaddle_test(Name SOURCES ... LINK ... LABELS ... TIMEOUT s): a doctest program; each of its test cases is
-# registered in CTest under its own name.
+# sagesaddle_test(Name SOURCES ... LINK ... LABELS ... TIMEOUT s SERIAL): a doctest program; each of its test cases
+# is registered in CTest under its own name. With SERIAL, CTest runs no other test beside them.
 function(sagesaddle_test name)
-    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINK;LABELS" ${ARGN})
+    cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;LINK;LABELS" ${ARGN})
     if(NOT ARG_TIMEOUT)
         set(ARG_TIMEOUT 120)
     endif()
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(${name} PRIVATE sagesaddle_options sagesaddle::TestMain ${ARG_LINK} doctest::doctest)
     doctest_discover_tests(${name} PROPERTIES
-        LABELS "${ARG_LABELS}" TIMEOUT ${ARG_TIMEOUT} ENVIRONMENT "RC_PARAMS=${SAGESADDLE_RC_PARAMS}")
+        LABELS "${ARG_LABELS}" TIMEOUT ${ARG_TIMEOUT} RUN_SERIAL ${ARG_SERIAL} ENVIRONMENT "RC_PARAMS=${SAGESADDLE_RC_PARAMS}")
 endfunction()
