Relay: Bound the memory that callers make a gateway hold

Bodies, heads and unread answers had limits for each connection, but none for their sum, and pipelined requests were run however many answers before them were unread. One budget, a third of the new setting limits.memory_mb, now covers them all. caller_memory decides, by the account of each connection: above three quarters of the budget, connections that hold more than 32 KB are paused, and those without progress for 500 ms are refused (503, not run, with Retry-After) or closed; the rest is a reserve for small requests. A request that may have run is never shed. Without the setting the budget is 4,096 MB.

Further changes: - Heads are counted at the memory of their fields. - Bodies are written to upstreams without a copy. - No request of a connection is started while over 64 KB of answers before it are unread; the readiness and metrics servers have such a bound, too. - The body of a request that no route or key can serve is discarded. - The rest of a refused request is discarded for up to 5 s while it comes, so that the refusal is not lost to a reset. - The tokens of Connection fields are collected once for each head; searching them for each field took quadratic time.

--- a/Source/Gateway/gateway.cpp
+++ b/Source/Gateway/gateway.cpp
@@ -142,6 +142,7 @@
     options.retrySlack = m_settings.retrySlack * retryFraction;
     options.maxCallers = static_cast<std::size_t>(
         std::max<std::int64_t>(16, (m_settings.descriptors - reservedDescriptors) / 2));
+    options.callerMemoryBytes = caller_memory::budgetFor(m_settings.memoryMegabytes);
     return options;
 }
 
--- a/Source/Gateway/gateway_settings.cpp
+++ b/Source/Gateway/gateway_settings.cpp
@@ -15,6 +15,7 @@
 constexpr double maxGraceSeconds = 3600;
 constexpr double maxCores = 1024;
 constexpr double maxLinkMbps = 1e6;
+constexpr double maxMemoryMegabytes = 1e7;
 
 } // namespace
 
@@ -36,6 +37,7 @@
     compare("limits.descriptors", running.descriptors, next.descriptors);
     compare("limits.cores", running.cores, next.cores);
     compare("limits.link_mbps", running.linkMbps, next.linkMbps);
+    compare("limits.memory_mb", running.memoryMegabytes, next.memoryMegabytes);
     return names;
 }
 
@@ -61,6 +63,8 @@
     settings.descriptors = reader.integer("limits", "descriptors", defaults.descriptors, descriptorRange);
     settings.cores = reader.number("limits", "cores", defaults.cores, 0.001, maxCores);
     settings.linkMbps = reader.number("limits", "link_mbps", defaults.linkMbps, 0.001, maxLinkMbps);
+    settings.memoryMegabytes
+        = reader.number("limits", "memory_mb", defaults.memoryMegabytes, 0, maxMemoryMegabytes);
     settings.level = parseLogLevel(reader.choice(
         "log", "level", std::string(nameOf(defaults.level)), { "debug", "info", "warning", "error" }));
     reader.finish();
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -47,6 +47,8 @@
     /// Processor cores of the host, and its link in Mbit/s; a weak host leaves the coordination to others.
     double cores { 1 };
     double linkMbps { 1000 };
+    /// Memory of the host in MB, a part of which callers may make the process hold; 0 if it is not stated.
+    double memoryMegabytes { 0 };
 };
 
 /// \return the keys of the settings that differ and that take effect only after a restart.
--- a/Source/Loop/http_reader.cpp
+++ b/Source/Loop/http_reader.cpp
@@ -198,6 +198,12 @@
     return readBytes;
 }
 
+void http_reader::abandon()
+{
+    m_failed = true;
+    m_head = {};
+}
+
 bool http_reader::feedEnd()
 {
     if (m_failed || !m_isInMessage)
--- a/Source/Loop/http_reader.h
+++ b/Source/Loop/http_reader.h
@@ -49,6 +49,17 @@
     /// request
     void expectNoBody(bool value) { m_expectsNoBody = value; }
 
+    /// \return the memory that an unfinished head occupies, in bytes.
+    std::size_t heldBytes() const
+    {
+        // Texts have up to twice their size while they grow.
+        const std::size_t texts = m_head.target.empty() ? 0 : 2 * m_headBytes;
+        return texts + m_head.fields.capacity() * sizeof(http_field);
+    }
+
+    /// Releases an unfinished message; the reader then reads no more. Must not be called by a handler.
+    void abandon();
+
     /// \return whether the bytes were no acceptable message; the reader then reads no more.
     bool failed() const { return m_failed; }
     /// \return whether reading failed because the head exceeds its size limit.
--- a/Source/Loop/http_text.cpp
+++ b/Source/Loop/http_text.cpp
@@ -1,5 +1,7 @@
 #include "Loop/http_text.h"
 
+#include "Base/letter_case.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -41,6 +43,18 @@
     return nullptr;
 }
 
+std::size_t http_head::heldBytes() const
+{
+    // Short texts are stored in the string object itself.
+    static const std::size_t shortCapacity = std::string().capacity();
+    const auto allocated
+        = [](const std::string& text) { return text.capacity() > shortCapacity ? text.capacity() : 0; };
+    std::size_t held = allocated(target) + fields.capacity() * sizeof(http_field);
+    for (const auto& field : fields)
+        held += allocated(field.name) + allocated(field.value);
+    return held;
+}
+
 bool isHopByHopField(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> names { "connection", "keep-alive", "proxy-connection",
@@ -50,20 +64,25 @@
         names.begin(), names.end(), [&](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
-bool isListedInConnection(const http_head& head, std::string_view token)
+std::set<std::string> connectionTokens(const http_head& head)
 {
+    std::set<std::string> tokens;
     for (const auto& field : head.fields) {
         if (!equalsIgnoringCase(field.name, "connection"))
             continue;
         std::string_view rest = field.value;
         while (!rest.empty()) {
             const std::size_t comma = std::min(rest.find(','), rest.size());
-            if (equalsIgnoringCase(trimmed(rest.substr(0, comma)), token))
-                return true;
+            tokens.insert(toLowerAscii(trimmed(rest.substr(0, comma))));
             rest.remove_prefix(std::min(comma + 1, rest.size()));
         }
     }
-    return false;
+    return tokens;
+}
+
+bool isListedInConnection(const http_head& head, std::string_view token)
+{
+    return connectionTokens(head).contains(toLowerAscii(token));
 }
 
 std::string_view reasonPhrase(int status)
--- a/Source/Loop/http_text.h
+++ b/Source/Loop/http_text.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +32,9 @@
     /// \return the value of the first field of that name, compared without regard to case; nullptr if there
     /// is none.
     const std::string* find(std::string_view name) const;
+
+    /// \return the memory that the head occupies, in bytes; short fields occupy far more than their text.
+    std::size_t heldBytes() const;
 };
 
 /// \return whether two texts, such as the names of header fields, are equal without regard to the case of
@@ -39,6 +44,9 @@
 /// \return whether a field is hop-by-hop: it concerns one connection and must not be forwarded.
 bool isHopByHopField(std::string_view name);
 
+/// \return the tokens that the Connection fields of the head list, in lower case.
+std::set<std::string> connectionTokens(const http_head& head);
+
 /// \return whether a Connection field of the head lists the token, such as the name of a field that must not
 /// be forwarded.
 bool isListedInConnection(const http_head& head, std::string_view token);
--- a/Source/Loop/status_server.cpp
+++ b/Source/Loop/status_server.cpp
@@ -9,6 +9,11 @@
 constexpr std::size_t maxHeadBytes = 8192;
 // The platform and a few operators connect at the same time. A further connection closes another one.
 constexpr std::size_t maxConnections = 32;
+// Largest memory of a head; one of very many short fields occupies far more than its text.
+constexpr std::size_t maxHeldHeadBytes = 65536;
+// Bytes of answers that the peer has not read above which no further request is read, and bytes of requests
+// that then wait.
+constexpr std::size_t maxUnreadBytes = 16384;
 
 } // namespace
 
@@ -49,29 +54,33 @@
             [](std::string_view) {}, [raw] { raw->isRequestComplete = true; } });
     made->stream = std::make_unique<tcp_stream>(m_loop, socket);
     m_connections.emplace(raw, made);
-    made->stream->setHandlers({ {},
-        [this, raw] {
-            while (true) {
-                const auto bytes = raw->stream->readable();
-                if (bytes.empty())
-                    return;
-                raw->stream->consume(raw->reader->feed(bytes));
-                if (raw->reader->failed()) {
-                    drop(raw);
-                    return;
-                }
-                if (!std::exchange(raw->isRequestComplete, false))
-                    continue;
-                const reply value = m_handler(raw->head);
-                std::string out = "HTTP/1.1 " + std::to_string(value.status) + " "
-                    + std::string(reasonPhrase(value.status)) + "\r\n";
-                if (!value.contentType.empty())
-                    appendField(out, "Content-Type", value.contentType);
-                appendField(out, "Content-Length", std::to_string(value.body.size()));
-                raw->stream->write(out + "\r\n" + value.body);
-            }
-        },
-        {}, [this, raw](stream_end) { drop(raw); } });
+    made->stream->limitUnread(maxUnreadBytes);
+    made->stream->setHandlers({ {}, [this, raw] { read(*raw); }, [this, raw] { read(*raw); },
+        [this, raw](stream_end) { drop(raw); } });
+}
+
+void status_server::read(connection& from)
+{
+    while (from.stream->unwritten() <= maxUnreadBytes) {
+        const auto bytes = from.stream->readable();
+        if (bytes.empty())
+            return;
+        from.stream->consume(from.reader->feed(bytes));
+        if (from.reader->failed() || from.reader->heldBytes() > maxHeldHeadBytes) {
+            drop(&from);
+            return;
+        }
+        if (!std::exchange(from.isRequestComplete, false))
+            continue;
+        const reply value = m_handler(from.head);
+        from.head = {};
+        std::string out = "HTTP/1.1 " + std::to_string(value.status) + " "
+            + std::string(reasonPhrase(value.status)) + "\r\n";
+        if (!value.contentType.empty())
+            appendField(out, "Content-Type", value.contentType);
+        appendField(out, "Content-Length", std::to_string(value.body.size()));
+        from.stream->write(out + "\r\n" + value.body);
+    }
 }
 
 } // namespace sagesaddle
--- a/Source/Loop/status_server.h
+++ b/Source/Loop/status_server.h
@@ -30,6 +30,8 @@
 
     void accept(evutil_socket_t socket);
     void drop(const connection* dropped);
+    /// Answers the requests that have arrived, as far as the peer reads the answers.
+    void read(connection& from);
 
     event_loop& m_loop;
     on_request m_handler;
--- a/Source/Loop/tcp_stream.cpp
+++ b/Source/Loop/tcp_stream.cpp
@@ -5,6 +5,7 @@
 #include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <new>
 #include <stdexcept>
 #include <sys/socket.h>
 
@@ -73,6 +74,7 @@
 void tcp_stream::setHandlers(handlers value)
 {
     m_handlers = std::move(value);
+    m_isReadPaused = false;
     bufferevent_setcb(m_stream.get(), onRead, onWrite, onEvent, this);
     bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
 }
@@ -101,11 +103,32 @@
 void tcp_stream::consume(std::size_t bytes)
 {
     evbuffer_drain(bufferevent_get_input(m_stream.get()), bytes);
+    if (m_isFull && unread() < m_maxUnread) {
+        m_isFull = false;
+        updateReading();
+    }
 }
 
 void tcp_stream::write(std::string_view bytes)
 {
     bufferevent_write(m_stream.get(), bytes.data(), bytes.size());
+    m_writtenBytes += bytes.size();
+}
+
+void tcp_stream::write(std::string_view bytes, std::shared_ptr<const void> owner)
+{
+    if (bytes.empty())
+        return;
+    auto kept = std::make_unique<std::shared_ptr<const void>>(std::move(owner));
+    const auto release = [](const void*, std::size_t, void* context) {
+        delete static_cast<std::shared_ptr<const void>*>(context);
+    };
+    if (evbuffer_add_reference(
+            bufferevent_get_output(m_stream.get()), bytes.data(), bytes.size(), release, kept.get())
+        != 0)
+        throw std::bad_alloc();
+    static_cast<void>(kept.release());
+    m_writtenBytes += bytes.size();
 }
 
 std::size_t tcp_stream::unwritten() const
@@ -113,6 +136,11 @@
     return evbuffer_get_length(bufferevent_get_output(m_stream.get()));
 }
 
+std::size_t tcp_stream::unread() const
+{
+    return evbuffer_get_length(bufferevent_get_input(m_stream.get()));
+}
+
 bool tcp_stream::hasIncoming() const
 {
     if (evbuffer_get_length(bufferevent_get_input(m_stream.get())) > 0)
@@ -123,7 +151,13 @@
 
 void tcp_stream::setReadPaused(bool paused)
 {
-    if (paused)
+    m_isReadPaused = paused;
+    updateReading();
+}
+
+void tcp_stream::updateReading()
+{
+    if (m_isReadPaused || m_isFull)
         bufferevent_disable(m_stream.get(), EV_READ);
     else
         bufferevent_enable(m_stream.get(), EV_READ);
@@ -131,8 +165,15 @@
 
 void tcp_stream::onRead(bufferevent*, void* context)
 {
+    auto* self = static_cast<tcp_stream*>(context);
+    // The high watermark of libevent would call this handler again and again while the bytes are not
+    // consumed.
+    if (self->m_maxUnread > 0 && self->unread() >= self->m_maxUnread) {
+        self->m_isFull = true;
+        self->updateReading();
+    }
     // A copy, since the handler may destroy the stream and its handlers.
-    const auto handler = static_cast<tcp_stream*>(context)->m_handlers.onReadable;
+    const auto handler = self->m_handlers.onReadable;
     if (handler)
         handler();
 }
--- a/Source/Loop/tcp_stream.h
+++ b/Source/Loop/tcp_stream.h
@@ -4,7 +4,9 @@
 #include "Loop/event_loop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <event2/bufferevent.h>
+#include <memory>
 #include <string_view>
 
 namespace sagesaddle {
@@ -60,8 +62,16 @@
     void consume(std::size_t bytes);
     /// Buffers a copy of the bytes and sends it when the socket allows.
     void write(std::string_view bytes);
+    /// Sends bytes without copying them, as for large bodies.
+    /// \param owner keeps the bytes valid and unchanged; released once they were sent or the stream is
+    /// destroyed
+    void write(std::string_view bytes, std::shared_ptr<const void> owner);
     /// \return the number of buffered bytes that were not yet handed to the system.
     std::size_t unwritten() const;
+    /// \return the number of written bytes that were handed to the system since the start.
+    std::uint64_t handedOver() const { return m_writtenBytes - unwritten(); }
+    /// \return the number of bytes that were received and not consumed.
+    std::size_t unread() const;
     /// \return whether bytes were received that are not consumed, including those that the loop has not read
     /// yet, as after the process was suspended.
     bool hasIncoming() const;
@@ -69,8 +79,11 @@
     /// Stops or resumes reading from the socket, so that TCP flow control slows the peer down where the bytes
     /// cannot be passed on as fast.
     void setReadPaused(bool paused);
+    /// Pauses reading from the socket by itself while at least this many received bytes are not consumed.
+    void limitUnread(std::size_t bytes) { m_maxUnread = bytes; }
 
 private:
+    void updateReading();
     static void onRead(bufferevent* source, void* context);
     static void onWrite(bufferevent* source, void* context);
     static void onEvent(bufferevent* source, short what, void* context);
@@ -81,6 +94,12 @@
 
     std::unique_ptr<bufferevent, stream_deleter> m_stream;
     handlers m_handlers;
+    std::uint64_t m_writtenBytes { 0 };
+    /// Unread bytes from which on reading is paused; 0 for no limit.
+    std::size_t m_maxUnread { 0 };
+    bool m_isReadPaused { false };
+    /// Whether reading is paused because of m_maxUnread.
+    bool m_isFull { false };
 };
 
 } // namespace sagesaddle
--- a/Source/Relay/caller_connection.h
+++ b/Source/Relay/caller_connection.h
@@ -3,8 +3,11 @@
 #include "Loop/http_reader.h"
 #include "Loop/tcp_stream.h"
 #include "Loop/timer.h"
+#include "Relay/caller_memory.h"
+#include "Relay/refusal_reason.h"
 
 #include <memory>
+#include <optional>
 
 namespace sagesaddle {
 
@@ -31,6 +34,25 @@
     /// \brief Closes the connection in the middle of an answer, so that the answer does not look complete.
     void abortAnswer();
 
+    /// \return the memory that the connection holds, as of the last update.
+    const caller_account& account() const { return m_account; }
+    /// \brief Replaces the account by what the connection holds now.
+    void updateAccount(caller_memory& memory);
+    /// \brief Has the relay update the account, after something grew.
+    void noteHeldBytes();
+    /// \return whether the connection reads no more requests, because one was refused before it was complete
+    /// or the connection was closed.
+    bool isRefusedOrClosed() const { return m_refusedEarly || m_closed; }
+    /// \brief Reads no further bytes of a request until resumeReading() is called.
+    /// \return whether that was not the case before
+    bool pauseReading();
+    void resumeReading();
+    bool isReadPaused() const { return m_isReadPaused && !m_closed; }
+    /// \brief Pauses the upstream if a part of its answer is not read by the caller.
+    void holdBackAnswer();
+    /// \brief Refuses the request of the connection or closes it, to release its memory.
+    void shed(caller_memory_action action);
+
     /// \return bytes of answers that are not written to the socket yet.
     std::size_t unwritten() const { return m_stream->unwritten(); }
 
@@ -51,8 +73,17 @@
     void onRequest();
     void onWritten();
     void onDisconnected();
-    /// Refuses a request that was not read completely; its rest is discarded.
-    void refuseEarly(int status);
+    /// Refuses a request that was not read completely; its rest is discarded, and the connection is closed
+    /// once the caller had time to read the refusal.
+    void refuseEarly(refusal_reason reason, std::optional<milliseconds> retryAfter = {});
+    void refuseEarly(const refusal_response& response, std::optional<milliseconds> retryAfter);
+    void onBody(std::string_view bytes);
+    void onTimeout();
+    /// \return whether no further request is read until the caller has read the answers before it.
+    bool hasUnreadAnswers() const;
+    void endExchange();
+    caller_stage stage() const;
+    std::size_t heldBytes() const;
     void finishAnswer();
     void appendHead(std::string& out, int status, const std::vector<http_field>& fields) const;
     /// \param reason value of the log field `by`; a line is written only if a request or answer is lost
@@ -66,7 +97,21 @@
     std::unique_ptr<http_reader> m_reader;
     timer m_timeoutTimer;
     http_head m_head;
+    /// Memory of the head, from when it is complete until the end of the answer.
+    std::size_t m_headHeldBytes { 0 };
     std::string m_body;
+    std::size_t m_bodyBytes { 0 };
+    /// Why no upstream can get the request; its body is then not kept.
+    std::optional<refusal_reason> m_refusal;
+    caller_account m_account;
+    /// Bytes of requests that were read.
+    std::uint64_t m_consumedBytes { 0 };
+    std::uint64_t m_consumedAtTimeout { 0 };
+    monotonic_time m_refusedAt {};
+    /// Bytes in both directions when m_account.progressAt was set.
+    std::uint64_t m_movedAtProgress { 0 };
+    /// Bytes of answers that were written when the idle time began.
+    std::uint64_t m_handedOverAtIdle { 0 };
     monotonic_time m_arrivedAt {};
     monotonic_time m_idleSince { monotonicNow() };
     std::shared_ptr<relay_exchange> m_exchange;
@@ -75,6 +120,7 @@
     bool m_isChunked { false };
     bool m_closesWhenWritten { false };
     bool m_refusedEarly { false };
+    bool m_isReadPaused { false };
     bool m_closed { false };
 };
 
--- a/Source/Relay/refusal_reason.cpp
+++ b/Source/Relay/refusal_reason.cpp
@@ -43,6 +43,8 @@
         return { 503, "prompt_quarantined", true };
     case refusal_reason::Draining:
         return { 503, "draining", true };
+    case refusal_reason::CallerMemory:
+        return { 503, "caller_memory", true };
     }
     return { 503, "unknown", true };
 }
--- a/Source/Relay/refusal_reason.h
+++ b/Source/Relay/refusal_reason.h
@@ -26,6 +26,7 @@
     UpstreamGarbled,
     PromptQuarantined,
     Draining,
+    CallerMemory,
 };
 
 /// \brief What the caller is told when its request is refused.
--- a/Source/Relay/relay.cpp
+++ b/Source/Relay/relay.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Idle connections that are tried when one must be closed; those with unread bytes are not closed.
-constexpr std::size_t maxIdleCallersTried = 8;
 // Time without a byte after which an upstream of a plain service that has requests counts as silent; calls
 // usually take less.
 constexpr milliseconds serviceSilence { 450 };
@@ -49,6 +47,7 @@
     , m_hooks(std::move(hooks))
     , m_configFreshness(m_options.maxConfigAge)
     , m_sendCredit(sendCreditLifetime)
+    , m_callerMemory(m_options.callerMemoryBytes)
     , m_gatewayCount(assumedGateways)
     , m_readTimer(loop,
           [this] {
@@ -57,11 +56,13 @@
               for (const auto& connection : connections)
                   connection->readPending();
           })
+    , m_memoryTimer(loop, [this] { shedCallers(); })
     , m_placeTimer(loop, [this] { placeWaiting(); })
     , m_silenceTimer(loop,
           [this] {
               m_silenceTimer.start(silenceCheckInterval);
               checkSilence();
+              exportCallerMemory();
           })
     , m_crashWatch(loop, telemetry,
           [this](const upstream_crash& crash) {
@@ -76,59 +77,6 @@
 
 relay::~relay() = default;
 
-void relay::accept(evutil_socket_t socket)
-{
-    if (m_callers.size() >= m_options.maxCallers && !closeIdleCaller()) {
-        m_telemetry.metrics.add(
-            "sagesaddle_callers_turned_away", "Connections closed for want of descriptors");
-        m_telemetry.lines.write(
-            log_level::Warning, "caller_turned_away", { { "callers", m_callers.size() } }, monotonicNow());
-        evutil_closesocket(socket);
-        return;
-    }
-    const auto connection = std::make_shared<caller_connection>(*this, socket);
-    m_callers.emplace(connection.get(), connection);
-}
-
-bool relay::closeIdleCaller()
-{
-    std::vector<std::shared_ptr<caller_connection>> idle;
-    for (const auto& [key, connection] : m_callers) {
-        if (connection->isIdle())
-            idle.push_back(connection);
-    }
-    const auto candidatesEnd
-        = idle.begin() + static_cast<std::ptrdiff_t>(std::min(idle.size(), maxIdleCallersTried));
-    std::partial_sort(idle.begin(), candidatesEnd, idle.end(),
-        [](const auto& left, const auto& right) { return left->idleSince() < right->idleSince(); });
-    return std::any_of(
-        idle.begin(), candidatesEnd, [](const auto& connection) { return connection->closeIfIdle(); });
-}
-
-void relay::logCallerCut(std::string_view reason, bool hasRequest, bool hasIncoming, std::size_t unwritten)
-{
-    m_telemetry.lines.write(log_level::Warning, "caller_cut",
-        { { "by", reason }, { "request", hasRequest }, { "incoming", hasIncoming },
-            { "unwritten", unwritten } },
-        monotonicNow());
-}
-
-void relay::removeCaller(const caller_connection& connection)
-{
-    const auto found = m_callers.find(&connection);
-    if (found == m_callers.end())
-        return;
-    m_closedCallers.push_back(std::move(found->second));
-    m_callers.erase(found);
-    m_readTimer.start({});
-}
-
-void relay::scheduleRead(const std::shared_ptr<caller_connection>& connection)
-{
-    m_toRead.push_back(connection);
-    m_readTimer.start({});
-}
-
 const caller_limits& relay::limits() const
 {
     static const caller_limits standard;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -8,6 +8,7 @@
 #include "Limit/send_credit.h"
 #include "Quarantine/prompt_quarantine.h"
 #include "Relay/caller_connection.h"
+#include "Relay/caller_memory.h"
 #include "Relay/crash_watch.h"
 #include "Relay/drain_schedule.h"
 #include "Relay/relay_exchange.h"
@@ -55,6 +56,8 @@
     double retrySlack { 5 };
     /// Maximum number of callers' connections; beyond it an idle one is closed, or else the new one.
     std::size_t maxCallers { 3000 };
+    /// Memory that callers may make the process hold, in bytes.
+    std::size_t callerMemoryBytes { caller_memory::budgetFor(0) };
 };
 
 /// \brief Functions through which the relay reaches the rest of the fleet.
@@ -144,6 +147,18 @@
     /// \brief Has a connection read its pending bytes in the next turn of the loop.
     void scheduleRead(const std::shared_ptr<caller_connection>& connection);
 
+    /// \return why no upstream can get a request with this head whatever its body is; nothing if one may.
+    std::optional<refusal_reason> refusalOfHead(const http_head& head) const;
+    /// \brief Updates what a connection holds after it read something; sheds connections if the budget is
+    /// used up, possibly this one.
+    /// \return whether it may read on; otherwise readPending() is called once it may
+    bool admitHeldBytes(caller_connection& connection);
+    /// \brief Updates what a connection holds; connections are shed in the next turn of the loop at the
+    /// earliest.
+    void noteHeldBytes(caller_connection& connection);
+    /// \brief Counts a request that was refused before it was complete.
+    void recordEarlyRefusal(refusal_reason reason);
+
     // For exchanges.
 
     /// \return whether a request that has not run may be sent to an upstream, as far as the end of the
@@ -282,6 +297,12 @@
     /// Closes the connection that was idle longest, to make room for a new one.
     /// \return whether a connection was closed
     bool closeIdleCaller();
+    /// Sheds connections while the budget for callers' memory demands it, and resumes paused ones.
+    void shedCallers();
+    /// Checks soon whether connections must be shed, or may read again.
+    void scheduleShedding();
+    /// Sets the metrics of callers' memory.
+    void exportCallerMemory();
     retry_after_schedule& retryScheduleOf(const relay_exchange& request);
     /// \return key of the prompt parts that the request shares with others; empty if there are none.
     std::string affinityKey(const relay_exchange& request) const;
@@ -300,6 +321,8 @@
     send_credit m_sendCredit;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_callers;
     std::vector<std::shared_ptr<caller_connection>> m_toRead;
+    caller_memory m_callerMemory;
+    std::vector<std::weak_ptr<caller_connection>> m_pausedCallers;
     /// Closed connections, kept until their own handlers have returned.
     std::vector<std::shared_ptr<caller_connection>> m_closedCallers;
     std::list<relay_exchange_ptr> m_waiting;
@@ -317,6 +340,7 @@
     /// Id of the upstream that last read the prompt parts, by affinityKey().
     std::unordered_map<std::string, std::string> m_affinity;
     timer m_readTimer;
+    timer m_memoryTimer;
     timer m_placeTimer;
     timer m_silenceTimer;
     crash_watch m_crashWatch;
--- a/Source/Relay/relay_exchange.cpp
+++ b/Source/Relay/relay_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/overloaded.h"
 #include "Relay/caller_connection.h"
+#include "Relay/refusal_answer.h"
 #include "Relay/relay.h"
 #include "caller_wire.h"
 
@@ -50,7 +51,8 @@
     return std::chrono::duration_cast<milliseconds>(m_endsAt - monotonicNow());
 }
 
-void relay_exchange::start(const http_head& head, std::string body)
+void relay_exchange::start(
+    const http_head& head, std::string body, std::optional<refusal_reason> refusedBefore)
 {
     m_owner.onArrival();
     m_table = m_owner.table();
@@ -61,8 +63,10 @@
         refuse(refusal_reason::BadRequest);
         return;
     }
-    m_request.body = std::move(body);
-    if (!resolve())
+    m_body = std::make_shared<const std::string>(std::move(body));
+    if (refusedBefore)
+        refuse(*refusedBefore);
+    if (m_over || !resolve())
         return;
     milliseconds limit = m_route->timeout.count() > 0 ? m_route->timeout : milliseconds(60000);
     if (m_request.deadline)
@@ -269,7 +273,8 @@
     m_transmittedAt = monotonicNow();
     m_sentAt = bootTimeNow();
     m_tried.insert(m_upstream->entry.id);
-    m_connection->write(platform::formatUpstreamRequest(m_request, metadata));
+    m_connection->write(platform::formatUpstreamHead(m_request, metadata, m_body->size()));
+    m_connection->write(*m_body, m_body);
 }
 
 void relay_exchange::onFirstByte()
@@ -383,9 +388,10 @@
             countAnswerUnderWay();
         return;
     }
-    if (m_buffered.size() + bytes.size() <= maxBufferedBytes || !isSignedSuccess)
+    if (m_buffered.size() + bytes.size() <= maxBufferedBytes || !isSignedSuccess) {
         m_buffered.append(bytes.substr(0, maxBufferedBytes));
-    else {
+        m_caller->noteHeldBytes();
+    } else {
         m_buffered.append(bytes);
         beginDelivery();
         return;
@@ -579,18 +585,8 @@
         caller->abortAnswer();
         return;
     }
-    std::vector<http_field> fields { { "Content-Type", "application/problem+json" } };
-    if (!m_request.id.empty())
-        fields.push_back({ std::string(platform::requestIdField()), m_request.id });
-    if (retryAfter) {
-        // Seconds with two decimals, which the platform's callers accept.
-        std::string text = std::to_string(static_cast<double>(retryAfter->count()) / 1000.0);
-        fields.push_back({ "Retry-After", text.substr(0, text.find('.') + 3) });
-    }
-    std::string body = R"({"type":"about:blank","reason":")";
-    body.append(response.name).append(R"(","verdict":")");
-    body.append(response.isNotRun ? "not_run" : "may_have_run").append("\"}");
-    caller->sendAnswer(response.status, fields, body);
+    const refusal_answer answer = refusalAnswer(response, m_request.id, retryAfter);
+    caller->sendAnswer(response.status, answer.fields, answer.body);
 }
 
 void relay_exchange::onCallerDisconnected()
--- a/Source/Relay/relay_exchange.h
+++ b/Source/Relay/relay_exchange.h
@@ -36,7 +36,14 @@
     relay_exchange& operator=(const relay_exchange&) = delete;
 
     /// \brief Checks the request and places it or refuses it.
-    void start(const http_head& head, std::string body);
+    /// \param refusedBefore why the request was refused when its head had arrived, so that its body was not
+    /// kept
+    void start(const http_head& head, std::string body, std::optional<refusal_reason> refusedBefore);
+
+    /// \return the body of the request and the part of the answer that is not delivered, in bytes.
+    std::size_t heldBytes() const { return (m_body ? m_body->size() : 0) + m_buffered.size(); }
+    /// \return whether an upstream may have run the request, or its answer has begun.
+    bool mayHaveBegun() const { return mayHaveRun() || m_isDelivering; }
 
     /// \brief Tries to place the request on an upstream.
     ///
@@ -131,7 +138,10 @@
     caller_connection* m_caller;
     monotonic_time m_arrivedAt;
     monotonic_time m_endsAt {};
+    /// The body is in m_body.
     relay_request m_request;
+    /// Shared with the connections that the body is being written to.
+    std::shared_ptr<const std::string> m_body;
     route_table_ptr m_table;
     const route_config* m_route { nullptr };
     std::string m_service;
--- a/Source/Relay/upstream_connection.h
+++ b/Source/Relay/upstream_connection.h
@@ -33,6 +33,11 @@
     void detach();
 
     void write(std::string_view bytes) { m_stream->write(bytes); }
+    /// \brief Sends bytes without copying them; the owner keeps them valid until then.
+    void write(std::string_view bytes, std::shared_ptr<const void> owner)
+    {
+        m_stream->write(bytes, std::move(owner));
+    }
     bool hasUnwritten() const { return m_stream->unwritten() > 0; }
     void pauseReading(bool paused) { m_stream->setReadPaused(paused); }
     bool isConnected() const { return m_connected; }
--- a/Tests/Platform/settings_template_tests.cpp
+++ b/Tests/Platform/settings_template_tests.cpp
@@ -75,8 +75,8 @@
 {
     auto values = requiredValues();
     values.insert({ { "bounds.grace-s", "8" }, { "bounds.revoke-ms", "5000" }, { "bounds.lease-ms", "2500" },
-        { "bounds.retry-budget-ratio", "0.2" }, { "bounds.budget-slack", "52" },
-        { "limits.max-fds", "4200" } });
+        { "bounds.retry-budget-ratio", "0.2" }, { "bounds.budget-slack", "52" }, { "limits.max-fds", "4200" },
+        { "limits.memory-mb", "120" } });
     const auto settings = parse(values);
     CHECK(settings.callerListenAddress == address { "10.1.0.25", 8221 });
     CHECK(settings.peerListenAddress == address { "10.1.0.25", 7600 });
@@ -85,6 +85,7 @@
     CHECK(settings.handoverPause == milliseconds(2500));
     CHECK(settings.retrySlack == doctest::Approx(52));
     CHECK(settings.descriptors == 4200);
+    CHECK(settings.memoryMegabytes == doctest::Approx(120));
 }
 
 TEST_CASE("settings template: bounds that the deployment leaves out have their defaults")
--- a/Tests/Relay/relay_fixture.h
+++ b/Tests/Relay/relay_fixture.h
@@ -12,7 +12,8 @@
 /// \brief A relay with a configuration, whose credit requests are granted, with scripted upstreams and
 /// callers.
 struct relay_fixture {
-    relay_fixture();
+    /// \param callerMemoryBytes memory that callers may make the relay hold
+    explicit relay_fixture(std::size_t callerMemoryBytes = caller_memory::budgetFor(0));
 
     /// \return a configuration with the routes /safe/ (idempotent), /unsafe/ (not idempotent), /stream/,
     /// /resume/ (resumable stream) and /open/ (idempotent, public) of host `h`, all to the service `desk`.
