Relay: Release the memory of refused bodies at once

An assignment of an empty text keeps the memory of the old one, so a refused body was no longer counted but stayed until its connection was closed.

--- a/Source/Loop/http_reader.cpp
+++ b/Source/Loop/http_reader.cpp
@@ -1,6 +1,7 @@
 #include "Loop/http_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sagesaddle {
 
@@ -201,7 +202,8 @@
 void http_reader::abandon()
 {
     m_failed = true;
-    m_head = {};
+    // An assignment of an empty target would keep its memory.
+    static_cast<void>(std::exchange(m_head, {}));
 }
 
 bool http_reader::feedEnd()
--- a/Source/Relay/caller_connection.cpp
+++ b/Source/Relay/caller_connection.cpp
@@ -184,8 +184,9 @@
     m_timeoutTimer.stop();
     const std::string* id = m_head.find(platform::requestIdField());
     const refusal_answer answer = refusalAnswer(response, id == nullptr ? std::string() : *id, retryAfter);
-    m_head = {};
-    m_body = {};
+    // An assignment of an empty text would keep the allocated memory.
+    static_cast<void>(std::exchange(m_head, {}));
+    static_cast<void>(std::exchange(m_body, {}));
     sendAnswer(response.status, answer.fields, answer.body);
     // What still comes is read and discarded: a refusal could be lost if the connection were reset.
     resumeReading();
