Tests: Make the tests of callers' memory pass the linter

The check of the gateway process exceeded the linter's bound for a function and is split; its bounds are unchanged. A captured structured binding, which clang rejects, is replaced by a type.

--- a/Tests/Gateway/hostile_caller_tests.cpp
+++ b/Tests/Gateway/hostile_caller_tests.cpp
@@ -123,21 +123,37 @@
         return fixture.gateways.at(0);
     }
 
-    void checkProcess()
+    std::filesystem::path processFolder()
     {
-        REQUIRE(gateway().process->isRunning());
-        const auto folder = std::filesystem::path("/proc") / std::to_string(gateway().process->pid());
-        std::ifstream status(folder / "status");
-        std::size_t peakKilobytes = 0;
+        return std::filesystem::path("/proc") / std::to_string(gateway().process->pid());
+    }
+
+    /// \return the most memory that the process had resident so far; 0 if it is not known.
+    std::size_t peakKilobytes()
+    {
+        std::ifstream status(processFolder() / "status");
+        std::size_t peak = 0;
         for (std::string word; status >> word;) {
             if (word == "VmHWM:")
-                status >> peakKilobytes;
+                status >> peak;
         }
-        const auto descriptors = static_cast<std::size_t>(std::distance(
-            std::filesystem::directory_iterator(folder / "fd"), std::filesystem::directory_iterator()));
-        MESSAGE("peak " << peakKilobytes << " kB, descriptors " << descriptors);
-        CHECK(peakKilobytes > 0);
-        CHECK(peakKilobytes <= peakBoundKilobytes);
+        return peak;
+    }
+
+    std::size_t descriptorCount()
+    {
+        return static_cast<std::size_t>(
+            std::distance(std::filesystem::directory_iterator(processFolder() / "fd"),
+                std::filesystem::directory_iterator()));
+    }
+
+    void checkProcess()
+    {
+        REQUIRE(gateway().process->isRunning());
+        const std::size_t peak = peakKilobytes();
+        const std::size_t descriptors = descriptorCount();
+        MESSAGE("peak " << peak << " kB, descriptors " << descriptors);
+        CHECK((peak > 0 && peak <= peakBoundKilobytes));
         CHECK(descriptors <= descriptorBound);
     }
 
--- a/Tests/Relay/relay_memory_tests.cpp
+++ b/Tests/Relay/relay_memory_tests.cpp
@@ -30,12 +30,18 @@
     relay_fixture fixture(megabyte);
     auto& upstream = fixture.addUpstream("u1");
     answerAll(upstream);
-    for (const auto& [path, key, status] :
-        { std::tuple("/nowhere/", "key-1", "404 "), std::tuple("/safe/a", "key-2", "401 ") }) {
+    struct refused_request {
+        std::string path;
+        std::string key;
+        std::string status;
+    };
+    const std::vector<refused_request> cases { { "/nowhere/", "key-1", "404 " },
+        { "/safe/a", "key-2", "401 " } };
+    for (const auto& tried : cases) {
         auto& caller = fixture.addCaller();
         // Three times the budget.
-        caller.send(headOf(path, 3 * megabyte, key) + std::string(3 * megabyte, 'x'));
-        REQUIRE(loopUntil(fixture.loop, [&] { return caller.has(status); }));
+        caller.send(headOf(tried.path, 3 * megabyte, tried.key) + std::string(3 * megabyte, 'x'));
+        REQUIRE(loopUntil(fixture.loop, [&] { return caller.has(tried.status); }));
         CHECK(caller.has("\"not_run\""));
         caller.send(headOf("/safe/a", 1, "key-1") + "x");
         CHECK(loopUntil(fixture.loop, [&] { return caller.has(" 200 OK"); }));
