--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -50,6 +50,8 @@
     /// Whether upstreams appear, disappear and report false health in this deployment; each one's speed is
     /// learned then.
     bool hasUnsteadyUpstreams { false };
+    /// Memory of the host in MB, a part of which callers may make the process hold; 0 if it is not stated.
+    double memoryMegabytes { 0 };
 };
 
 /// \return the keys of the settings that differ and that take effect only after a restart.
--- a/Source/Relay/refusal_reason.cpp
+++ b/Source/Relay/refusal_reason.cpp
@@ -45,6 +45,8 @@
         return { 503, "draining", true };
     case refusal_reason::ZoneEvacuated:
         return { 503, "zone_evacuated", true };
+    case refusal_reason::CallerMemory:
+        return { 503, "caller_memory", true };
     }
     return { 503, "unknown", true };
 }
--- a/Source/Relay/refusal_reason.h
+++ b/Source/Relay/refusal_reason.h
@@ -27,6 +27,7 @@
     PromptQuarantined,
     Draining,
     ZoneEvacuated,
+    CallerMemory,
 };
 
 /// \brief What the caller is told when its request is refused.
--- a/Tests/Gateway/platform_fixture.h
+++ b/Tests/Gateway/platform_fixture.h
@@ -86,6 +86,10 @@
     milliseconds objective { 2000 };
     /// Time for which API keys are valid without a confirmation, over 0.86. Set before gateways are added.
     milliseconds revocation { revocationBound };
+    /// Further lines of the gateways' settings, such as a table `[limits]`.
+    std::string moreSettings;
+    /// Largest body of a request in the next configuration, in bytes; 0 leaves the gateway's default.
+    std::size_t maxBodyBytes { 0 };
 
 private:
     testing::temp_folder m_folder;
