--- a/Tests/Relay/relay_fixture.cpp
+++ b/Tests/Relay/relay_fixture.cpp
@@ -8,7 +8,7 @@
 
 relay_fixture::relay_fixture(std::size_t callerMemoryBytes)
     : lines(::open("/dev/null", O_WRONLY | O_CLOEXEC), log_level::Info)
-    , tested(loop, { "z", seconds(4), 0.5, 50, 100, callerMemoryBytes }, telemetry,
+    , tested(loop, { "z", seconds(4), 0.5, 50, 100, false, callerMemoryBytes }, telemetry,
           { [this](const relay_exchange_ptr& request) {
                request->onCreditDecision(grantsCredit ? credit_outcome::Granted : credit_outcome::OverLimit,
                    grantsCredit ? std::nullopt : std::optional(milliseconds(1500)));
