Tests: Show in the soak that an evacuated zone is used again

Cause: the check after an evacuation waited for a request at the zone's upstream, but gateways prefer their own zone, so that one came only if the other upstream had failed just before.

Change: the gateways' own zone is evacuated next, so that the request must go to the other one; the number of arrivals is checked after the bound. This asks for more than before: each gateway must use the zone again, within the bound.

--- a/Tests/Gateway/gateway_soak.cpp
+++ b/Tests/Gateway/gateway_soak.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds stepInterval { 40 };
 // Key of the evacuation of zone `y`, and the platform's bound for it.
 const std::string evacuationKey = "evacuate/y";
+// Key of the evacuation of the gateways' own zone.
+const std::string ownZoneKey = "evacuate/z";
 constexpr milliseconds evacuationBound { 5000 };
 
 /// One run with a seed: callers send requests while faults begin at random, one after another, and overlap.
@@ -213,11 +215,13 @@
         const std::size_t before = arrivals.size();
         checkRecovery();
         CHECK(arrivals.size() == before);
+        // The gateways prefer their own zone, so only its evacuation shows that the other one is used again.
         m_fixture.store.drop("keyed.op", evacuationKey);
-        CHECK(loopUntil(m_fixture.loop, [&] {
-            sendRequests();
-            return arrivals.size() > before;
-        }));
+        m_fixture.store.put("keyed.op", ownZoneKey, "{}");
+        loopFor(m_fixture.loop, evacuationBound);
+        checkRecovery();
+        CHECK(arrivals.size() > before);
+        m_fixture.store.drop("keyed.op", ownZoneKey);
     }
 
     void checkNoViolations()
