Relay: Count cached tokens of requests that prefer a warm upstream

Cause: the choice among warm upstreams and the counting of cached tokens were built side by side; a request sent to a warm upstream counted the tokens that the upstream has cached as unread.

Change: both ways of choosing make the decision in one place.

Result: the relay's tests pass.

--- a/Source/Relay/relay_limits.cpp
+++ b/Source/Relay/relay_limits.cpp
@@ -85,7 +85,7 @@
     if (best == nullptr || best->firstEventMilliseconds > objective * warmObjectiveShare
         || !trySpendSend(warm[best->index]->entry.id))
         return std::nullopt;
-    return send_decision { warm[best->index], best->firstEventMilliseconds };
+    return sendTo(warm, *best);
 }
 
 void relay::applyColdConfig(const std::vector<service_config>& services)
