--- a/Tests/Gateway/gateway_process_tests.cpp
+++ b/Tests/Gateway/gateway_process_tests.cpp
@@ -116,7 +116,7 @@
     gateway.storeProxy.setMode(fault_proxy::behaviour::Silent);
     const monotonic_time silentAt = monotonicNow();
     CHECK(statusWith("key-2") == 200);
-    // The connections stay open: without a pause, the test runs out of descriptors before the keys stop.
+    // Bounds the number of connections that a fast machine opens until the keys stop.
     REQUIRE(loopUntil(fixture.loop, [&] {
         loopFor(fixture.loop, milliseconds(10));
         return statusWith("key-2") == 503;
--- a/Tests/Relay/relay_choice_tests.cpp
+++ b/Tests/Relay/relay_choice_tests.cpp
@@ -12,6 +12,19 @@
 const std::string modelFields = "Model: m1\r\nToken-Counts: 100,10\r\n";
 const std::string adapterFields = "Model: m1/a1\r\nToken-Counts: 100,10\r\n";
 
+// A configuration whose engines load the model m1 in that time.
+fleet_config configWithModel(milliseconds loadTime)
+{
+    auto config = relay_fixture::config(2);
+    engine_config engine;
+    model_config model;
+    model.name = "m1";
+    model.loadTime = loadTime;
+    engine.models = { model };
+    config.services = { { "desk", 0, engine } };
+    return config;
+}
+
 } // namespace
 
 TEST_CASE("relay: a request is sent to an upstream that has loaded its model and adapter")
@@ -45,13 +58,7 @@
 TEST_CASE("relay: Retry-After for a model that must be loaded covers the load time")
 {
     relay_fixture fixture;
-    auto config = relay_fixture::config(2);
-    engine_config engine;
-    model_config model;
-    model.name = "m1";
-    model.loadTime = milliseconds(2500);
-    engine.models = { model };
-    config.services = { { "desk", 0, engine } };
+    auto config = configWithModel(milliseconds(2500));
     for (auto& route : config.routes)
         route.objective = milliseconds(200);
     fixture.tested.onConfig(std::make_shared<fleet_config>(config));
@@ -73,13 +80,7 @@
     // Without the wait, the requests of a model whose engines crashed are refused although it is back in
     // time.
     relay_fixture fixture;
-    auto config = relay_fixture::config(2);
-    engine_config engine;
-    model_config model;
-    model.name = "m1";
-    model.loadTime = milliseconds(1200);
-    engine.models = { model };
-    config.services = { { "desk", 0, engine } };
+    auto config = configWithModel(milliseconds(1200));
     fixture.tested.onConfig(std::make_shared<fleet_config>(config));
     auto& upstream = fixture.addUpstream("u1", { { "m2", {} } });
     answerAll(upstream);
