--- a/review/harness-2/endless_event.cpp
+++ b/review/harness-2/endless_event.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double memoryMegabytes = 260;
-constexpr int streamClients = 48;
+constexpr int streamClients = 112;
 constexpr int plainClients = 12;
 constexpr double scriptSeconds = 60;
 // The machines' links carry 1,000 Mbit/s; the server in trouble sends less.
