Review: A stopping gateway cuts answers that are read slowly

Cause: a connection that is not kept is closed one second after the end of its answer. Change: a script with a SIGTERM while callers read answers slowly.

--- a/review/harness-2/slow_readers.cpp
+++ b/review/harness-2/slow_readers.cpp
@@ -9,9 +9,11 @@
 namespace {
 
 constexpr int callers = 6;
-constexpr std::size_t answerBytes = 700000;
-// Read in steps of 50 ms; an answer takes about 5 s.
-constexpr std::size_t bytesPerStep = 8000;
+// How much of an answer is left when its end arrives depends on its size and the kernel's buffers.
+constexpr std::size_t smallestAnswer = 400000;
+constexpr std::size_t sizeStep = 50000;
+// Read in steps of 50 ms; an answer takes 4 to 6 s.
+constexpr std::size_t bytesPerStep = 6000;
 constexpr milliseconds step { 50 };
 constexpr milliseconds serverWork { 500 };
 constexpr milliseconds grace { 8000 };
@@ -25,11 +27,12 @@
 };
 
 /// Sends a request on a kept connection and reads its answer slowly.
-outcome readSlowly(record_file& record, connection& kept, const std::string& id)
+outcome readSlowly(record_file& record, connection& kept, const std::string& id, std::size_t answerBytes)
 {
     outcome result { id };
-    record.write("client sends " + id + " /record/large on its kept connection");
-    kept.send(requestText("POST", "/record/large", id, "key-1", 10000, "", "order"));
+    const std::string target = "/record/" + std::to_string(answerBytes);
+    record.write("client sends " + id + " " + target + " on its kept connection");
+    kept.send(requestText("POST", target, id, "key-1", 10000, "", "order"));
     std::string text;
     const auto until = steady::now() + milliseconds(10000);
     while (steady::now() < until && !result.isWhole && !kept.isEnded()) {
@@ -59,10 +62,10 @@
     record_file record(count > 1 ? values[1] : "record.txt");
     store platform;
     const auto answer = [](connection& to, const message& request) {
-        const bool isLarge = request.target() == "/record/large";
-        if (isLarge)
+        const std::size_t size = std::stoul(request.target().substr(8));
+        if (size >= smallestAnswer)
             sleepFor(serverWork);
-        answerWhole(to, request, isLarge ? std::string(answerBytes, 'r') : std::string("small"));
+        answerWhole(to, request, std::string(size, 'r'));
     };
     back_end ledger1({ "ledger-1", "ledger", 6, {} }, record, answer);
     back_end ledger2({ "ledger-2", "ledger", 6, {} }, record, answer);
@@ -82,7 +85,7 @@
         message first;
         if (!kept.back()
             || !kept.back()->send(
-                requestText("POST", "/record/small", nextRequestId("small"), "key-1", 10000, "", "order"))
+                requestText("POST", "/record/100", nextRequestId("small"), "key-1", 10000, "", "order"))
             || !kept.back()->read(first, milliseconds(3000), false) || first.status() != 200)
             return finish(record, false, false, "a first request was not answered");
     }
@@ -90,8 +93,9 @@
     std::vector<std::thread> threads;
     for (int number = 0; number < callers; ++number)
         threads.emplace_back([&, number] {
-            outcomes[static_cast<std::size_t>(number)]
-                = readSlowly(record, *kept[static_cast<std::size_t>(number)], nextRequestId("large"));
+            const auto index = static_cast<std::size_t>(number);
+            outcomes[index]
+                = readSlowly(record, *kept[index], nextRequestId("large"), smallestAnswer + index * sizeStep);
         });
     sleepFor(milliseconds(200));
     const double stoppedAt = secondsNow();
