--- a/review/harness-2/model_names.cpp
+++ b/review/harness-2/model_names.cpp
@@ -148,7 +148,7 @@
         }
     }
     return finish(record, answered > 0 && sent > 0, passedOn > 3,
-        std::to_string(sent) + " requests with new names; highest memory "
+        std::to_string(sent) + " requests of the caller that names models; highest memory "
             + std::to_string(static_cast<int>(highest)) + " MB of 260; gateways killed for it: "
             + std::to_string(killed) + "; " + std::to_string(passedOn)
             + " requests from kept connections, passed on to sound servers, ended without an answer (at most "
