--- a/review/harness-2/endless_event.cpp
+++ b/review/harness-2/endless_event.cpp
@@ -88,7 +88,7 @@
                     + routeText("/book/", "unsafe", "ledger", 3000, 300, 1, false),
                 engineServiceText("desk", { "m0" }) + "," + plainServiceText("ledger"),
                 teamText("atelier", { "key-1" }) }));
-    gateway front("front-z-1", platform, memoryMegabytes);
+    gateway front("front-z-1", platform.port(), memoryMegabytes);
     front.start();
     if (!front.waitReady(milliseconds(10000)))
         return finish(record, false, false, "the gateway was not ready");
--- a/review/harness-2/model_names.cpp
+++ b/review/harness-2/model_names.cpp
@@ -73,8 +73,8 @@
                     + routeText("/book/", "unsafe", "ledger", 3000, 300, 1, false),
                 engineServiceText("desk", { "m0" }) + "," + plainServiceText("ledger"),
                 teamText("atelier", { "key-1" }) + "," + teamText("dealers", { "key-2" }) }));
-    gateway first("front-z-1", platform, memoryMegabytes);
-    gateway second("front-z-2", platform, memoryMegabytes);
+    gateway first("front-z-1", platform.port(), memoryMegabytes);
+    gateway second("front-z-2", platform.port(), memoryMegabytes);
     const std::vector<gateway*> fronts { &first, &second };
     for (auto* front : fronts)
         front->start();
--- a/review/harness-2/slow_readers.cpp
+++ b/review/harness-2/slow_readers.cpp
@@ -74,7 +74,7 @@
         configText(1,
             { routeText("/record/", "unsafe", "ledger", 10000, 2000, 1, false), plainServiceText("ledger"),
                 teamText("atelier", { "key-1" }) }));
-    gateway front("front-z-1", platform);
+    gateway front("front-z-1", platform.port());
     front.start();
     if (!front.waitReady(milliseconds(10000)))
         return finish(record, false, false, "the gateway was not ready");
--- a/review/harness-2/stand_ins.cpp
+++ b/review/harness-2/stand_ins.cpp
@@ -331,13 +331,19 @@
 {
 }
 
-server::~server()
+void server::stop()
 {
     m_isStopping = true;
     ::shutdown(m_socket, SHUT_RDWR);
-    m_acceptor.join();
-    ::close(m_socket);
+    if (m_acceptor.joinable())
+        m_acceptor.join();
     cutAll();
+}
+
+server::~server()
+{
+    stop();
+    ::close(m_socket);
     for (const auto& item : m_workers)
         item->thread.join();
 }
@@ -570,44 +576,82 @@
 }
 
 heartbeats::heartbeats(store& platform, std::vector<back_end*> servers)
+    : m_platform(platform)
+    , m_servers(std::move(servers))
 {
-    for (auto* item : servers)
-        platform.put("keyed.servers", item->description().id, item->entry());
-    m_thread = std::thread([this, &platform, servers] {
+    const auto writeAll = [this] {
+        const std::lock_guard lock(m_mutex);
+        for (auto* item : m_servers)
+            m_platform.put("keyed.servers", item->description().id, item->entry());
+    };
+    writeAll();
+    m_thread = std::thread([this, writeAll] {
         auto due = steady::now() + heartbeat;
         while (!m_isStopping) {
             sleepFor(milliseconds(20));
             if (steady::now() < due)
                 continue;
             due += heartbeat;
-            for (auto* item : servers)
-                platform.put("keyed.servers", item->description().id, item->entry());
+            writeAll();
         }
     });
 }
 
+void heartbeats::remove(back_end& server)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase(m_servers, &server);
+    m_platform.put("keyed.servers", server.description().id, "");
+}
+
 heartbeats::~heartbeats()
 {
     m_isStopping = true;
     m_thread.join();
 }
 
-gateway::gateway(std::string name, const store& platform, double memoryMegabytes)
+cuttable_path::cuttable_path(int targetPort)
+    : m_targetPort(targetPort)
+    , m_server([this](connection& from) { forward(from); })
+{
+}
+
+void cuttable_path::forward(connection& from)
+{
+    const auto to = connection::open(m_targetPort);
+    if (!to)
+        return;
+    while (!from.isEnded() && !to->isEnded()) {
+        if (m_isCut) {
+            sleepFor(milliseconds(10));
+            continue;
+        }
+        pollfd wanted[] { { from.socket(), POLLIN, 0 }, { to->socket(), POLLIN, 0 } };
+        if (poll(wanted, 2, 10) <= 0 || m_isCut)
+            continue;
+        if (wanted[0].revents != 0 && !to->send(from.receive(milliseconds(0))))
+            return;
+        if (wanted[1].revents != 0 && !from.send(to->receive(milliseconds(0))))
+            return;
+    }
+}
+
+gateway::gateway(std::string name, int storePort, double memoryMegabytes)
     : m_name(std::move(name))
     , m_callerPort(freePort())
     , m_readinessPort(freePort())
+    , m_peerPort(freePort())
 {
     char folder[] = "/tmp/review-2-XXXXXX";
     if (mkdtemp(folder) == nullptr)
         std::exit(2);
     m_settingsFile = std::string(folder) + "/boot.conf";
-    const int peers = freePort();
     const int metrics = freePort();
     std::ofstream(m_settingsFile)
         << "[process]\nname = \"" << m_name << "\"\nzone = \"z\"\n\n[listen]\ncallers = \""
         << address(m_callerPort) << "\"\nreadiness = \"" << address(m_readinessPort) << "\"\npeers = \""
-        << address(peers) << "\"\nmetrics = \"" << address(metrics) << "\"\n\n[store]\naddress = \""
-        << address(platform.port())
+        << address(m_peerPort) << "\"\nmetrics = \"" << address(metrics) << "\"\n\n[store]\naddress = \""
+        << address(storePort)
         << "\"\n\n[bounds]\ngrace_s = 8\nrevoke_ms = 5000\nlease_ms = 3000\nretry_ratio = 0.2\n"
            "retry_slack = 52\n\n[limits]\ncores = 0.19\nlink_mbps = 1000\ndescriptors = 4200\nmemory_mb = "
         << memoryMegabytes
@@ -684,6 +728,11 @@
     return false;
 }
 
+bool gateway::holdsLease(store& platform) const
+{
+    return platform.newest("keyed.lease", "duty").starts_with(address(m_peerPort) + "#");
+}
+
 double gateway::residentMegabytes() const
 {
     std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
--- a/review/harness-2/stand_ins.h
+++ b/review/harness-2/stand_ins.h
@@ -97,6 +97,8 @@
     int port() const { return m_port; }
     /// Ends all connections that are open now.
     void cutAll();
+    /// Accepts no connection any more, and ends those that are open.
+    void stop();
 
 private:
     struct worker;
@@ -167,6 +169,8 @@
     const settings& description() const { return m_settings; }
     /// \return the number of runs of a request.
     int runsOf(const std::string& requestId);
+    /// Ends the server, and what it runs.
+    void exit() { m_server.stop(); }
 
 private:
     void serve(connection& from);
@@ -192,17 +196,39 @@
 public:
     heartbeats(store& platform, std::vector<back_end*> servers);
     ~heartbeats();
+    /// Removes the entry of a server, which writes none any more.
+    void remove(back_end& server);
 
 private:
+    store& m_platform;
+    std::mutex m_mutex;
+    std::vector<back_end*> m_servers;
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
 
+/// \brief Forwards connections to a port, and cuts the path silently: no byte passes, no connection ends.
+class cuttable_path {
+public:
+    explicit cuttable_path(int targetPort);
+
+    int port() const { return m_server.port(); }
+    void setCut(bool isCut) { m_isCut = isCut; }
+
+private:
+    void forward(connection& from);
+
+    int m_targetPort;
+    std::atomic<bool> m_isCut { false };
+    server m_server;
+};
+
 /// \brief A gateway, started as the deploy file says.
 class gateway {
 public:
+    /// \param storePort where it reaches the platform's store
     /// \param memoryMegabytes memory of its machine
-    gateway(std::string name, const store& platform, double memoryMegabytes = 260);
+    gateway(std::string name, int storePort, double memoryMegabytes = 260);
     ~gateway();
 
     void start();
@@ -216,12 +242,15 @@
     /// \return memory that the process occupies, in MB.
     double residentMegabytes() const;
     int callerPort() const { return m_callerPort; }
+    /// \return whether the store's newest lease names this gateway as its holder.
+    bool holdsLease(store& platform) const;
     const std::string& name() const { return m_name; }
 
 private:
     std::string m_name;
     int m_callerPort;
     int m_readinessPort;
+    int m_peerPort;
     std::string m_settingsFile;
     pid_t m_process { -1 };
 };
