--- a/review/harness-2/stand_ins.cpp
+++ b/review/harness-2/stand_ins.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -677,6 +678,8 @@
     m_process = fork();
     if (m_process != 0)
         return;
+    // The gateway ends with the script, also where that is ended by force.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
