--- a/review/harness-2/endless_event.cpp
+++ b/review/harness-2/endless_event.cpp
@@ -10,7 +10,7 @@
 
 constexpr double memoryMegabytes = 260;
 constexpr int streamClients = 112;
-constexpr int plainClients = 12;
+constexpr int plainClients = 18;
 constexpr double scriptSeconds = 60;
 // The machines' links carry 1,000 Mbit/s; the server in trouble sends less.
 constexpr double troubledBytesPerSecond = 100e6;
@@ -76,12 +76,13 @@
         });
     back_end sound({ "engine-2", "desk", 64, { "m0" } }, record, answerStream);
     const auto answerOrder = [](connection& to, const message& request) {
-        sleepFor(milliseconds(100));
+        sleepFor(milliseconds(200));
         answerWhole(to, request, "order booked " + request.get("Request-Id"));
     };
     back_end ledger1({ "ledger-1", "ledger", 6, {} }, record, answerOrder);
     back_end ledger2({ "ledger-2", "ledger", 6, {} }, record, answerOrder);
-    heartbeats beats(platform, { &troubled, &sound, &ledger1, &ledger2 });
+    back_end ledger3({ "ledger-3", "ledger", 6, {} }, record, answerOrder);
+    heartbeats beats(platform, { &troubled, &sound, &ledger1, &ledger2, &ledger3 });
     platform.put("keyed.op", "config",
         configText(1,
             { routeText("/batch/", "streaming", "desk", 30000, 10000, 2, true) + ","
@@ -159,7 +160,7 @@
         thread.join();
     int passedOn = 0;
     for (const auto& id : clients.cut()) {
-        if (ledger1.runsOf(id) + ledger2.runsOf(id) == 0)
+        if (ledger1.runsOf(id) + ledger2.runsOf(id) + ledger3.runsOf(id) == 0)
             continue;
         ++passedOn;
         record.write("lost: " + id
--- a/review/harness-2/late_return.cpp
+++ b/review/harness-2/late_return.cpp
@@ -104,6 +104,7 @@
         record.write(follower.name() + ", which coordinates now, is cut off from the store");
         followerPath.setCut(true);
     }
+    const double cutAt = secondsNow();
     sleepFor(milliseconds(200));
     isLeaving = true;
     beats.remove(leaving);
@@ -123,9 +124,12 @@
         sleepFor(milliseconds(10));
     leaving.exit();
     record.write("engine-1 has ended");
+    while (secondsNow() < cutAt + std::chrono::duration<double>(cutTime).count())
+        sleepFor(milliseconds(10));
+    followerPath.setCut(false);
+    record.write("no gateway is cut off from the store");
     for (auto& thread : threads)
         thread.join();
-    followerPath.setCut(false);
     int late = 0;
     int lost = 0;
     for (const auto& item : outcomes) {
--- a/review/harness-2/model_names.cpp
+++ b/review/harness-2/model_names.cpp
@@ -134,23 +134,26 @@
     isStopping = true;
     for (auto& caller : callers)
         caller.join();
-    int passedOn = 0;
+    // The rule counts for each machine.
+    int mostOfOne = 0;
     int answered = 0;
     for (auto& item : clients) {
         item->stop();
         answered += item->answered();
+        int passedOn = 0;
         for (const auto& id : item->cut()) {
             if (ledger1.runsOf(id) + ledger2.runsOf(id) == 0)
                 continue;
             ++passedOn;
+            mostOfOne = std::max(mostOfOne, passedOn);
             record.write("lost: " + id
                 + " ran at a sound server, and its kept connection was closed without an answer");
         }
     }
-    return finish(record, answered > 0 && sent > 0, passedOn > 3,
+    return finish(record, answered > 0 && sent > 0, mostOfOne > 3,
         std::to_string(sent) + " requests of the caller that names models; highest memory "
             + std::to_string(static_cast<int>(highest)) + " MB of 260; gateways killed for it: "
-            + std::to_string(killed) + "; " + std::to_string(passedOn)
+            + std::to_string(killed) + "; at the worse one " + std::to_string(mostOfOne)
             + " requests from kept connections, passed on to sound servers, ended without an answer (at most "
               "3 may); "
             + std::to_string(answered) + " were answered");
--- a/review/harness-2/stand_ins.cpp
+++ b/review/harness-2/stand_ins.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -57,12 +58,20 @@
     return socket;
 }
 
+// A port that nobody listens at, below those that the kernel gives to connections and to listeners without
+// one.
 int freePort()
 {
-    const int socket = listenSocket();
-    const int port = portOf(socket);
-    ::close(socket);
-    return port;
+    static std::minstd_rand random { std::random_device {}() };
+    while (true) {
+        const int port = std::uniform_int_distribution<int>(12000, 31000)(random);
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in value = loopback(port);
+        const bool isFree = bind(socket, reinterpret_cast<sockaddr*>(&value), sizeof(value)) == 0;
+        ::close(socket);
+        if (isFree)
+            return port;
+    }
 }
 
 std::string address(int port)
