--- a/review/harness-2/late_cut.cpp
+++ b/review/harness-2/late_cut.cpp
@@ -8,10 +8,10 @@
 // A caller takes its answer at this pace, from the first byte on; it never stops reading.
 constexpr double bytesPerSecond = 200000;
 constexpr int deadlineMs = 15000;
-// Sizes of the answers, in bytes: 6 to 9 s at that pace.
-constexpr int firstSize = 1200000;
+// Sizes of the answers, in bytes: 3 to 9 s at that pace.
+constexpr int firstSize = 600000;
 constexpr int sizeStep = 50000;
-constexpr int callerCount = 11;
+constexpr int callerCount = 25;
 // Time that the server works on a request.
 constexpr double workSeconds = 0.3;
 
