--- a/review/harness-2/not_modified.cpp
+++ b/review/harness-2/not_modified.cpp
@@ -1,177 +1,162 @@
-// Two tenants on kept connections, one of them with conditional requests that the server answers 304, while the
-// server sends some of its answers a second time, late.
-#include "small_platform.h"
+// Two tenants on kept connections: one asks in plain requests, the other now and then in a conditional one
+// that the server answers 304. The server sends some of its answers once more, late, behind the next answer.
+#include "stand_ins.h"
 
-using namespace small_platform;
+#include <utility>
+
+using namespace review;
 
 namespace {
 
 constexpr int rounds = 8;
-// Of the answers to member-a, one in this many comes a second time: under 5 in 100 of all answers.
+// One answer of this many to the first tenant comes twice: under 5 in 100 of all answers.
 constexpr int answersForOneCopy = 20;
 constexpr std::size_t bodyBytes = 800;
+constexpr int deadlineMs = 3000;
+// Time in which what follows a 304 arrives.
+constexpr milliseconds silence { 300 };
+// Time until a server that counted as silent is used as before.
+constexpr milliseconds roundPause { 1000 };
 
 std::string bodyFor(const std::string& tenant)
 {
-    std::string text = "stock and prices of " + tenant + ", not for others; ";
+    std::string text;
     while (text.size() < bodyBytes)
-        text += text;
+        text += "stock and prices of " + tenant + ", for nobody else; ";
     return text.substr(0, bodyBytes);
 }
 
-/// Answers requests; a second copy follows the next answer on the same connection.
-void serveLedger(recorder& record, std::atomic<int>& answered, std::atomic<int>& copies, int socket)
-{
-    std::string rest;
-    std::string lateCopy;
-    request call;
-    while (readRequest(socket, rest, call)) {
-        const std::string tenant = call.fields["tenant"];
-        const bool isConditional = call.fields.contains("if-none-match");
-        // Without a change, a server may state the length that the body would have.
-        std::string text = std::string("HTTP/1.1 ") + (isConditional ? "304 Not Modified" : "200 OK")
-            + "\r\nRequest-Id: " + call.fields["request-id"] + "\r\nServer-Stamp: s-" + tenant
-            + "\r\nETag: \"7\"\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
-        if (!isConditional)
-            text += bodyFor(tenant);
-        record.line("server: runs %s of %s, answers %s%s", call.fields["request-id"].c_str(), tenant.c_str(),
-            isConditional ? "304" : "200", lateCopy.empty() ? "" : ", and sends the answer before it once more");
-        const bool isCopied = hasTrouble() && tenant == "member-a" && ++answered % answersForOneCopy == 0;
-        copies += lateCopy.empty() ? 0 : 1;
-        if (!sendAll(socket, text + lateCopy))
-            return;
-        lateCopy = isCopied ? text : std::string();
-    }
-}
-
-/// A caller that keeps its connection; a new one replaces one that has ended.
-class caller {
+/// \brief Answers requests, and sends the chosen answers once more, each behind the next one on its
+/// connection.
+class repeating_ledger {
 public:
-    caller(int port, std::string key)
-        : m_port(port)
-        , m_key(std::move(key))
+    explicit repeating_ledger(record_file& record)
+        : m_record(record)
     {
     }
 
-    ~caller() { ::close(m_socket); }
-
-    caller(const caller&) = delete;
-    caller& operator=(const caller&) = delete;
-
-    /// Sends a request, reads its answer and all that follows within a short time.
-    /// \return the answer's status; 0 without one
-    int call(const std::string& id, const std::string& fields, std::string& body, std::string& excess)
+    void answer(connection& to, const message& request)
     {
-        if (m_socket < 0)
-            m_socket = connectTo(m_port);
-        body.clear();
-        excess.clear();
-        if (m_socket < 0
-            || !sendAll(m_socket,
-                "GET /stock/" + id + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nKey: " + m_key
-                    + "\r\nDeadline-Ms: 3000\r\n" + fields + "\r\n"))
-            return 0;
-        std::string text;
-        std::size_t end = 0;
-        while ((end = text.find("\r\n\r\n")) == std::string::npos) {
-            if (!receive(text, 5))
-                return 0;
-        }
-        const int status = std::stoi(text.substr(9, 3));
-        const std::size_t stated = text.find("Content-Length: ");
-        std::size_t length = stated < end ? std::stoul(text.substr(stated + 16)) : 0;
-        // An answer with this status has no body, whatever length it states.
-        length = status == 304 ? 0 : length;
-        while (text.size() < end + 4 + length) {
-            if (!receive(text, 5))
-                return 0;
-        }
-        body = text.substr(end + 4, length);
-        if (status == 304)
-            receive(text, 0.2);
-        excess = text.substr(end + 4 + length);
-        return status;
+        const std::string tenant = request.get("Tenant");
+        const bool isConditional = request.has("If-None-Match");
+        // An answer 304 has no body; it may state the length that the body would have.
+        const std::string text
+            = answerHead(request, isConditional ? 304 : 200,
+                  "ETag: \"7\"\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n")
+            + (isConditional ? std::string() : bodyFor(tenant));
+        const std::lock_guard lock(m_mutex);
+        const std::string copy = std::exchange(m_lateCopies[&to], {});
+        if (isTroubled() && !isConditional && ++m_answers % answersForOneCopy == 0)
+            m_lateCopies[&to] = text;
+        to.send(text + copy);
+        m_copies += copy.empty() ? 0 : 1;
+        m_record.write("ledger-1 answers " + request.get("Request-Id") + (isConditional ? " 304" : " 200")
+            + (copy.empty() ? "" : ", and sends the answer before it once more"));
     }
 
-private:
-    bool receive(std::string& text, double seconds)
+    int copies()
     {
-        const timeval limit { static_cast<time_t>(seconds), static_cast<suseconds_t>(seconds * 1e6) % 1000000 };
-        ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-        char buffer[16384];
-        const ssize_t size = ::recv(m_socket, buffer, sizeof(buffer), 0);
-        if (size > 0) {
-            text.append(buffer, static_cast<std::size_t>(size));
-            return true;
-        }
-        if (size == 0) {
-            ::close(m_socket);
-            m_socket = -1;
-        }
-        return false;
+        const std::lock_guard lock(m_mutex);
+        return m_copies;
     }
 
-    int m_port;
-    std::string m_key;
-    int m_socket { -1 };
+private:
+    record_file& m_record;
+    std::mutex m_mutex;
+    std::map<const connection*, std::string> m_lateCopies;
+    int m_answers { 0 };
+    int m_copies { 0 };
+};
+
+struct answer_text {
+    int status { 0 };
+    std::string body;
+    /// What came behind the answer, before the next request was sent.
+    std::string excess;
 };
 
+/// Sends a request on a kept connection and reads all that comes.
+answer_text ask(connection& kept, const std::string& id, const std::string& key, const std::string& fields)
+{
+    kept.send(requestText("GET", "/stock/" + id, id, key, deadlineMs, fields, ""));
+    answer_text result;
+    std::string text;
+    const auto until = steady::now() + milliseconds(deadlineMs + 500);
+    std::size_t whole = std::string::npos;
+    std::size_t head = std::string::npos;
+    while (steady::now() < until && text.size() < whole && !kept.isEnded()) {
+        text += kept.receive(milliseconds(100));
+        head = text.find("\r\n\r\n");
+        if (head == std::string::npos)
+            continue;
+        result.status = std::stoi(text.substr(9, 3));
+        const std::size_t stated = text.find("Content-Length: ");
+        // An answer with this status has no body, whatever length it states.
+        whole = head + 4 + (result.status == 304 || stated > head ? 0 : std::stoul(text.substr(stated + 16)));
+    }
+    if (text.size() < whole || whole == std::string::npos)
+        return {};
+    if (result.status == 304)
+        text += kept.receive(silence);
+    result.body = text.substr(head + 4, whole - head - 4);
+    result.excess = text.substr(whole);
+    return result;
+}
+
 } // namespace
 
 int main(int count, char** values)
 {
-    if (count != 3)
-        return 2;
-    std::signal(SIGPIPE, SIG_IGN);
-    recorder record(values[2]);
+    record_file record(count > 1 ? values[1] : "record.txt");
     store platform;
-    std::atomic<int> answered { 0 };
-    std::atomic<int> copies { 0 };
-    const server ledger([&](int socket) { serveLedger(record, answered, copies, socket); });
+    repeating_ledger ledger(record);
+    back_end server({ "ledger-1", "ledger", 6, {} }, record,
+        [&](connection& to, const message& request) { ledger.answer(to, request); });
+    heartbeats beats(platform, { &server });
     platform.put("keyed.op", "config",
-        "{\"version\":1,\"routes\":[{\"name\":\"stock\",\"hostname\":\"h\",\"path-prefix\":\"/stock/\","
-        "\"route-type\":\"safe\",\"timeout-ms\":1200,\"target-latency-ms\":150,\"priority\":1,\"service\":"
-        "\"ledger\",\"max-attempts\":2}],\"services\":[{\"name\":\"ledger\",\"max-connections\":96}],"
-        "\"tenants\":[{\"name\":\"member-a\",\"api-keys\":[\"key-a\"],\"rate-per-s\":0},"
-        "{\"name\":\"member-b\",\"api-keys\":[\"key-b\"],\"rate-per-s\":0}]}");
-    platform.put("keyed.servers", "i-1", serverEntry("ledger", ledger.port));
-    const gateway front(platform.port(), values[1]);
-    if (!front.waitReady()) {
-        record.line("the gateway is not ready");
-        return 2;
-    }
-    caller memberA(front.callers, "key-a");
-    caller memberB(front.callers, "key-b");
+        configText(1,
+            { routeText("/stock/", "safe", "ledger", 1000, 150, 2, false), plainServiceText("ledger"),
+                teamText("member-a", { "key-a" }) + "," + teamText("member-b", { "key-b" }) }));
+    gateway front("front-z-1", platform.port());
+    front.start();
+    if (!front.waitReady(milliseconds(10000)))
+        return finish(record, false, false, "the gateway was not ready");
+    sleepFor(milliseconds(4000));
+    const auto memberA = connection::open(front.callerPort());
+    const auto memberB = connection::open(front.callerPort());
+    if (!memberA || !memberB)
+        return finish(record, false, false, "the gateway accepts no connection");
+    int served = 0;
     int broken = 0;
-    int servedToA = 0;
     for (int round = 0; round < rounds; ++round) {
-        std::string body;
-        std::string excess;
         for (int index = 0; index < answersForOneCopy; ++index) {
-            const std::string id = "a" + std::to_string(round) + "-" + std::to_string(index);
-            const int status = memberA.call(id, "", body, excess);
-            servedToA += status == 200 ? 1 : 0;
-            record.line("member-a: %s got %d, %zu bytes", id.c_str(), status, body.size());
-            if (status == 200 && body != bodyFor("member-a")) {
-                ++broken;
-                record.line("broken: %s has a body that is not the server's", id.c_str());
-            }
+            const std::string id = nextRequestId("a");
+            const answer_text got = ask(*memberA, id, "key-a", "");
+            served += got.status == 200 ? 1 : 0;
+            record.write("member-a got for " + id + ": " + std::to_string(got.status));
+            if (got.status != 200 || (got.body == bodyFor("member-a") && got.excess.empty()))
+                continue;
+            ++broken;
+            record.write("broken: member-a got other bytes than the server's answer to " + id);
         }
-        const std::string id = "b" + std::to_string(round);
-        const int status = memberB.call(id, "If-None-Match: \"7\"\r\n", body, excess);
-        record.line("member-b: %s got %d and %zu bytes behind it", id.c_str(), status, excess.size());
-        if (!excess.empty()) {
+        const std::string id = nextRequestId("b");
+        const answer_text got = ask(*memberB, id, "key-b", "If-None-Match: \"7\"\r\n");
+        record.write("member-b got for " + id + ": " + std::to_string(got.status) + ", and "
+            + std::to_string(got.excess.size()) + " bytes behind it");
+        if (!got.excess.empty()) {
             ++broken;
-            record.line("broken: %zu bytes that are no answer to member-b follow its 304: %s", excess.size(),
-                excess.find("stock and prices of member-a") == std::string::npos
-                    ? "no answer at all"
-                    : "they hold the answer to another request, of member-a");
+            const bool isForeign = got.excess.find("stock and prices of member-a") != std::string::npos;
+            record.write(std::string("broken: the bytes behind the 304 are no answer to member-b")
+                + (isForeign ? ", they hold the answer to a request of member-a: " : ": ")
+                + got.excess.substr(0, 60) + "...");
         }
-        // Time until a server that was taken for silent is used again.
-        sleepFor(1);
+        if (memberA->isEnded() || memberB->isEnded())
+            return finish(record, broken > 0, broken > 0, "a kept connection was closed");
+        sleepFor(roundPause);
     }
-    record.line("%d answers of 200 to member-a, %d second copies sent, %d times broken", servedToA, copies.load(), broken);
-    if (servedToA == 0)
-        return 2;
-    return broken > 0 ? 1 : 0;
+    return finish(record, served > 0, broken > 0,
+        std::to_string(broken) + " times a caller got bytes that are no answer to it, "
+            + std::to_string(ledger.copies()) + " answers of "
+            + std::to_string(rounds * (answersForOneCopy + 1)) + " were sent twice, " + std::to_string(served)
+            + " requests of member-a were served");
 }
