--- a/review/harness-2/not_modified.cpp
+++ b/review/harness-2/not_modified.cpp
@@ -1,16 +1,20 @@
 // Two tenants on kept connections: one asks in plain requests, the other now and then in a conditional one
-// that the server answers 304. The server sends some of its answers once more, late, behind the next answer.
+// that the servers answer 304. One of two servers sends some of its answers once more, late, behind the next
+// answer on the same connection.
 #include "stand_ins.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <utility>
 
 using namespace review;
 
 namespace {
 
-constexpr int rounds = 8;
-// One answer of this many to the first tenant comes twice: under 5 in 100 of all answers.
-constexpr int answersForOneCopy = 20;
+constexpr int rounds = 5;
+constexpr int requestsPerRound = 21;
+// One plain answer of this many of the faulty server comes twice: under 5 in 100 of its answers.
+constexpr int answersForOneCopy = 21;
 constexpr std::size_t bodyBytes = 800;
 constexpr int deadlineMs = 3000;
 // Time in which what follows a 304 arrives.
@@ -26,12 +30,23 @@
     return text.substr(0, bodyBytes);
 }
 
-/// \brief Answers requests, and sends the chosen answers once more, each behind the next one on its
+/// \return the caller's port, by which a connection is told from an earlier one at the same address.
+int peerPort(const connection& from)
+{
+    sockaddr_in peer {};
+    socklen_t size = sizeof(peer);
+    getpeername(from.socket(), reinterpret_cast<sockaddr*>(&peer), &size);
+    return ntohs(peer.sin_port);
+}
+
+/// \brief Answers requests; a faulty one sends some answers once more, each behind the next on its
 /// connection.
-class repeating_ledger {
+class ledger_answers {
 public:
-    explicit repeating_ledger(record_file& record)
+    ledger_answers(record_file& record, std::string id, bool isFaulty)
         : m_record(record)
+        , m_id(std::move(id))
+        , m_isFaulty(isFaulty)
     {
     }
 
@@ -45,26 +60,32 @@
                   "ETag: \"7\"\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n")
             + (isConditional ? std::string() : bodyFor(tenant));
         const std::lock_guard lock(m_mutex);
-        const std::string copy = std::exchange(m_lateCopies[&to], {});
-        if (isTroubled() && !isConditional && ++m_answers % answersForOneCopy == 0)
-            m_lateCopies[&to] = text;
+        const std::string copy = std::exchange(m_lateCopies[peerPort(to)], {});
+        ++m_answers;
+        if (m_isFaulty && !isConditional && ++m_plainAnswers % answersForOneCopy == 0)
+            m_lateCopies[peerPort(to)] = text;
         to.send(text + copy);
         m_copies += copy.empty() ? 0 : 1;
-        m_record.write("ledger-1 answers " + request.get("Request-Id") + (isConditional ? " 304" : " 200")
+        m_record.write(m_id + " answers " + request.get("Request-Id") + (isConditional ? " 304" : " 200")
             + (copy.empty() ? "" : ", and sends the answer before it once more"));
     }
 
-    int copies()
+    /// \return the numbers of answers and of second copies.
+    std::pair<int, int> counts()
     {
         const std::lock_guard lock(m_mutex);
-        return m_copies;
+        return { m_answers, m_copies };
     }
 
 private:
     record_file& m_record;
+    std::string m_id;
+    bool m_isFaulty;
     std::mutex m_mutex;
-    std::map<const connection*, std::string> m_lateCopies;
+    /// By the caller's port of the connection.
+    std::map<int, std::string> m_lateCopies;
     int m_answers { 0 };
+    int m_plainAnswers { 0 };
     int m_copies { 0 };
 };
 
@@ -109,10 +130,13 @@
 {
     record_file record(count > 1 ? values[1] : "record.txt");
     store platform;
-    repeating_ledger ledger(record);
-    back_end server({ "ledger-1", "ledger", 6, {} }, record,
-        [&](connection& to, const message& request) { ledger.answer(to, request); });
-    heartbeats beats(platform, { &server });
+    ledger_answers faulty(record, "ledger-1", isTroubled());
+    ledger_answers sound(record, "ledger-2", false);
+    back_end server1({ "ledger-1", "ledger", 6, {} }, record,
+        [&](connection& to, const message& request) { faulty.answer(to, request); });
+    back_end server2({ "ledger-2", "ledger", 6, {} }, record,
+        [&](connection& to, const message& request) { sound.answer(to, request); });
+    heartbeats beats(platform, { &server1, &server2 });
     platform.put("keyed.op", "config",
         configText(1,
             { routeText("/stock/", "safe", "ledger", 1000, 150, 2, false), plainServiceText("ledger"),
@@ -129,7 +153,7 @@
     int served = 0;
     int broken = 0;
     for (int round = 0; round < rounds; ++round) {
-        for (int index = 0; index < answersForOneCopy; ++index) {
+        for (int index = 0; index < requestsPerRound; ++index) {
             const std::string id = nextRequestId("a");
             const answer_text got = ask(*memberA, id, "key-a", "");
             served += got.status == 200 ? 1 : 0;
@@ -154,9 +178,10 @@
             return finish(record, broken > 0, broken > 0, "a kept connection was closed");
         sleepFor(roundPause);
     }
+    const auto [answers, copies] = faulty.counts();
     return finish(record, served > 0, broken > 0,
-        std::to_string(broken) + " times a caller got bytes that are no answer to it, "
-            + std::to_string(ledger.copies()) + " answers of "
-            + std::to_string(rounds * (answersForOneCopy + 1)) + " were sent twice, " + std::to_string(served)
-            + " requests of member-a were served");
+        std::to_string(broken) + " times a caller got bytes that are no answer to it; ledger-1 sent "
+            + std::to_string(copies) + " of its " + std::to_string(answers)
+            + " answers twice, ledger-2 none of " + std::to_string(sound.counts().first) + "; "
+            + std::to_string(served) + " requests of member-a were served");
 }
